Add the workspace, the design page and the interfaces between engines

Cause: the repository was empty. Change: a workspace with the library and the stand-ins, newtypes, the document model, store and peer messages, events and actions of each engine, and the compare-and-swap update of one record with read-back of lost replies. Before: nothing. Conclusion: the engines can be written side by side against these types.

--- /dev/null
+++ b/crates/standins/src/bin/tamarack-bench.rs
@@ -0,0 +1,2 @@
+//! Program.
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! stand-ins
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/fleet/events.rs
@@ -0,0 +1,97 @@
+//! Events and actions of the fleet engine.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    protocol::{
+        platform::ListedHost,
+        store::{StoreError, StoreReply, StoreRequest},
+    },
+    state::{
+        document::Document,
+        ids::{CallId, DataCentreId, EntryId, HostId, OperationId, PoolId, ServiceId},
+        records::HostRecord,
+    },
+};
+
+/// Messages between a controller and the seats of a host's data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetMessage {
+    /// Asks whether the entry host has stopped using the host, as of this
+    /// version of its record.
+    DrainQuery { host: HostId, version: u64 },
+    /// The entry host has seen this version or a later one; `in_flight`
+    /// requests, loans included, still use the host.
+    DrainStatus { host: HostId, version: u64, in_flight: u32 },
+}
+
+/// Demand of a service in the whole deployment, for the buffer policy.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// The service.
+    pub service: ServiceId,
+    /// Data centre that the demand is in.
+    pub data_centre: DataCentreId,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FleetEvent {
+    /// The document changed.
+    DocumentChanged { document: Arc<Document> },
+    /// The host records changed; lists all known ones with their versions.
+    FleetChanged { records: Arc<Vec<(u64, HostRecord)>> },
+    /// The platform's list was read.
+    HostsListed { hosts: Vec<ListedHost> },
+    /// The seats of a data centre and their holders; a missing holder means
+    /// that the seat is vacant.
+    SeatsChanged { data_centre: DataCentreId, holders: Vec<Option<EntryId>> },
+    /// Demand was reported.
+    Demand { demand: Vec<ServiceDemand> },
+    /// A peer's message arrived.
+    Received { from: EntryId, message: FleetMessage },
+    /// The health check of a host ended.
+    HealthChecked { host: HostId, healthy: bool },
+    /// The platform accepted the reboot, or refused or lost the call.
+    RebootAccepted { host: HostId, accepted: bool },
+    /// A call to the store ended.
+    StoreReplied { call: CallId, result: Result<StoreReply, StoreError> },
+    /// The entry host stops: control leases are released.
+    Stopping,
+    /// Time passed.
+    Tick,
+}
+
+/// What the owner of the engine does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FleetAction {
+    /// Sends a message to a seat holder of any data centre.
+    Send { to: EntryId, message: FleetMessage },
+    /// Asks the platform to reboot the host; idempotent by operation id.
+    Reboot { host: HostId, operation: OperationId },
+    /// Checks the health of a host.
+    CheckHealth { host: HostId },
+    /// Calls the store.
+    Store { call: CallId, request: StoreRequest },
+    /// Reports a condition that an operator should see.
+    Report { report: FleetReport },
+}
+
+/// Conditions that operators see in `status` and in the logs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, displaydoc::Display)]
+pub enum FleetReport {
+    /// host {host} did not return after its reboot and keeps its reservation; repair or remove it
+    NotReturned { host: HostId },
+    /// host {host} waits for drain acknowledgements of {waiting_for} seats; see whether its data centre is cut off
+    DrainWaits { host: HostId, waiting_for: u32 },
+    /// service {service} has {available} instances, fewer than its budget of {min_available}; add hosts or repair failed ones
+    BudgetBroken { service: ServiceId, available: u32, min_available: u32 },
+    /// the wave in pool {pool} paused after {failures} failures; inspect the failed hosts, then resume it
+    WavePaused { pool: PoolId, failures: u32 },
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/lib.rs
@@ -0,0 +1,12 @@
+//! Fleet capacity and maintenance manager.
+//!
+//! The library holds everything that the programs `tamarackd` and
+//! `tamarackctl` do. Its layers, from the bottom: [`state`] (ids, units, the
+//! operators' document and the records kept in the platform's store),
+//! [`coordination`] (decisions, as state machines without I/O), [`protocol`]
+//! (messages and formats) and [`transport`] (sockets).
+
+pub mod coordination;
+pub mod protocol;
+pub mod state;
+pub mod transport;
--- /dev/null
+++ b/crates/tamarackproxy/src/state/mod.rs
@@ -0,0 +1,7 @@
+//! Values that the system keeps: ids, units, the document and store records.
+
+pub mod clock;
+pub mod document;
+pub mod ids;
+pub mod records;
+pub mod units;
--- /dev/null
+++ b/crates/tamarackproxy/src/state/records/mod.rs
@@ -0,0 +1,40 @@
+//! Records kept in the platform's store, one type for each kind.
+//!
+//! Every record is a JSON value under one key. Changing it is one
+//! compare-and-swap on the key's version.
+
+mod host;
+
+pub use self::host::{HostPhase, HostRecord};
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::ids::OperationId;
+
+/// Number of recent operation ids that a record keeps.
+///
+/// A writer whose reply was lost reads the record back within seconds; 16
+/// covers the writers that can change one record in that time.
+pub const RECENT_OPERATIONS: usize = 16;
+
+/// Operation ids of the latest writes of a record.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RecentOperations(VecDeque<OperationId>);
+
+impl RecentOperations {
+    /// Adds the id of a write and forgets the oldest beyond the limit.
+    pub fn push(&mut self, operation: OperationId) {
+        if self.0.len() == RECENT_OPERATIONS {
+            self.0.pop_front();
+        }
+        self.0.push_back(operation);
+    }
+
+    /// Tells whether the write with this id is among the latest.
+    pub fn contains(&self, operation: OperationId) -> bool {
+        self.0.contains(&operation)
+    }
+}
