Add the frame of tamarack-bench

Cause: measurements need one output format with bounds taken from stated targets. No measurement exists yet.

--- /dev/null
+++ b/crates/standins/src/bench/figure.rs
@@ -0,0 +1,70 @@
+//! One measured figure and the bound that it is held to.
+
+use serde::Serialize;
+
+/// Bound of a figure, from a stated target.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Bound {
+    /// The value must not be above.
+    AtMost(f64),
+    /// The value must not be below.
+    AtLeast(f64),
+}
+
+impl Bound {
+    fn holds(self, value: f64) -> bool {
+        match self {
+            Bound::AtMost(limit) => value <= limit,
+            Bound::AtLeast(limit) => value >= limit,
+        }
+    }
+}
+
+/// One line of a measurement's output.
+///
+/// ```
+/// use tamarack_standins::bench::{Bound, Figure};
+/// let figure = Figure::new("slots", "overruns", 0.0, "count").with_bound(Bound::AtMost(0.0));
+/// assert!(figure.held());
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Figure {
+    bench: &'static str,
+    figure: Box<str>,
+    value: f64,
+    unit: &'static str,
+    baseline: Option<f64>,
+    bound: Option<Bound>,
+    held: Option<bool>,
+}
+
+impl Figure {
+    /// Makes a figure without baseline and bound.
+    pub fn new<F>(bench: &'static str, figure: F, value: f64, unit: &'static str) -> Self
+    where
+        F: Into<Box<str>>,
+    {
+        Self { bench, figure: figure.into(), value, unit, baseline: None, bound: None, held: None }
+    }
+
+    /// Adds the baseline's value from the same run.
+    #[must_use]
+    pub fn with_baseline(mut self, baseline: f64) -> Self {
+        self.baseline = Some(baseline);
+        self
+    }
+
+    /// Adds the bound and tells whether the value holds it.
+    #[must_use]
+    pub fn with_bound(mut self, bound: Bound) -> Self {
+        self.held = Some(bound.holds(self.value));
+        self.bound = Some(bound);
+        self
+    }
+
+    /// Tells whether the bound holds; a figure without bound holds.
+    pub fn held(&self) -> bool {
+        self.held != Some(false)
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,6 @@
-//! stand-ins
+//! Stand-ins for the platform, targets, workers and callers, and the
+//! measurements that drive the library's decision code.
+//!
+//! Stand-ins record what happened and inject faults; they decide nothing.
+
+pub mod bench;
