Add control leases with terms that grow across holders

Seats and control scopes are keys bound to a store lease, which vanish when the lease lapses. The term is kept in a second key without a lease and is raised before the leased key is created; a last read rules out a delayed creation under an older term.

--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/control/acquisition.rs
@@ -0,0 +1,188 @@
+//! Acquisition of a leased key with a term above all earlier terms.
+
+use bytes::Bytes;
+
+use super::LEASE_TTL_MS;
+use crate::{
+    protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest},
+    state::{
+        ids::{LeaseId, RecordVersion, Term},
+        records::TenureRecord,
+    },
+};
+
+/// A tenure that was acquired.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tenure {
+    /// Term of the holder.
+    pub term: Term,
+    /// Lease that the key is bound to.
+    pub lease: LeaseId,
+    /// Monotonic time at which the lease was asked for, in milliseconds; the
+    /// lease ends no earlier than its time to live after that.
+    pub asked_at_ms: u64,
+}
+
+/// What the owner of an acquisition does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AcquisitionStep {
+    /// Send the request and pass its result to [`Acquisition::on_result`].
+    Send(StoreRequest),
+    /// The key is held.
+    Acquired(Tenure),
+    /// Another holder has the key or raised the term.
+    HeldByOther,
+    /// The store did not reply; whether the key was written is not known. An
+    /// unrenewed key lapses by itself.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Granting,
+    Raising,
+    ReadingTermBack,
+    Creating,
+    ReadingKeyBack,
+    Verifying,
+    Ended,
+}
+
+/// State machine: grant a lease, raise the term in the term key, create the
+/// leased key, and verify the term.
+///
+/// The term is raised before the key is created. The last read rules out that
+/// a delayed creation succeeds after a rival with a higher term came and went.
+#[derive(Clone, Debug)]
+pub struct Acquisition {
+    key: Box<str>,
+    term_key: Box<str>,
+    record: TenureRecord,
+    /// Version of the term key to swap against; none keeps the present term.
+    raise_from: Option<RecordVersion>,
+    phase: Phase,
+    lease: LeaseId,
+    asked_at_ms: u64,
+}
+
+impl Acquisition {
+    /// Prepares the acquisition of `key` for the holder in `record`, whose
+    /// term must be one above that of the term key at version `raise_from`.
+    pub fn raise(
+        key: Box<str>,
+        term_key: Box<str>,
+        record: TenureRecord,
+        raise_from: RecordVersion,
+    ) -> Self {
+        Self::new(key, term_key, record, Some(raise_from))
+    }
+
+    /// Prepares binding `key` to a new lease under the term already held.
+    pub fn rebind(key: Box<str>, term_key: Box<str>, record: TenureRecord) -> Self {
+        Self::new(key, term_key, record, None)
+    }
+
+    fn new(
+        key: Box<str>,
+        term_key: Box<str>,
+        record: TenureRecord,
+        raise_from: Option<RecordVersion>,
+    ) -> Self {
+        let phase = Phase::Ended;
+        Self { key, term_key, record, raise_from, phase, lease: LeaseId(0), asked_at_ms: 0 }
+    }
+
+    /// Starts with the grant of a lease; `now_ms` is monotonic.
+    pub fn start(&mut self, now_ms: u64) -> StoreRequest {
+        self.phase = Phase::Granting;
+        self.asked_at_ms = now_ms;
+        StoreRequest::GrantLease { ttl_ms: LEASE_TTL_MS }
+    }
+
+    /// Takes the result of the request sent last.
+    pub fn on_result(&mut self, result: Result<StoreReply, StoreError>) -> AcquisitionStep {
+        match (std::mem::replace(&mut self.phase, Phase::Ended), result) {
+            (Phase::Granting, Ok(StoreReply::Lease { lease, .. })) => self.on_granted(lease),
+            (Phase::Raising, Ok(StoreReply::Swapped(_))) => self.create(),
+            (Phase::Raising, Ok(StoreReply::Conflict(value))) => self.on_term_value(value),
+            (Phase::Raising, Err(StoreError::Unknown | StoreError::Malformed(_))) => {
+                self.get_term(Phase::ReadingTermBack)
+            }
+            (Phase::ReadingTermBack, Ok(StoreReply::Value(value))) => self.on_term_value(value),
+            (Phase::Creating, Ok(StoreReply::Swapped(_))) => self.get_term(Phase::Verifying),
+            (Phase::Creating, Ok(StoreReply::Conflict(value))) => self.on_key_value(value),
+            (Phase::Creating, Err(StoreError::Unknown | StoreError::Malformed(_))) => {
+                self.phase = Phase::ReadingKeyBack;
+                AcquisitionStep::Send(StoreRequest::Get { key: self.key.clone() })
+            }
+            (Phase::ReadingKeyBack, Ok(StoreReply::Value(value))) => self.on_key_value(value),
+            (Phase::Verifying, Ok(StoreReply::Value(value))) => self.on_verified(value),
+            _ => AcquisitionStep::Failed,
+        }
+    }
+
+    fn on_granted(&mut self, lease: LeaseId) -> AcquisitionStep {
+        self.lease = lease;
+        let Some(expected) = self.raise_from else { return self.create() };
+        let Some(value) = encode(&self.record) else { return AcquisitionStep::Failed };
+        self.phase = Phase::Raising;
+        let key = self.term_key.clone();
+        AcquisitionStep::Send(StoreRequest::CompareAndSwap { key, expected, value, lease: None })
+    }
+
+    fn on_term_value(&mut self, value: Option<KeyValue>) -> AcquisitionStep {
+        match decode_tenure(value.as_ref()) {
+            Some(found) if found.operation == self.record.operation => self.create(),
+            _ => AcquisitionStep::HeldByOther,
+        }
+    }
+
+    fn create(&mut self) -> AcquisitionStep {
+        let Some(value) = encode(&self.record) else { return AcquisitionStep::Failed };
+        self.phase = Phase::Creating;
+        let (key, lease) = (self.key.clone(), Some(self.lease));
+        let expected = RecordVersion(0);
+        AcquisitionStep::Send(StoreRequest::CompareAndSwap { key, expected, value, lease })
+    }
+
+    fn on_key_value(&mut self, value: Option<KeyValue>) -> AcquisitionStep {
+        match decode_tenure(value.as_ref()) {
+            Some(found) if found.operation == self.record.operation => {
+                self.get_term(Phase::Verifying)
+            }
+            Some(_) => AcquisitionStep::HeldByOther,
+            None => AcquisitionStep::Failed,
+        }
+    }
+
+    fn get_term(&mut self, phase: Phase) -> AcquisitionStep {
+        self.phase = phase;
+        AcquisitionStep::Send(StoreRequest::Get { key: self.term_key.clone() })
+    }
+
+    fn on_verified(&self, value: Option<KeyValue>) -> AcquisitionStep {
+        match decode_tenure(value.as_ref()) {
+            Some(found) if found.term == self.record.term && found.holder == self.record.holder => {
+                let (term, lease) = (self.record.term, self.lease);
+                AcquisitionStep::Acquired(Tenure { term, lease, asked_at_ms: self.asked_at_ms })
+            }
+            _ => AcquisitionStep::HeldByOther,
+        }
+    }
+
+    /// Returns the lease once it was granted, for its revocation after a
+    /// failed acquisition.
+    pub fn granted_lease(&self) -> Option<LeaseId> {
+        (self.lease != LeaseId(0)).then_some(self.lease)
+    }
+}
+
+/// Encodes a record as the value of its key.
+pub(crate) fn encode(record: &TenureRecord) -> Option<Bytes> {
+    serde_json::to_vec(record).ok().map(Bytes::from)
+}
+
+/// Decodes the value of a seat, control or term key, if it is one.
+pub(crate) fn decode_tenure(value: Option<&KeyValue>) -> Option<TenureRecord> {
+    serde_json::from_slice(&value?.value).ok()
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/control/lease.rs
@@ -0,0 +1,292 @@
+//! Control of one scope by one entry host.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{Acquisition, AcquisitionStep, Backoff, Tenure};
+use super::{LEASE_TTL_MS, RENEW_INTERVAL_MS, acquisition::decode_tenure, shortened_by_drift};
+use crate::{
+    protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest},
+    state::{
+        clock::ClockReading,
+        ids::{EntryId, LeaseId, OperationId, RecordVersion, Term},
+        records::TenureRecord,
+    },
+};
+
+/// Delay between attempts to acquire a scope that another entry host holds, in
+/// milliseconds.
+const DEFAULT_RETRY_MS: u64 = 3_000;
+/// Shortest limit of the delay after a failed call, in milliseconds.
+const BACKOFF_MIN_MS: u64 = 500;
+/// Longest delay after a failed call, in milliseconds; below the lease's time
+/// to live, so that a holder renews in time after a short outage.
+const BACKOFF_MAX_MS: u64 = 4_000;
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Waiting,
+    ReadingKey,
+    ReadingTerm,
+    Acquiring(Acquisition),
+    Holding(Tenure),
+    Renewing { tenure: Tenure, sent_at_ms: u64 },
+    Revoking,
+    Released,
+}
+
+/// Lease on `control/<scope>` whose holder has a term above all earlier ones.
+///
+/// At most one call is in flight. The owner sends the request that
+/// [`tick`](Self::tick) or [`on_store_reply`](Self::on_store_reply) returns and
+/// passes its result back. Writes on behalf of the scope carry the term of
+/// [`held`](Self::held), so that those of a paused former holder fail.
+///
+/// ```
+/// use tamarackproxy::coordination::control::ControlLease;
+/// use tamarackproxy::state::{clock::ClockReading, ids::EntryId};
+///
+/// let mut lease = ControlLease::new("pool/web", EntryId::new("e1"));
+/// assert!(lease.tick(ClockReading::default()).is_some());
+/// assert_eq!(lease.held(), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct ControlLease {
+    key: Box<str>,
+    term_key: Box<str>,
+    holder: EntryId,
+    phase: Phase,
+    next_ms: u64,
+    valid_until_ms: u64,
+    expired: bool,
+    retry_ms: u64,
+    other: Option<EntryId>,
+    backoff: Backoff,
+    random: ChaCha8Rng,
+}
+
+impl ControlLease {
+    /// Prepares a lease on `control/<scope>` for `holder`.
+    pub fn new<S>(scope: S, holder: EntryId) -> Self
+    where
+        S: AsRef<str>,
+    {
+        let scope = scope.as_ref();
+        let mut hasher = DefaultHasher::new();
+        (scope, &holder).hash(&mut hasher);
+        Self {
+            key: format!("control/{scope}").into(),
+            term_key: format!("control-term/{scope}").into(),
+            holder,
+            phase: Phase::Waiting,
+            next_ms: 0,
+            valid_until_ms: 0,
+            expired: true,
+            retry_ms: DEFAULT_RETRY_MS,
+            other: None,
+            backoff: Backoff::new(BACKOFF_MIN_MS, BACKOFF_MAX_MS),
+            random: ChaCha8Rng::seed_from_u64(hasher.finish()),
+        }
+    }
+
+    /// Sets the delay between attempts while another entry host holds the
+    /// scope, in milliseconds.
+    pub fn set_retry_ms(&mut self, retry_ms: u64) {
+        self.retry_ms = retry_ms;
+    }
+
+    /// Returns the term while this entry host holds the scope, as of the last
+    /// call of [`tick`](Self::tick) or [`on_store_reply`](Self::on_store_reply).
+    pub fn held(&self) -> Option<Term> {
+        match &self.phase {
+            Phase::Holding(tenure) | Phase::Renewing { tenure, .. } if !self.expired => {
+                Some(tenure.term)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the other entry host that was seen to hold the scope last.
+    pub fn other_holder(&self) -> Option<&EntryId> {
+        self.other.as_ref()
+    }
+
+    /// Returns the monotonic time of the next `tick`, in milliseconds; none
+    /// while a call is in flight or after the release.
+    pub fn next_tick_ms(&self) -> Option<u64> {
+        match self.phase {
+            Phase::Waiting => Some(self.next_ms),
+            Phase::Holding(_) => Some(self.next_ms.min(self.valid_until_ms)),
+            Phase::Renewing { .. } if !self.expired => Some(self.valid_until_ms),
+            _ => None,
+        }
+    }
+
+    /// Lets time pass: ends a tenure whose lease may have lapsed, and returns a
+    /// request when an attempt or a renewal is due.
+    pub fn tick(&mut self, now: ClockReading) -> Option<StoreRequest> {
+        let now_ms = now.monotonic_ms;
+        self.expired |= now_ms >= self.valid_until_ms;
+        if now_ms < self.next_ms {
+            return None;
+        }
+        match &self.phase {
+            Phase::Waiting => {
+                self.phase = Phase::ReadingKey;
+                Some(StoreRequest::Get { key: self.key.clone() })
+            }
+            Phase::Holding(tenure) => {
+                let (tenure, lease) = (*tenure, tenure.lease);
+                self.phase = Phase::Renewing { tenure, sent_at_ms: now_ms };
+                Some(StoreRequest::KeepAlive { lease })
+            }
+            _ => None,
+        }
+    }
+
+    /// Takes the result of the request returned last.
+    pub fn on_store_reply(
+        &mut self,
+        now: ClockReading,
+        result: Result<StoreReply, StoreError>,
+    ) -> Option<StoreRequest> {
+        let now_ms = now.monotonic_ms;
+        self.expired |= now_ms >= self.valid_until_ms;
+        match (std::mem::replace(&mut self.phase, Phase::Waiting), result) {
+            (Phase::Released, _) | (Phase::Revoking, _) => {
+                self.phase = Phase::Released;
+                None
+            }
+            (Phase::ReadingKey, Ok(StoreReply::Value(value))) => self.on_key(now_ms, value),
+            (Phase::ReadingTerm, Ok(StoreReply::Value(value))) => self.on_term(now, value),
+            (Phase::Acquiring(acquisition), result) => {
+                self.on_acquisition(now_ms, acquisition, result)
+            }
+            (Phase::Renewing { tenure, sent_at_ms }, result) => {
+                self.on_renewal(now_ms, tenure, sent_at_ms, result);
+                None
+            }
+            _ => self.wait_after_failure(now_ms),
+        }
+    }
+
+    /// Gives up the scope; the request, if any, ends the lease at once.
+    pub fn release(&mut self) -> Option<StoreRequest> {
+        let lease = match &self.phase {
+            Phase::Holding(tenure) | Phase::Renewing { tenure, .. } => Some(tenure.lease),
+            Phase::Acquiring(acquisition) => acquisition.granted_lease(),
+            _ => None,
+        };
+        self.phase = if lease.is_some() { Phase::Revoking } else { Phase::Released };
+        lease.map(|lease| StoreRequest::RevokeLease { lease })
+    }
+
+    fn on_key(&mut self, now_ms: u64, value: Option<KeyValue>) -> Option<StoreRequest> {
+        self.backoff.reset();
+        if value.is_some() {
+            let found = decode_tenure(value.as_ref());
+            self.other = found.map(|found| found.holder).filter(|holder| *holder != self.holder);
+            self.wait_for_other(now_ms);
+            return None;
+        }
+        self.phase = Phase::ReadingTerm;
+        Some(StoreRequest::Get { key: self.term_key.clone() })
+    }
+
+    fn on_term(&mut self, now: ClockReading, value: Option<KeyValue>) -> Option<StoreRequest> {
+        let version = value.as_ref().map_or(RecordVersion(0), |value| value.version);
+        let last = decode_tenure(value.as_ref()).map_or(Term(0), |found| found.term);
+        let record = TenureRecord {
+            holder: self.holder.clone(),
+            address: "".into(),
+            term: last.next(),
+            released: false,
+            operation: self.operation(now),
+        };
+        let (key, term_key) = (self.key.clone(), self.term_key.clone());
+        let mut acquisition = Acquisition::raise(key, term_key, record, version);
+        let request = acquisition.start(now.monotonic_ms);
+        self.phase = Phase::Acquiring(acquisition);
+        Some(request)
+    }
+
+    /// Draws an operation id that differs between processes of one name.
+    fn operation(&mut self, now: ClockReading) -> OperationId {
+        let mut hasher = DefaultHasher::new();
+        (self.random.random::<u64>(), now.unix_ms, now.monotonic_ms, &self.holder)
+            .hash(&mut hasher);
+        OperationId(hasher.finish())
+    }
+
+    fn on_acquisition(
+        &mut self,
+        now_ms: u64,
+        mut acquisition: Acquisition,
+        result: Result<StoreReply, StoreError>,
+    ) -> Option<StoreRequest> {
+        match acquisition.on_result(result) {
+            AcquisitionStep::Send(request) => {
+                self.phase = Phase::Acquiring(acquisition);
+                Some(request)
+            }
+            AcquisitionStep::Acquired(tenure) => {
+                self.other = None;
+                self.confirm(now_ms, tenure, tenure.asked_at_ms);
+                None
+            }
+            AcquisitionStep::HeldByOther => {
+                self.wait_for_other(now_ms);
+                None
+            }
+            AcquisitionStep::Failed => self.wait_after_failure(now_ms),
+        }
+    }
+
+    fn on_renewal(
+        &mut self,
+        now_ms: u64,
+        tenure: Tenure,
+        sent_at_ms: u64,
+        result: Result<StoreReply, StoreError>,
+    ) {
+        match result {
+            Ok(StoreReply::Lease { .. }) => self.confirm(now_ms, tenure, sent_at_ms),
+            Ok(_) => {
+                self.expired = true;
+                self.next_ms = now_ms;
+            }
+            Err(_) => {
+                self.phase = Phase::Holding(tenure);
+                self.next_ms = now_ms + self.backoff.next_delay_ms(&mut self.random);
+            }
+        }
+    }
+
+    fn confirm(&mut self, now_ms: u64, tenure: Tenure, sent_at_ms: u64) {
+        self.backoff.reset();
+        self.valid_until_ms = sent_at_ms + shortened_by_drift(LEASE_TTL_MS);
+        self.expired = now_ms >= self.valid_until_ms;
+        self.next_ms = sent_at_ms + RENEW_INTERVAL_MS;
+        self.phase = Phase::Holding(tenure);
+    }
+
+    fn wait_for_other(&mut self, now_ms: u64) {
+        let jitter_ms = self.random.random_range(0..=self.retry_ms / 4);
+        self.next_ms = now_ms + self.retry_ms + jitter_ms;
+    }
+
+    fn wait_after_failure(&mut self, now_ms: u64) -> Option<StoreRequest> {
+        self.next_ms = now_ms + self.backoff.next_delay_ms(&mut self.random);
+        None
+    }
+
+    /// Returns the lease that the scope is bound to while it is held.
+    pub fn lease(&self) -> Option<LeaseId> {
+        match &self.phase {
+            Phase::Holding(tenure) | Phase::Renewing { tenure, .. } => Some(tenure.lease),
+            _ => None,
+        }
+    }
+}
--- a/crates/tamarackproxy/src/coordination/mod.rs
+++ b/crates/tamarackproxy/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! the daemon, under the fault matrix and in measurements.
 
 pub mod configuration;
+pub mod control;
 pub mod fleet;
 pub mod once;
 pub mod record;
--- a/crates/tamarackproxy/src/state/records/mod.rs
+++ b/crates/tamarackproxy/src/state/records/mod.rs
@@ -4,8 +4,12 @@
 //! compare-and-swap on the key's version.
 
 mod host;
+mod tenure;
 
-pub use self::host::{HostPhase, HostRecord};
+pub use self::{
+    host::{HostPhase, HostRecord},
+    tenure::TenureRecord,
+};
 
 use std::collections::VecDeque;
 
