Add the document and settings with whole-text checks, and both examples

Cause: every engine needs the document, every process its settings. Change: an INI reader that collects all errors with section, key, found value, accepted values and a suggestion; the document's parser, cross-section checks and section-level text edits; settings of tamarackd; example documents of both deployments and example settings. Conclusion: two edits that are valid alone and invalid together are refused.

--- a/crates/tamarackproxy/src/state/document/mod.rs
+++ b/crates/tamarackproxy/src/state/document/mod.rs
@@ -1,9 +1,19 @@
 //! The operators' document: one INI text whose sections belong to teams.
 
 mod model;
+mod parse;
+mod text;
+mod validate;
 
-pub use self::model::{
-    BudgetSection, CallerSection, DataCentreSection, Document, FailureReserve, KeyRule,
-    PoolSection, SectionKind, SectionName, ServiceSection, TeamRole, TeamSection, Urgency,
-    WaveSection,
+pub use self::{
+    model::{
+        BudgetSection, CallerSection, DataCentreSection, Document, FailureReserve, KeyRule,
+        PoolSection, SectionKind, SectionName, ServiceSection, TeamRole, TeamSection, Urgency,
+        WaveSection,
+    },
+    parse::DOCUMENT_MAX_BYTES,
+    text::DocumentText,
 };
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tamarackproxy/src/state/ini/mod.rs
@@ -0,0 +1,7 @@
+//! INI texts that are checked whole: every error is reported, not the first.
+
+mod error;
+mod reader;
+
+pub use self::error::{IniError, IniErrorKind, IniErrors};
+pub(crate) use self::reader::{RawSection, SectionReader, did_you_mean, read_sections};
--- /dev/null
+++ b/crates/tamarackproxy/src/state/ini/reader.rs
@@ -0,0 +1,167 @@
+//! Reads the keys of one section and collects every error.
+
+use std::{collections::BTreeSet, str::FromStr};
+
+use ini::Ini;
+
+use super::{IniError, IniErrorKind};
+
+/// Largest edit distance, as normalised similarity, that makes a suggestion.
+const SUGGESTION_SIMILARITY: f64 = 0.7;
+
+/// A section's header and its keys in the order of the text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RawSection {
+    pub(crate) header: Box<str>,
+    pub(crate) entries: Vec<(Box<str>, Box<str>)>,
+}
+
+/// Splits an INI text into sections; keys before the first header are put
+/// under an empty header.
+pub(crate) fn read_sections(text: &str) -> Result<Vec<RawSection>, IniError> {
+    let ini = Ini::load_from_str_noescape(text).map_err(|error| IniError {
+        file: None,
+        section: "".into(),
+        key: None,
+        kind: IniErrorKind::Syntax(error.to_string().into()),
+    })?;
+    let section = |(header, properties): (Option<&str>, &ini::Properties)| RawSection {
+        header: header.unwrap_or_default().into(),
+        entries: properties.iter().map(|(key, value)| (key.into(), value.into())).collect(),
+    };
+    let is_used = |raw: &RawSection| !raw.header.is_empty() || !raw.entries.is_empty();
+    Ok(ini.iter().map(section).filter(is_used).collect())
+}
+
+/// Returns a hint that names the closest of `known`, or nothing.
+pub(crate) fn did_you_mean<'a, I>(found: &str, known: I) -> Box<str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    known
+        .into_iter()
+        .map(|name| (strsim::normalized_damerau_levenshtein(found, name), name))
+        .filter(|&(similarity, _)| similarity >= SUGGESTION_SIMILARITY)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map_or_else(|| "".into(), |(_, name)| format!("; did you mean {name:?}?").into())
+}
+
+/// Reads typed values from one section.
+pub(crate) struct SectionReader<'a> {
+    header: Box<str>,
+    entries: &'a [(Box<str>, Box<str>)],
+    known: BTreeSet<&'static str>,
+    errors: &'a mut Vec<IniError>,
+}
+
+impl<'a> SectionReader<'a> {
+    pub(crate) fn new(raw: &'a RawSection, errors: &'a mut Vec<IniError>) -> Self {
+        Self { header: raw.header.clone(), entries: &raw.entries, known: BTreeSet::new(), errors }
+    }
+
+    /// Records an error of one key.
+    pub(crate) fn error(&mut self, key: &str, kind: IniErrorKind) {
+        let (section, key) = (self.header.clone(), Some(key.into()));
+        self.errors.push(IniError { file: None, section, key, kind });
+    }
+
+    fn find(&mut self, key: &'static str) -> Option<&'a str> {
+        self.known.insert(key);
+        let mut values = self.entries.iter().filter(|(name, _)| &**name == key);
+        let first = values.next().map(|(_, value)| value.trim());
+        if values.next().is_some() {
+            self.error(key, IniErrorKind::DuplicateKey);
+        }
+        first
+    }
+
+    fn convert<T>(&mut self, key: &str, found: &str, accepted: &str) -> Option<T>
+    where
+        T: FromStr,
+    {
+        let value = found.parse().ok();
+        if value.is_none() {
+            let (found, accepted) = (found.into(), accepted.into());
+            self.error(key, IniErrorKind::BadValue { found, accepted });
+        }
+        value
+    }
+
+    /// Reads a key that must be there.
+    pub(crate) fn required<T>(&mut self, key: &'static str, accepted: &str) -> Option<T>
+    where
+        T: FromStr,
+    {
+        match self.find(key) {
+            Some(found) => self.convert(key, found, accepted),
+            None => {
+                self.error(key, IniErrorKind::MissingKey { accepted: accepted.into() });
+                None
+            }
+        }
+    }
+
+    /// Reads a key that may be missing.
+    pub(crate) fn optional<T>(&mut self, key: &'static str, accepted: &str) -> Option<T>
+    where
+        T: FromStr,
+    {
+        let found = self.find(key)?;
+        self.convert(key, found, accepted)
+    }
+
+    /// Reads a key that has a default.
+    pub(crate) fn or_default<T>(&mut self, key: &'static str, accepted: &str, default: T) -> T
+    where
+        T: FromStr,
+    {
+        self.optional(key, accepted).unwrap_or(default)
+    }
+
+    /// Reads a number that must lie in a range.
+    pub(crate) fn in_range<T>(
+        &mut self,
+        key: &'static str,
+        range: std::ops::RangeInclusive<T>,
+        default: Option<T>,
+    ) -> Option<T>
+    where
+        T: FromStr + PartialOrd + std::fmt::Display,
+    {
+        let accepted = format!("a value from {} to {}", range.start(), range.end());
+        let value = match default {
+            Some(default) => self.or_default(key, &accepted, default),
+            None => self.required(key, &accepted)?,
+        };
+        if !range.contains(&value) {
+            let found = value.to_string().into();
+            self.error(key, IniErrorKind::BadValue { found, accepted: accepted.into() });
+            return None;
+        }
+        Some(value)
+    }
+
+    /// Reads a list separated by commas; a missing key is an empty list.
+    pub(crate) fn list<T>(&mut self, key: &'static str, accepted: &str) -> Vec<T>
+    where
+        T: FromStr,
+    {
+        let Some(found) = self.find(key) else {
+            return Vec::new();
+        };
+        let items = found.split(',').map(str::trim).filter(|item| !item.is_empty());
+        items.filter_map(|item| self.convert(key, item, accepted)).collect()
+    }
+
+    /// Reports keys that were never asked for.
+    pub(crate) fn finish(mut self) {
+        let known = std::mem::take(&mut self.known);
+        let accepted: Vec<&str> = known.iter().copied().collect();
+        let unknown = self.entries.iter().filter(|(key, _)| !known.contains(&**key));
+        for (key, _) in unknown {
+            let suggestion = did_you_mean(key, known.iter().copied());
+            let accepted = accepted.join(", ").into();
+            self.error(key, IniErrorKind::UnknownKey { accepted, suggestion });
+        }
+    }
+}
--- a/crates/tamarackproxy/src/state/mod.rs
+++ b/crates/tamarackproxy/src/state/mod.rs
@@ -3,5 +3,7 @@
 pub mod clock;
 pub mod document;
 pub mod ids;
+pub mod ini;
 pub mod records;
+pub mod settings;
 pub mod units;
--- /dev/null
+++ b/crates/tamarackproxy/src/state/settings/mod.rs
@@ -0,0 +1,96 @@
+//! Settings of one `tamarackd` process, read from an INI text.
+
+mod parse;
+
+use std::net::SocketAddr;
+
+use crate::state::{
+    ids::{DataCentreId, EntryId},
+    units::DurationMs,
+};
+
+/// Settings of one process, complete and checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this entry host.
+    pub entry: EntryId,
+    /// Data centre of this entry host.
+    pub data_centre: DataCentreId,
+    /// Addresses that the process listens on.
+    pub listen: ListenSettings,
+    /// The platform's key-value service.
+    pub store: StoreSettings,
+    /// The platform's host list and reboots.
+    pub platform: PlatformSettings,
+    /// Other entry hosts that are known before the store is read.
+    pub peers: Vec<PeerSettings>,
+    /// Bounds of what the process accepts.
+    pub limits: LimitSettings,
+    /// What is logged.
+    pub log: LogSettings,
+}
+
+/// `[listen]`
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators and for health and metrics.
+    pub admin: SocketAddr,
+    /// For other entry hosts.
+    pub peers: SocketAddr,
+}
+
+/// `[store]`
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreSettings {
+    /// IP number and port.
+    pub address: SocketAddr,
+    /// Time after which a call counts as unanswered.
+    pub timeout: DurationMs,
+}
+
+/// `[platform]`
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// IP number and port.
+    pub address: SocketAddr,
+    /// Time between two reads of the host list.
+    pub list_interval: DurationMs,
+}
+
+/// One line of `[peers]`: `NAME = DATA-CENTRE ADDRESS`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSettings {
+    /// Name of the entry host.
+    pub entry: EntryId,
+    /// Data centre of the entry host.
+    pub data_centre: DataCentreId,
+    /// IP number and port of its peer listener.
+    pub address: SocketAddr,
+}
+
+/// `[limits]`
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// Connections of callers that are open at once.
+    pub caller_connections: u32,
+    /// Time that a caller may take to send a request.
+    pub receive_timeout: DurationMs,
+    /// Time that a graceful stop may take.
+    pub stop_deadline: DurationMs,
+    /// Bytes of first responses kept for repeats of idempotency keys.
+    pub kept_responses_bytes: u64,
+}
+
+/// `[log]`
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Least severe level that is logged.
+    pub level: log::LevelFilter,
+    /// Levels of single targets, such as `tamarackproxy::node`.
+    pub targets: Vec<(Box<str>, log::LevelFilter)>,
+}
+
+#[cfg(test)]
+mod tests;
