Add the seat engine

Holds a seat of the data centre by a store lease with a growing term, renews it through peers when the store is out of reach, suspends it after a pause or isolation, and takes over seats whose holder is silent or gone. Heartbeats go to the data centre and between gateways only.

--- a/crates/tamarackproxy/src/coordination/control/acquisition.rs
+++ b/crates/tamarackproxy/src/coordination/control/acquisition.rs
@@ -60,6 +60,9 @@
     record: TenureRecord,
     /// Version of the term key to swap against; none keeps the present term.
     raise_from: Option<RecordVersion>,
+    /// Version of the leased key to swap against; 0 creates it.
+    key_version: RecordVersion,
+    is_rebinding: bool,
     phase: Phase,
     lease: LeaseId,
     asked_at_ms: u64,
@@ -88,8 +91,17 @@
         record: TenureRecord,
         raise_from: Option<RecordVersion>,
     ) -> Self {
-        let phase = Phase::Ended;
-        Self { key, term_key, record, raise_from, phase, lease: LeaseId(0), asked_at_ms: 0 }
+        Self {
+            key,
+            term_key,
+            record,
+            raise_from,
+            key_version: RecordVersion(0),
+            is_rebinding: raise_from.is_none(),
+            phase: Phase::Ended,
+            lease: LeaseId(0),
+            asked_at_ms: 0,
+        }
     }
 
     /// Starts with the grant of a lease; `now_ms` is monotonic.
@@ -123,7 +135,13 @@
 
     fn on_granted(&mut self, lease: LeaseId) -> AcquisitionStep {
         self.lease = lease;
-        let Some(expected) = self.raise_from else { return self.create() };
+        match self.raise_from {
+            Some(expected) => self.raise_term(expected),
+            None => self.create(),
+        }
+    }
+
+    fn raise_term(&mut self, expected: RecordVersion) -> AcquisitionStep {
         let Some(value) = encode(&self.record) else { return AcquisitionStep::Failed };
         self.phase = Phase::Raising;
         let key = self.term_key.clone();
@@ -141,7 +159,7 @@
         let Some(value) = encode(&self.record) else { return AcquisitionStep::Failed };
         self.phase = Phase::Creating;
         let (key, lease) = (self.key.clone(), Some(self.lease));
-        let expected = RecordVersion(0);
+        let expected = self.key_version;
         AcquisitionStep::Send(StoreRequest::CompareAndSwap { key, expected, value, lease })
     }
 
@@ -150,22 +168,38 @@
             Some(found) if found.operation == self.record.operation => {
                 self.get_term(Phase::Verifying)
             }
+            Some(found) if self.is_own_older(&found) && self.key_version == RecordVersion(0) => {
+                self.key_version = value.map_or(RecordVersion(0), |value| value.version);
+                self.create()
+            }
             Some(_) => AcquisitionStep::HeldByOther,
             None => AcquisitionStep::Failed,
         }
     }
 
+    /// Tells whether a restored store shows this tenure as it once was.
+    fn is_own_older(&self, found: &TenureRecord) -> bool {
+        self.is_rebinding && found.holder == self.record.holder && found.term <= self.record.term
+    }
+
     fn get_term(&mut self, phase: Phase) -> AcquisitionStep {
         self.phase = phase;
         AcquisitionStep::Send(StoreRequest::Get { key: self.term_key.clone() })
     }
 
-    fn on_verified(&self, value: Option<KeyValue>) -> AcquisitionStep {
-        match decode_tenure(value.as_ref()) {
-            Some(found) if found.term == self.record.term && found.holder == self.record.holder => {
+    fn on_verified(&mut self, value: Option<KeyValue>) -> AcquisitionStep {
+        let version = value.as_ref().map_or(RecordVersion(0), |value| value.version);
+        let found = decode_tenure(value.as_ref());
+        let is_own = found.as_ref().is_none_or(|found| found.holder == self.record.holder);
+        match found.map_or(Term(0), |found| found.term) {
+            term if is_own && term == self.record.term => {
                 let (term, lease) = (self.record.term, self.lease);
                 AcquisitionStep::Acquired(Tenure { term, lease, asked_at_ms: self.asked_at_ms })
             }
+            // A restored store lost the raise; terms must not go back.
+            term if is_own && self.is_rebinding && term < self.record.term => {
+                self.raise_term(version)
+            }
             _ => AcquisitionStep::HeldByOther,
         }
     }
--- a/crates/tamarackproxy/src/coordination/control/mod.rs
+++ b/crates/tamarackproxy/src/coordination/control/mod.rs
@@ -5,6 +5,7 @@
 mod backoff;
 mod lease;
 
+pub(crate) use self::acquisition::{decode_tenure, encode};
 pub use self::{
     acquisition::{Acquisition, AcquisitionStep, Tenure},
     backoff::Backoff,
--- a/crates/tamarackproxy/src/coordination/seats/events.rs
+++ b/crates/tamarackproxy/src/coordination/seats/events.rs
@@ -12,6 +12,8 @@
 pub struct Heartbeat {
     /// Data centre of the sender.
     pub data_centre: DataCentreId,
+    /// IP number and port of the sender's peer listener.
+    pub peer_address: Box<str>,
     /// Seat of the sender, if it holds one.
     pub seat: Option<(u16, Term)>,
     /// Whether the sender reached the store within the last lease time.
@@ -29,10 +31,23 @@
 pub enum SeatsMessage {
     /// Periodic sign of life.
     Heartbeat(Heartbeat),
-    /// Asks a peer that reaches the store to renew this lease.
-    RenewFor { lease: LeaseId },
+    /// Asks a peer that reaches the store to renew this lease. The asker's
+    /// monotonic time in milliseconds comes back with the answer, so that an
+    /// answer from before a pause confirms nothing after it.
+    RenewFor { lease: LeaseId, asked_at_ms: u64 },
     /// The lease was renewed on behalf of the receiver.
-    Renewed { lease: LeaseId },
+    Renewed { lease: LeaseId, asked_at_ms: u64 },
+    /// Asks a peer, while neither reaches the store, whether it knows of a
+    /// later holder of the sender's seat.
+    Confirm { index: u16, term: Term, asked_at_ms: u64 },
+    /// The sender knows of no later holder of the receiver's seat.
+    Confirmed { index: u16, term: Term, asked_at_ms: u64 },
+    /// The receiver's seat has a later holder with this term.
+    Superseded { index: u16, term: Term },
+    /// Gateways of other data centres, from the gateway of the receiver's data
+    /// centre; or the sender's own gateway, to a gateway that addressed
+    /// another entry host.
+    Gateways { gateways: Vec<EntryAddress> },
 }
 
 /// An entry host known from the seat records or from settings.
@@ -91,8 +106,16 @@
     DetachedChanged { detached: bool },
     /// The live peers of the data centre changed.
     PeersChanged { peers: Vec<LivePeer> },
-    /// Known entry hosts, with addresses; the transport connects to them.
+    /// Known entry hosts, with addresses. The transport keeps connections to
+    /// those of its own data centre and to gateways, and connects to others
+    /// when something is sent to them.
     AddressesChanged { entries: Vec<EntryAddress> },
+    /// The gateways of other data centres that are heard from changed.
+    GatewaysChanged { gateways: Vec<(DataCentreId, EntryId)> },
+    /// The last holders of a data centre's seats by index; none for a seat
+    /// that was never held or was released. A holder stays listed after its
+    /// death until its seat is taken over.
+    HoldersChanged { data_centre: DataCentreId, holders: Vec<Option<EntryId>> },
     /// A peer has a newer document or newer host records.
     PeerIsAhead { peer: EntryId, in_force: (Epoch, Revision), fleet_version: u64 },
     /// Sends a message to a peer.
