--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/requests/admission.rs
@@ -0,0 +1,271 @@
+//! Admission of requests, refusals, cancellation and stopping.
+
+use super::{
+    RequestEngine, RequestMeta, RequestsAction,
+    keys::{CallerKey, RequestKey, ServiceKey},
+    queue::{Entry, class_index},
+    state::{Request, Stage},
+    timers::Timer,
+};
+use crate::{protocol::caller::Refusal, state::ids::RequestId};
+
+/// Shortest and longest time that a refused caller is asked to wait, in
+/// milliseconds.
+const RETRY_AFTER_RANGE_MS: (u64, u64) = (100, 30_000);
+/// Time that a caller is asked to wait where nothing can be estimated, in
+/// milliseconds: about the time of a seat's takeover or a target's restart.
+const RETRY_AFTER_UNKNOWN_MS: u64 = 1_000;
+
+impl RequestEngine {
+    pub(super) fn submit(&mut self, id: RequestId, meta: RequestMeta) {
+        match self.admit(id, &meta) {
+            Ok((service, caller)) => self.enter(id, meta, service, caller),
+            Err((refusal, retry_after_ms)) => self.refuse(id, refusal, retry_after_ms),
+        }
+    }
+
+    /// Decides whether a request may wait, without keeping anything of it.
+    fn admit(
+        &mut self,
+        id: RequestId,
+        meta: &RequestMeta,
+    ) -> Result<(ServiceKey, CallerKey), (Refusal, Option<u64>)> {
+        let service = self.service_keys.get(&meta.service).copied();
+        let limits = service.and_then(|key| self.services[key].limits.as_ref());
+        let (Some(service), Some(limits)) = (service, limits) else {
+            return Err((Refusal::UnknownService, None));
+        };
+        let queue_limit = limits.queue_limit;
+        if self.stopping {
+            return Err((Refusal::Stopping, Some(RETRY_AFTER_RANGE_MS.0)));
+        }
+        if self.seat.is_none() {
+            return Err((Refusal::NotReady, Some(RETRY_AFTER_UNKNOWN_MS)));
+        }
+        if meta.deadline_at_ms <= self.now_ms {
+            return Err((Refusal::DeadlinePassed, None));
+        }
+        if self.request_keys.contains_key(&id) {
+            return Err((Refusal::Malformed("the request id is in use".into()), None));
+        }
+        let caller = self.caller_key(&meta.caller);
+        if !meta.forwarded {
+            let taken = self.callers[caller].take(self.now_ms);
+            taken.map_err(|wait_ms| (Refusal::ShareExceeded, Some(clamp(wait_ms))))?;
+        }
+        let class = class_index(meta.urgency);
+        self.check_deadline(service, caller, class, meta.deadline_at_ms)?;
+        if self.services[service].queue.len() >= queue_limit {
+            self.make_room(service, caller, class, queue_limit)?;
+        }
+        Ok((service, caller))
+    }
+
+    /// Refuses a request whose deadline lies before its expected end.
+    fn check_deadline(
+        &mut self,
+        key: ServiceKey,
+        caller: CallerKey,
+        class: usize,
+        deadline_at_ms: u64,
+    ) -> Result<(), (Refusal, Option<u64>)> {
+        let expected = self.services[key].expected_ms(class).unwrap_or(0.0);
+        let wait_ms = self.expected_wait_ms(key, caller, class);
+        let remaining_ms = (deadline_at_ms - self.now_ms) as f64;
+        if wait_ms + expected <= remaining_ms {
+            return Ok(());
+        }
+        if wait_ms.is_infinite() {
+            return Err((Refusal::NoTarget, Some(RETRY_AFTER_UNKNOWN_MS)));
+        }
+        let excess_ms = (wait_ms + expected - remaining_ms) as u64;
+        Err((Refusal::DeadlineUnreachable, Some(clamp(excess_ms))))
+    }
+
+    /// Estimates how long a new request would wait, in milliseconds: infinite
+    /// if there is no slot here and no other data centre to forward to.
+    pub(super) fn expected_wait_ms(
+        &mut self,
+        key: ServiceKey,
+        caller: CallerKey,
+        class: usize,
+    ) -> f64 {
+        let capacity = self.capacity(key);
+        let weight = self.callers[caller].weight;
+        let service = &self.services[key];
+        if capacity.slots == 0 {
+            // Slots may come back from peers, or another data centre has some.
+            let may_get_slots = capacity.usable_targets > 0 || !service.remotes.is_empty();
+            return if may_get_slots { 0.0 } else { f64::INFINITY };
+        }
+        let ahead = service.queue.ahead(class, caller, weight);
+        if ahead == 0.0 {
+            return 0.0;
+        }
+        let expected = service.expected_ms(class).unwrap_or(0.0);
+        ahead * expected / (f64::from(capacity.slots) * service.queue.class_share(class))
+    }
+
+    /// Sheds the newest request of the flooding caller from a full queue.
+    fn make_room(
+        &mut self,
+        key: ServiceKey,
+        caller: CallerKey,
+        class: usize,
+        limit: u32,
+    ) -> Result<(), (Refusal, Option<u64>)> {
+        let service = &mut self.services[key];
+        let Some(victim) = service.queue.shed((class, caller), limit) else {
+            let wait_ms = self.expected_wait_ms(key, caller, class);
+            return Err((Refusal::QueueFull, Some(clamp(wait_ms as u64))));
+        };
+        if let Some(entry) = service.queue.remove(victim) {
+            self.end_not_started(entry.request, Refusal::QueueFull);
+        }
+        Ok(())
+    }
+
+    fn enter(&mut self, id: RequestId, meta: RequestMeta, service: ServiceKey, caller: CallerKey) {
+        let class = class_index(meta.urgency);
+        let deadline_at_ms = meta.deadline_at_ms;
+        let request = Request {
+            id,
+            meta,
+            service,
+            caller,
+            class,
+            stage: Stage::Waiting(Default::default()),
+            arrived_ms: self.now_ms,
+            attempts: 0,
+            may_have_run: None,
+            avoid: None,
+            was_forwarded: false,
+        };
+        let key = self.requests.insert(request);
+        self.request_keys.insert(id, key);
+        self.counters.admitted += 1;
+        self.enqueue(key, false);
+        self.pump(service);
+        if self.requests.get(key).is_some_and(|request| matches!(request.stage, Stage::Waiting(_)))
+        {
+            self.timers.add(deadline_at_ms, Timer::Deadline(key));
+        }
+    }
+
+    /// Puts a request into the queue; `first` before the caller's others.
+    pub(super) fn enqueue(&mut self, key: RequestKey, first: bool) {
+        let request = &mut self.requests[key];
+        let weight = self.callers[request.caller].weight;
+        let entry = Entry { request: key, caller: request.caller, class: request.class };
+        let queue = &mut self.services[request.service].queue;
+        request.stage = Stage::Waiting(queue.push(entry, weight, first));
+    }
+
+    pub(super) fn deadline_passed(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get(key) else { return };
+        if request.meta.deadline_at_ms > self.now_ms {
+            return;
+        }
+        match request.stage.clone() {
+            Stage::Waiting(entry) => {
+                let service = request.service;
+                self.services[service].queue.remove(entry);
+                self.end_not_started(key, Refusal::DeadlinePassed);
+            }
+            Stage::Forwarded(_) => self.forward_lost(key),
+            Stage::Running(_) => {}
+        }
+    }
+
+    pub(super) fn cancel(&mut self, id: RequestId) {
+        let Some(&key) = self.request_keys.get(&id) else { return };
+        let request = &mut self.requests[key];
+        let service = request.service;
+        match request.stage.clone() {
+            Stage::Waiting(entry) => {
+                self.services[service].queue.remove(entry);
+                self.end_not_started(key, Refusal::Cancelled);
+            }
+            Stage::Running(attempt) => {
+                let number = self.attempts[attempt].number;
+                self.actions.push(RequestsAction::AbortAttempt { request: id, attempt: number });
+                self.abandon(attempt);
+                self.end_unknown(key, Refusal::Cancelled);
+            }
+            Stage::Forwarded(data_centre) => {
+                self.forward_finished(service, &data_centre);
+                self.end_unknown(key, Refusal::Cancelled);
+            }
+        }
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.stopping = true;
+        let waiting: Vec<RequestKey> =
+            self.services.values().flat_map(|service| service.queue.requests()).collect();
+        for key in waiting {
+            if let Stage::Waiting(entry) = self.requests[key].stage {
+                let service = self.requests[key].service;
+                self.services[service].queue.remove(entry);
+            }
+            self.end_not_started(key, Refusal::Stopping);
+        }
+        let services: Vec<ServiceKey> = self.services.keys().collect();
+        for service in services {
+            self.review_loans(service);
+        }
+    }
+
+    /// Ends a request that waits: as not run unless an earlier attempt may
+    /// have started.
+    pub(super) fn end_not_started(&mut self, key: RequestKey, refusal: Refusal) {
+        let Some(request) = self.forget(key) else { return };
+        match request.may_have_run {
+            Some(cause) => self.unknown(request.id, cause),
+            None => {
+                let retry_after_ms = self.retry_after_ms(&request, &refusal);
+                self.refuse(request.id, refusal, retry_after_ms);
+            }
+        }
+    }
+
+    fn retry_after_ms(&mut self, request: &Request, refusal: &Refusal) -> Option<u64> {
+        match refusal {
+            Refusal::Cancelled | Refusal::DeadlinePassed => None,
+            Refusal::Stopping => Some(RETRY_AFTER_RANGE_MS.0),
+            _ => {
+                let wait_ms = self.expected_wait_ms(request.service, request.caller, request.class);
+                let known = wait_ms.is_finite();
+                Some(if known { clamp(wait_ms as u64) } else { RETRY_AFTER_UNKNOWN_MS })
+            }
+        }
+    }
+
+    /// Ends a request that may have run.
+    pub(super) fn end_unknown(&mut self, key: RequestKey, refusal: Refusal) {
+        if let Some(request) = self.forget(key) {
+            self.unknown(request.id, refusal);
+        }
+    }
+
+    /// Drops a request that ends.
+    pub(super) fn forget(&mut self, key: RequestKey) -> Option<Request> {
+        let request = self.requests.remove(key)?;
+        self.request_keys.remove(&request.id);
+        Some(request)
+    }
+
+    fn unknown(&mut self, request: RequestId, refusal: Refusal) {
+        self.counters.count_unknown(&refusal);
+        self.actions.push(RequestsAction::Unknown { request, refusal });
+    }
+
+    fn refuse(&mut self, request: RequestId, refusal: Refusal, retry_after_ms: Option<u64>) {
+        self.counters.count_refusal(&refusal);
+        self.actions.push(RequestsAction::NotRun { request, refusal, retry_after_ms });
+    }
+}
+
+fn clamp(wait_ms: u64) -> u64 {
+    wait_ms.clamp(RETRY_AFTER_RANGE_MS.0, RETRY_AFTER_RANGE_MS.1)
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/requests/attempts.rs
@@ -0,0 +1,265 @@
+//! Ends of attempts and forwards, and what follows from them.
+
+use super::{
+    AttemptResult, ForwardResult, RequestEngine, RequestsAction,
+    keys::{AttemptKey, RequestKey, ServiceKey, TargetKey},
+    retry::ATTEMPTS_MAX,
+    slots::SlotSource,
+    state::{Attempt, Stage},
+    timers::Timer,
+};
+use crate::{
+    protocol::caller::Refusal,
+    state::ids::{DataCentreId, RequestId},
+};
+
+/// Lowest status that counts as an error of the target.
+const SERVER_ERROR_STATUS: u16 = 500;
+
+impl RequestEngine {
+    pub(super) fn attempt_ended(&mut self, id: RequestId, number: u32, result: AttemptResult) {
+        let Some(key) = self.running(id, number) else {
+            self.abandoned_ended(id, number, &result);
+            return;
+        };
+        let Some(attempt) = self.attempts.get(key) else { return };
+        let Some(request) = attempt.request else { return };
+        let target = attempt.target;
+        let service = self.requests[request].service;
+        self.record_result(key, &result);
+        match result {
+            AttemptResult::Answered { leaving, .. } => {
+                self.note_leaving(target, leaving);
+                self.forget(request);
+                self.counters.answered += 1;
+                self.actions.push(RequestsAction::Answer { request: id, attempt: Some(number) });
+                self.finish(key);
+            }
+            AttemptResult::RefusedBeforeStart { leaving } => {
+                self.note_leaving(target, leaving);
+                self.finish(key);
+                self.retry_not_started(request, target);
+            }
+            AttemptResult::NotSent => {
+                self.finish(key);
+                self.retry_not_started(request, target);
+            }
+            AttemptResult::Lost => {
+                self.abandon(key);
+                self.retry_started(request, target, Refusal::ResponseLost);
+            }
+            AttemptResult::TimedOut => {
+                self.abandon(key);
+                self.retry_started(request, target, Refusal::TargetTimeout);
+            }
+        }
+        self.pump(service);
+    }
+
+    fn running(&self, id: RequestId, number: u32) -> Option<AttemptKey> {
+        let request = &self.requests[*self.request_keys.get(&id)?];
+        match request.stage {
+            Stage::Running(key) if self.attempts.get(key)?.number == number => Some(key),
+            _ => None,
+        }
+    }
+
+    /// An attempt that no longer matters ended. Its slot is free if the target
+    /// has certainly finished it or never started it.
+    fn abandoned_ended(&mut self, id: RequestId, number: u32, result: &AttemptResult) {
+        let Some(&key) = self.abandoned.get(&(id, number)) else { return };
+        let target = self.attempts[key].target;
+        match *result {
+            AttemptResult::Answered { leaving, .. }
+            | AttemptResult::RefusedBeforeStart { leaving } => self.note_leaving(target, leaving),
+            AttemptResult::NotSent => {}
+            AttemptResult::Lost | AttemptResult::TimedOut => return,
+        }
+        let service = self.targets[target].service;
+        self.finish(key);
+        self.pump(service);
+    }
+
+    fn note_leaving(&mut self, target: TargetKey, leaving: bool) {
+        if leaving {
+            let host = self.targets[target].id.host.clone();
+            self.host_leaving(&host, true);
+        }
+    }
+
+    /// Updates health and estimates.
+    fn record_result(&mut self, key: AttemptKey, result: &AttemptResult) {
+        let attempt = &self.attempts[key];
+        let (now_ms, target_key) = (self.now_ms, attempt.target);
+        let took_ms = now_ms.saturating_sub(attempt.started_ms) as f64;
+        let service_key = self.targets[target_key].service;
+        let service = &mut self.services[service_key];
+        let failed = match *result {
+            AttemptResult::Answered { status, .. } => status >= SERVER_ERROR_STATUS,
+            AttemptResult::RefusedBeforeStart { leaving } => !leaving,
+            _ => true,
+        };
+        if !failed {
+            service.slot_time_ms[attempt.class].add_service_time(took_ms);
+            service.latency_ms.add_service_time(took_ms);
+        }
+        service.errors.add(now_ms, failed);
+        let (errors, usual_ms) = (service.errors, service.latency_ms.get().unwrap_or(1.0).max(0.1));
+        let may_eject = self.may_eject(service_key);
+        let health = &mut self.targets[target_key].health;
+        let ejected_until = health.ejected_until_ms();
+        health.add_result(now_ms, failed, errors, may_eject);
+        if !failed {
+            health.add_latency(now_ms, took_ms, usual_ms);
+        } else if *result == AttemptResult::TimedOut {
+            health.add_timeout();
+        }
+        let until = health.ejected_until_ms();
+        if let Some(until_ms) = until.filter(|_| until != ejected_until) {
+            self.counters.ejections += 1;
+            self.timers.add(until_ms, Timer::Probe(target_key));
+        }
+    }
+
+    /// Whether one more target may be ejected: never more than half of them.
+    fn may_eject(&self, key: ServiceKey) -> bool {
+        let targets = &self.services[key].targets;
+        let out = targets.iter().filter(|&&target| self.targets[target].health.is_out()).count();
+        2 * (out + 1) <= targets.len()
+    }
+
+    /// Frees the slot of an attempt that the target has finished, and charges
+    /// the caller for the time that it was held.
+    fn finish(&mut self, key: AttemptKey) {
+        if let Some(attempt) = self.attempts.remove(key) {
+            self.abandoned.remove(&(attempt.id, attempt.number));
+            self.free_slot(&attempt);
+        }
+    }
+
+    fn free_slot(&mut self, attempt: &Attempt) {
+        let target = &mut self.targets[attempt.target];
+        target.slots.free(&mut self.loans_in, attempt.source);
+        let service = &mut self.services[target.service];
+        service.in_flight = service.in_flight.saturating_sub(1);
+        let held_us = self.now_ms.saturating_sub(attempt.started_ms) as f64 * 1_000.0;
+        let difference_us = (held_us - attempt.charged_us) as i64;
+        service.queue.settle(attempt.class, attempt.caller, difference_us);
+        if let SlotSource::Loan(loan) = attempt.source {
+            self.loan_slot_freed(loan);
+        }
+    }
+
+    /// Detaches an attempt from its request; its slot stays in use until its
+    /// deadline and grace, since the target may still run it.
+    pub(super) fn abandon(&mut self, key: AttemptKey) {
+        if let Some(attempt) = self.attempts.get_mut(key) {
+            attempt.request = None;
+            self.abandoned.insert((attempt.id, attempt.number), key);
+        }
+    }
+
+    /// The deadline and the grace of an attempt are over.
+    pub(super) fn attempt_over(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(key) else { return };
+        let (id, number, request, target) =
+            (attempt.id, attempt.number, attempt.request, attempt.target);
+        let service = self.targets[target].service;
+        if let Some(request) = request {
+            // The transport has not reported the end in time.
+            self.record_result(key, &AttemptResult::TimedOut);
+            self.actions.push(RequestsAction::AbortAttempt { request: id, attempt: number });
+            self.finish(key);
+            self.retry_started(request, target, Refusal::TargetTimeout);
+        } else {
+            self.finish(key);
+        }
+        self.pump(service);
+    }
+
+    /// After an attempt that provably did not start.
+    fn retry_not_started(&mut self, key: RequestKey, target: TargetKey) {
+        if !self.retry(key, target) {
+            self.end_not_started(key, Refusal::NoTarget);
+        }
+    }
+
+    /// After an attempt that may have run.
+    fn retry_started(&mut self, key: RequestKey, target: TargetKey, cause: Refusal) {
+        let request = &mut self.requests[key];
+        request.may_have_run = Some(cause.clone());
+        if !request.meta.repeatable || !self.retry(key, target) {
+            self.end_unknown(key, cause);
+        }
+    }
+
+    /// Queues a request again within the retry budget. A request that another
+    /// data centre forwarded is not retried here: its first entry host does.
+    fn retry(&mut self, key: RequestKey, avoid: TargetKey) -> bool {
+        self.requests[key].avoid = Some(avoid);
+        self.requeue(key)
+    }
+
+    fn requeue(&mut self, key: RequestKey) -> bool {
+        let request = &self.requests[key];
+        let service = &mut self.services[request.service];
+        let expected = service.expected_ms(request.class).unwrap_or(0.0);
+        let in_time = request.meta.deadline_at_ms as f64 >= self.now_ms as f64 + expected.max(1.0);
+        if self.stopping
+            || request.meta.forwarded
+            || request.attempts >= ATTEMPTS_MAX
+            || !in_time
+            || !service.retries.spend(self.now_ms)
+        {
+            return false;
+        }
+        self.counters.retries += 1;
+        self.timers.add(request.meta.deadline_at_ms, Timer::Deadline(key));
+        self.enqueue(key, true);
+        true
+    }
+
+    pub(super) fn forward_ended(&mut self, id: RequestId, result: ForwardResult) {
+        let Some(&key) = self.request_keys.get(&id) else { return };
+        let request = &mut self.requests[key];
+        let Stage::Forwarded(data_centre) = request.stage.clone() else { return };
+        let service = request.service;
+        self.forward_finished(service, &data_centre);
+        match result {
+            ForwardResult::Answered { .. } => {
+                self.forget(key);
+                self.counters.answered += 1;
+                self.actions.push(RequestsAction::Answer { request: id, attempt: None });
+            }
+            ForwardResult::NotRun(refusal) => {
+                if !self.requeue(key) {
+                    self.end_not_started(key, refusal);
+                }
+            }
+            ForwardResult::Unknown(refusal) => {
+                let request = &mut self.requests[key];
+                request.may_have_run = Some(refusal.clone());
+                if !request.meta.repeatable || !self.requeue(key) {
+                    self.end_unknown(key, refusal);
+                }
+            }
+        }
+        self.pump(service);
+    }
+
+    /// No reply to a forward arrived in time.
+    pub(super) fn forward_lost(&mut self, key: RequestKey) {
+        let request = &self.requests[key];
+        let Stage::Forwarded(data_centre) = request.stage.clone() else { return };
+        let service = request.service;
+        self.forward_finished(service, &data_centre);
+        self.end_unknown(key, Refusal::TargetTimeout);
+    }
+
+    pub(super) fn forward_finished(&mut self, service: ServiceKey, data_centre: &DataCentreId) {
+        let remotes = &mut self.services[service].remotes;
+        if let Some(remote) = remotes.iter_mut().find(|r| r.data_centre == *data_centre) {
+            remote.outstanding = remote.outstanding.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -0,0 +1,217 @@
+//! The request engine: state, events and timers.
+
+use std::collections::HashMap;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+
+use super::{
+    CallerLimits, LoanId, RequestsAction, RequestsEvent, RequestsMessage, SeatShare, ServiceLimits,
+    keys::{AttemptKey, CallerKey, LoanKey, RequestKey, ServiceKey, TargetKey},
+    limits::Caller,
+    report::RequestCounters,
+    slots::{LoanIn, LoanOut},
+    state::{Abandoned, Attempt, Request, Service, Target},
+    timers::{Timer, Timers},
+};
+use crate::state::{
+    clock::ClockReading,
+    ids::{CallerId, DataCentreId, EntryId, HostId, RequestId, ServiceId, TargetId},
+};
+
+/// Decides about every request of one entry host.
+///
+/// Costs, with `t` the service's targets in the data centre, `c` the callers
+/// with waiting requests and `w` all waiting requests: an admission, a
+/// dispatch and the end of an attempt cost O(t + log c + log w); a refusal
+/// costs O(1); a cancellation costs O(log c), amortised. `TargetsChanged`,
+/// `SeatChanged` and `ServicesChanged` cost as much as the data centre has
+/// targets (times seats, if the share changes); messages between peers cost
+/// O(t); `Stopping` costs O(w).
+///
+/// ```
+/// use tamarackproxy::{
+///     coordination::requests::{RequestEngine, RequestsEvent},
+///     state::{clock::ClockReading, ids::{DataCentreId, EntryId}},
+/// };
+/// let mut engine = RequestEngine::new(EntryId::new("e1"), DataCentreId::new("dc1"), 1);
+/// let actions = engine.handle(ClockReading::new(0, 0), RequestsEvent::Tick);
+/// assert!(actions.is_empty());
+/// ```
+#[derive(Debug)]
+pub struct RequestEngine {
+    pub(super) entry: EntryId,
+    pub(super) data_centre: DataCentreId,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) now_ms: u64,
+    pub(super) seat: Option<SeatShare>,
+    /// Number of seats at the last share, kept while there is none.
+    pub(super) seats: Option<u16>,
+    pub(super) peers: Vec<EntryId>,
+    pub(super) stopping: bool,
+    pub(super) services: SlotMap<ServiceKey, Service>,
+    pub(super) service_keys: HashMap<ServiceId, ServiceKey>,
+    pub(super) callers: SlotMap<CallerKey, Caller>,
+    pub(super) caller_keys: HashMap<CallerId, CallerKey>,
+    pub(super) targets: SlotMap<TargetKey, Target>,
+    pub(super) target_keys: HashMap<TargetId, TargetKey>,
+    pub(super) host_targets: HashMap<HostId, Vec<TargetKey>>,
+    pub(super) requests: SlotMap<RequestKey, Request>,
+    pub(super) request_keys: HashMap<RequestId, RequestKey>,
+    pub(super) attempts: SlotMap<AttemptKey, Attempt>,
+    pub(super) abandoned: Abandoned,
+    pub(super) loans_in: SlotMap<LoanKey, LoanIn>,
+    pub(super) loans_out: HashMap<LoanId, LoanOut>,
+    pub(super) next_loan: LoanId,
+    pub(super) timers: Timers,
+    pub(super) counters: RequestCounters,
+    pub(super) actions: Vec<RequestsAction>,
+}
+
+impl RequestEngine {
+    /// Makes the engine of one entry host; it holds no seat yet.
+    pub fn new(entry: EntryId, data_centre: DataCentreId, seed: u64) -> Self {
+        Self {
+            entry,
+            data_centre,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now_ms: 0,
+            seat: None,
+            seats: None,
+            peers: Vec::new(),
+            stopping: false,
+            services: SlotMap::with_key(),
+            service_keys: HashMap::new(),
+            callers: SlotMap::with_key(),
+            caller_keys: HashMap::new(),
+            targets: SlotMap::with_key(),
+            target_keys: HashMap::new(),
+            host_targets: HashMap::new(),
+            requests: SlotMap::with_key(),
+            request_keys: HashMap::new(),
+            attempts: SlotMap::with_key(),
+            abandoned: Abandoned::new(),
+            loans_in: SlotMap::with_key(),
+            loans_out: HashMap::new(),
+            next_loan: LoanId(0),
+            timers: Timers::default(),
+            counters: RequestCounters::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Applies an event and returns what the owner does, in this order.
+    ///
+    /// Every submitted request ends with exactly one of `Answer`, `NotRun` and
+    /// `Unknown`; events of requests that have ended are ignored.
+    pub fn handle(&mut self, now: ClockReading, event: RequestsEvent) -> Vec<RequestsAction> {
+        self.now_ms = self.now_ms.max(now.monotonic_ms);
+        self.fire_timers();
+        match event {
+            RequestsEvent::Submitted { request, meta } => self.submit(request, meta),
+            RequestsEvent::AttemptEnded { request, attempt, result } => {
+                self.attempt_ended(request, attempt, result);
+            }
+            RequestsEvent::ForwardEnded { request, result } => self.forward_ended(request, result),
+            RequestsEvent::Cancelled { request } => self.cancel(request),
+            RequestsEvent::TargetsChanged { targets } => self.targets_changed(targets),
+            RequestsEvent::HostLeaving { host } => self.host_leaving(&host, true),
+            RequestsEvent::SeatChanged { seat } => self.seat_changed(seat),
+            RequestsEvent::PeersChanged { peers } => {
+                self.peers = peers.into_iter().filter(|peer| *peer != self.entry).collect();
+            }
+            RequestsEvent::RemoteLoad { data_centre, gateway, loads } => {
+                self.remote_load(&data_centre, &gateway, loads);
+            }
+            RequestsEvent::Received { from, message } => self.received(from, message),
+            RequestsEvent::ServicesChanged { services, callers } => {
+                self.services_changed(services, &callers);
+            }
+            RequestsEvent::Stopping => self.stop(),
+            RequestsEvent::Tick => {}
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Monotonic time at which the engine needs an event, in milliseconds.
+    pub fn next_tick_ms(&self) -> Option<u64> {
+        self.timers.next_ms()
+    }
+
+    fn fire_timers(&mut self) {
+        while let Some(timer) = self.timers.pop_due(self.now_ms) {
+            match timer {
+                Timer::AttemptOver(attempt) => self.attempt_over(attempt),
+                Timer::Deadline(request) => self.deadline_passed(request),
+                Timer::LoanInOver(loan) => self.loan_in_over(loan),
+                Timer::LoanOutOver(loan) => self.loan_out_over(loan),
+                Timer::Borrow(service) => {
+                    if let Some(state) = self.services.get_mut(service) {
+                        state.borrow_timer = false;
+                    }
+                    self.pump(service);
+                }
+                Timer::ReviewLoans(service) => self.review_loans(service),
+                Timer::Probe(target) => {
+                    if let Some(service) = self.targets.get(target).map(|t| t.service) {
+                        self.pump(service);
+                    }
+                }
+                Timer::SeatsSettled => self.seats_settled(),
+            }
+        }
+    }
+
+    fn received(&mut self, from: EntryId, message: RequestsMessage) {
+        match message {
+            RequestsMessage::Borrow { service, wanted, asked_at_ms } => {
+                self.lend(from, &service, wanted, asked_at_ms);
+            }
+            RequestsMessage::Lend { loan, target, slots, duration_ms, asked_at_ms } => {
+                self.loan_received(from, loan, &target, slots, asked_at_ms + duration_ms);
+            }
+            RequestsMessage::Return { loan, slots } => self.loan_returned(&from, loan, slots),
+            RequestsMessage::Leaving { host } => self.host_leaving(&host, false),
+        }
+    }
+
+    fn services_changed(&mut self, services: Vec<ServiceLimits>, callers: &[CallerLimits]) {
+        for service in self.services.values_mut() {
+            service.limits = None;
+        }
+        for limits in services {
+            let key = self.service_key(&limits.service);
+            self.services[key].limits = Some(limits);
+        }
+        for limits in callers {
+            let key = self.caller_key(&limits.caller);
+            self.callers[key].apply(limits);
+        }
+        self.refresh_bases(false);
+    }
+
+    /// Returns the key of a service and adds it if it is new.
+    pub(super) fn service_key(&mut self, id: &ServiceId) -> ServiceKey {
+        if let Some(&key) = self.service_keys.get(id) {
+            return key;
+        }
+        let key = self.services.insert(Service::new(id.clone()));
+        self.service_keys.insert(id.clone(), key);
+        key
+    }
+
+    /// Returns the key of a caller and adds it if it is new.
+    pub(super) fn caller_key(&mut self, id: &CallerId) -> CallerKey {
+        if let Some(&key) = self.caller_keys.get(id) {
+            return key;
+        }
+        let key = self.callers.insert(Caller::new());
+        self.caller_keys.insert(id.clone(), key);
+        key
+    }
+
+    pub(super) fn send(&mut self, to: &EntryId, message: RequestsMessage) {
+        self.actions.push(RequestsAction::Send { to: to.clone(), message });
+    }
+}
--- a/crates/tamarackproxy/src/coordination/requests/events.rs
+++ b/crates/tamarackproxy/src/coordination/requests/events.rs
@@ -86,10 +86,14 @@
 /// Messages between request engines of one data centre.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestsMessage {
-    /// Asks for slots of the service's targets, `wanted` in all.
-    Borrow { service: ServiceId, wanted: u16 },
-    /// Lends slots of one target for `duration_ms` from when this was sent.
-    Lend { loan: LoanId, target: TargetId, slots: u16, duration_ms: u64 },
+    /// Asks for slots of the service's targets, `wanted` in all. `asked_at_ms`
+    /// is a reading of the sender's monotonic clock, which a loan echoes. The
+    /// receiver also gives back what it borrowed of these from the sender.
+    Borrow { service: ServiceId, wanted: u16, asked_at_ms: u64 },
+    /// Lends slots of one target for `duration_ms`. The borrower counts the
+    /// duration from `asked_at_ms` on its own clock, so that a delay of this
+    /// message only shortens the loan.
+    Lend { loan: LoanId, target: TargetId, slots: u16, duration_ms: u64, asked_at_ms: u64 },
     /// Returns slots of a loan before its end.
     Return { loan: LoanId, slots: u16 },
     /// Tells that the host gives a sign of leaving.
@@ -144,6 +148,8 @@
     pub service: ServiceId,
     /// Slots per instance.
     pub slots: u16,
+    /// TCP connections that one instance accepts from all entry hosts.
+    pub connections: u16,
     /// Requests that may wait in the queue of one entry host.
     pub queue_limit: u32,
 }
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/requests/limits.rs
@@ -0,0 +1,76 @@
+//! Rate limits of callers and running estimates.
+
+use super::CallerLimits;
+
+/// Time that a caller's unused rate is kept, in seconds.
+const RATE_BURST_S: f64 = 1.0;
+/// Weight of the newest sample in a running mean of service time.
+const SERVICE_TIME_WEIGHT: f64 = 0.05;
+
+/// Running mean that starts with its first sample.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RunningMean(Option<f64>);
+
+impl RunningMean {
+    /// Adds a sample.
+    pub fn add(&mut self, sample: f64, weight: f64) {
+        self.0 = Some(self.0.map_or(sample, |mean| mean + weight * (sample - mean)));
+    }
+
+    /// Adds a sample of service time.
+    pub fn add_service_time(&mut self, sample_ms: f64) {
+        self.add(sample_ms, SERVICE_TIME_WEIGHT);
+    }
+
+    /// Returns the mean, if there was a sample.
+    pub fn get(self) -> Option<f64> {
+        self.0
+    }
+}
+
+/// A caller as the document describes it, with the state of its rate limit.
+#[derive(Debug)]
+pub(super) struct Caller {
+    /// Weight in fair queueing.
+    pub weight: u32,
+    rate_per_second: Option<f64>,
+    tokens: f64,
+    filled_at_ms: u64,
+}
+
+impl Caller {
+    /// Makes a caller without limit and with weight 1.
+    pub fn new() -> Self {
+        Self { weight: 1, rate_per_second: None, tokens: 0.0, filled_at_ms: 0 }
+    }
+
+    /// Applies the document's limits; a new limit starts with a full burst.
+    pub fn apply(&mut self, limits: &CallerLimits) {
+        self.weight = limits.weight.max(1);
+        if self.rate_per_second != limits.rate_per_second {
+            self.rate_per_second = limits.rate_per_second;
+            self.tokens = self.burst();
+        }
+    }
+
+    fn burst(&self) -> f64 {
+        self.rate_per_second.map_or(0.0, |rate| (rate * RATE_BURST_S).max(1.0))
+    }
+
+    /// Takes one request out of the rate.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the rate has room, in milliseconds.
+    pub fn take(&mut self, now_ms: u64) -> Result<(), u64> {
+        let Some(rate) = self.rate_per_second else { return Ok(()) };
+        let elapsed_s = now_ms.saturating_sub(self.filled_at_ms) as f64 / 1_000.0;
+        self.filled_at_ms = now_ms;
+        self.tokens = (self.tokens + elapsed_s * rate).min(self.burst());
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        Err(((1.0 - self.tokens) / rate.max(1e-3) * 1_000.0).ceil() as u64)
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -0,0 +1,262 @@
+//! Loans of slots between the seats of a data centre.
+
+use rand::Rng;
+
+use super::{
+    LoanId, RequestEngine, RequestsMessage,
+    keys::{LoanKey, ServiceKey, TargetKey},
+    slots::{DRIFT_PERCENT, LOAN_DURATION_MS, LoanIn, LoanOut},
+    timers::Timer,
+};
+use crate::state::ids::{EntryId, ServiceId, TargetId};
+
+/// Time between two rounds of asking peers, in milliseconds.
+const BORROW_INTERVAL_MS: u64 = 8;
+/// Rounds in which all peers are asked; with the interval this asks every
+/// peer within 32 ms, which leaves the rest of 50 ms for the messages.
+const BORROW_ROUNDS: usize = 4;
+/// Peers asked in one round at least.
+const BORROW_PEERS_MIN: usize = 3;
+/// Most slots asked for at once.
+const BORROW_MAX: u32 = 256;
+/// Time between two reviews of idle loans, in milliseconds.
+const REVIEW_INTERVAL_MS: u64 = 15;
+
+impl RequestEngine {
+    /// Asks some peers for slots, if requests wait and it is time.
+    pub(super) fn borrow(&mut self, key: ServiceKey) {
+        if self.peers.is_empty() || self.seat.is_none() || self.stopping {
+            return;
+        }
+        let service = &mut self.services[key];
+        if service.borrow_timer || service.queue.is_empty() {
+            return;
+        }
+        let due = service.asked_at_ms.map_or(0, |asked| asked + BORROW_INTERVAL_MS);
+        service.borrow_timer = true;
+        self.timers.add(due.max(self.now_ms + BORROW_INTERVAL_MS), Timer::Borrow(key));
+        if due > self.now_ms {
+            return;
+        }
+        service.asked_at_ms = Some(self.now_ms);
+        let count = self.peers.len().div_ceil(BORROW_ROUNDS).max(BORROW_PEERS_MIN);
+        let count = count.min(self.peers.len());
+        let wanted = service.queue.len().min(BORROW_MAX).div_ceil(count as u32) as u16;
+        let message = RequestsMessage::Borrow {
+            service: service.id.clone(),
+            wanted,
+            asked_at_ms: self.now_ms,
+        };
+        let first = service.next_peer;
+        service.next_peer = (first + count) % self.peers.len();
+        for offset in 0..count {
+            let peer = self.peers[(first + offset) % self.peers.len()].clone();
+            self.send(&peer, message.clone());
+        }
+    }
+
+    /// Lends idle slots to a peer, unless own requests wait for them.
+    pub(super) fn lend(&mut self, to: EntryId, service: &ServiceId, wanted: u16, asked_at_ms: u64) {
+        let Some(&key) = self.service_keys.get(service) else { return };
+        self.recall(key, &to);
+        let state = &self.services[key];
+        if self.seat.is_none() || self.stopping || !state.queue.is_empty() {
+            return;
+        }
+        let targets = state.targets.clone();
+        if targets.is_empty() {
+            return;
+        }
+        let offset = self.rng.random_range(0..targets.len());
+        let order = || targets.iter().cycle().skip(offset).take(targets.len());
+        let free: Vec<(TargetKey, u16)> =
+            order().map(|&target| (target, self.lendable(target))).filter(|t| t.1 > 0).collect();
+        let total: u16 = free.iter().map(|&(_, slots)| slots).sum();
+        let mut left = wanted.min(total);
+        let (mut given, mut level) = (vec![0; free.len()], 0);
+        while left > 0 {
+            level += 1;
+            for (given, &(_, slots)) in given.iter_mut().zip(&free) {
+                if left > 0 && slots >= level {
+                    *given = level;
+                    left -= 1;
+                }
+            }
+        }
+        for ((target, _), slots) in free.into_iter().zip(given) {
+            if slots > 0 {
+                self.give(&to, target, slots, asked_at_ms);
+            }
+        }
+    }
+
+    /// Slots of a target that may be lent now.
+    fn lendable(&self, key: TargetKey) -> u16 {
+        let Some(target) = self.targets.get(key) else { return 0 };
+        if target.takes_work(self.now_ms) { target.slots.free_base() } else { 0 }
+    }
+
+    fn give(&mut self, to: &EntryId, key: TargetKey, slots: u16, asked_at_ms: u64) {
+        if self.loans_out.is_empty() && self.next_loan == LoanId(0) {
+            // Ids of an earlier process under the same name must not recur.
+            self.next_loan = LoanId(self.rng.random_range(1..u64::MAX / 2));
+        }
+        let loan = self.next_loan;
+        self.next_loan = LoanId(loan.0 + 1);
+        let target = &mut self.targets[key];
+        target.slots.lent += slots;
+        let id = target.id.clone();
+        let ends_at_ms = self.now_ms + LOAN_DURATION_MS * (100 + DRIFT_PERCENT) / 100;
+        let record = LoanOut { borrower: to.clone(), target: key, slots, ends_at_ms };
+        self.loans_out.insert(loan, record);
+        self.timers.add(ends_at_ms, Timer::LoanOutOver(loan));
+        let duration_ms = LOAN_DURATION_MS;
+        self.send(to, RequestsMessage::Lend { loan, target: id, slots, duration_ms, asked_at_ms });
+    }
+
+    pub(super) fn loan_received(
+        &mut self,
+        lender: EntryId,
+        id: LoanId,
+        target: &TargetId,
+        slots: u16,
+        ends_at_ms: u64,
+    ) {
+        let key = self.target_keys.get(target).copied();
+        let wanted = key.is_some_and(|key| {
+            let target = &self.targets[key];
+            self.seat.is_some()
+                && !self.stopping
+                && target.accepts_work
+                && !target.health.is_leaving(self.now_ms)
+                && !self.services[target.service].queue.is_empty()
+        });
+        let known = self.loans_in.values().any(|loan| loan.id == id && loan.lender == lender);
+        let (Some(key), true, false) = (key, wanted && ends_at_ms > self.now_ms, known) else {
+            self.send(&lender, RequestsMessage::Return { loan: id, slots });
+            return;
+        };
+        let loan = LoanIn { lender, id, target: key, slots, used: 0, ends_at_ms, recalled: false };
+        let loan = self.loans_in.insert(loan);
+        self.timers.add(ends_at_ms, Timer::LoanInOver(loan));
+        let target = &mut self.targets[key];
+        target.slots.loans.push(loan);
+        let service = target.service;
+        self.services[service].capacity.counted_at_ms = None;
+        self.pump(service);
+        self.schedule_review(service);
+    }
+
+    fn schedule_review(&mut self, key: ServiceKey) {
+        let service = &mut self.services[key];
+        if !service.review_timer {
+            service.review_timer = true;
+            self.timers.add(self.now_ms + REVIEW_INTERVAL_MS, Timer::ReviewLoans(key));
+        }
+    }
+
+    /// Returns what is idle of the loans of a service.
+    pub(super) fn review_loans(&mut self, key: ServiceKey) {
+        let service = &mut self.services[key];
+        service.review_timer = false;
+        let busy = !service.queue.is_empty() && !self.stopping;
+        let mut held = false;
+        for loan in self.loans_of(key) {
+            let kept = busy && !self.loan_is_useless(loan);
+            if !kept {
+                self.return_idle(loan);
+            }
+            held |= self.loans_in.contains_key(loan);
+        }
+        if held {
+            self.schedule_review(key);
+        }
+    }
+
+    fn loans_of(&self, key: ServiceKey) -> Vec<LoanKey> {
+        let targets = self.services[key].targets.iter();
+        targets.flat_map(|&target| self.targets[target].slots.loans.iter().copied()).collect()
+    }
+
+    /// Whether nothing more starts on a loan: it was recalled or its target
+    /// leaves.
+    fn loan_is_useless(&self, key: LoanKey) -> bool {
+        let Some(loan) = self.loans_in.get(key) else { return true };
+        let target = &self.targets[loan.target];
+        loan.recalled || !target.accepts_work || target.health.is_leaving(self.now_ms)
+    }
+
+    /// Gives a peer back what it needs itself: idle slots now and the others
+    /// when their attempts end.
+    fn recall(&mut self, key: ServiceKey, lender: &EntryId) {
+        for loan in self.loans_of(key) {
+            if self.loans_in[loan].lender == *lender {
+                self.loans_in[loan].recalled = true;
+                self.return_idle(loan);
+            }
+        }
+    }
+
+    /// Returns the slots of a loan that no attempt holds.
+    pub(super) fn return_idle(&mut self, key: LoanKey) {
+        let Some(loan) = self.loans_in.get_mut(key) else { return };
+        let idle = loan.slots - loan.used;
+        loan.slots = loan.used;
+        let (lender, id, used) = (loan.lender.clone(), loan.id, loan.used);
+        if idle > 0 {
+            self.send(&lender, RequestsMessage::Return { loan: id, slots: idle });
+        }
+        if used == 0 {
+            self.drop_loan_in(key);
+        }
+    }
+
+    /// Returns a freed slot of a recalled loan or while stopping.
+    pub(super) fn loan_slot_freed(&mut self, key: LoanKey) {
+        if self.stopping || self.loan_is_useless(key) {
+            self.return_idle(key);
+        }
+    }
+
+    fn drop_loan_in(&mut self, key: LoanKey) {
+        let Some(loan) = self.loans_in.remove(key) else { return };
+        let target = &mut self.targets[loan.target];
+        target.slots.loans.retain(|other| *other != key);
+        self.services[target.service].capacity.counted_at_ms = None;
+    }
+
+    pub(super) fn loan_in_over(&mut self, key: LoanKey) {
+        // Attempts on the loan end before it, since they are only started if
+        // their deadline and grace lie within it.
+        self.drop_loan_in(key);
+    }
+
+    pub(super) fn loan_returned(&mut self, from: &EntryId, id: LoanId, slots: u16) {
+        let Some(loan) = self.loans_out.get_mut(&id) else { return };
+        if loan.borrower != *from {
+            return;
+        }
+        let returned = slots.min(loan.slots);
+        loan.slots -= returned;
+        let (key, over) = (loan.target, loan.slots == 0);
+        if over {
+            self.loans_out.remove(&id);
+        }
+        self.lent_slots_back(key, returned);
+    }
+
+    pub(super) fn loan_out_over(&mut self, id: LoanId) {
+        if let Some(loan) = self.loans_out.remove(&id) {
+            debug_assert!(loan.ends_at_ms <= self.now_ms);
+            self.lent_slots_back(loan.target, loan.slots);
+        }
+    }
+
+    fn lent_slots_back(&mut self, key: TargetKey, slots: u16) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        target.slots.lent = target.slots.lent.saturating_sub(slots);
+        let service = target.service;
+        self.services[service].capacity.counted_at_ms = None;
+        self.pump(service);
+    }
+}
--- a/crates/tamarackproxy/src/coordination/requests/mod.rs
+++ b/crates/tamarackproxy/src/coordination/requests/mod.rs
@@ -1,8 +1,31 @@
 //! Admission, queues, slot shares, routing, retries and cancellation.
 
+mod admission;
+mod attempts;
+mod engine;
 mod events;
+mod health;
+mod keys;
+mod limits;
+mod loans;
+mod queue;
+mod report;
+mod retry;
+mod routing;
+mod slots;
+mod state;
+mod targets;
+mod timers;
 
-pub use self::events::{
-    AttemptResult, CallerLimits, ForwardResult, LoanId, RequestMeta, RequestsAction, RequestsEvent,
-    RequestsMessage, SeatShare, ServiceLimits, ServiceLoad, TargetState,
+pub use self::{
+    engine::RequestEngine,
+    events::{
+        AttemptResult, CallerLimits, ForwardResult, LoanId, RequestMeta, RequestsAction,
+        RequestsEvent, RequestsMessage, SeatShare, ServiceLimits, ServiceLoad, TargetState,
+    },
+    report::{Explanation, RequestCounters},
+    slots::{ATTEMPT_GRACE_MS, ATTEMPT_MAX_MS, LOAN_DURATION_MS},
 };
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/requests/report.rs
@@ -0,0 +1,169 @@
+//! Read access for status, metrics and explanations.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::{RequestEngine, ServiceLoad, keys::TargetKey, state::Stage};
+use crate::{
+    protocol::caller::Refusal,
+    state::{
+        document::Urgency,
+        ids::{CallerId, DataCentreId, HostId, RequestId, ServiceId, TargetId},
+    },
+};
+
+/// Counts since the start of the process.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct RequestCounters {
+    /// Requests that were admitted.
+    pub admitted: u64,
+    /// Attempts that were sent to targets.
+    pub dispatched: u64,
+    /// Requests that were forwarded.
+    pub forwarded: u64,
+    /// Attempts or forwards beyond the first of a request.
+    pub retries: u64,
+    /// Requests that were answered.
+    pub answered: u64,
+    /// Ejections of targets.
+    pub ejections: u64,
+    /// Requests refused as not run, by the name of the refusal.
+    pub refused: BTreeMap<&'static str, u64>,
+    /// Requests that ended with an unknown outcome, by cause.
+    pub unknown: BTreeMap<&'static str, u64>,
+}
+
+impl RequestCounters {
+    pub(super) fn count_refusal(&mut self, refusal: &Refusal) {
+        *self.refused.entry(refusal.into()).or_default() += 1;
+    }
+
+    pub(super) fn count_unknown(&mut self, refusal: &Refusal) {
+        *self.unknown.entry(refusal.into()).or_default() += 1;
+    }
+}
+
+/// What a request that has not ended is doing, and why.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "state")]
+pub enum Explanation {
+    /// It waits for a slot.
+    Waiting {
+        /// Service that it calls.
+        service: ServiceId,
+        /// Its caller.
+        caller: CallerId,
+        /// Its class.
+        urgency: Urgency,
+        /// Time for which it has waited, in milliseconds.
+        waited_ms: u64,
+        /// Time that is left until its deadline, in milliseconds.
+        remaining_ms: u64,
+        /// Requests of the same class that wait.
+        class_waiting: u32,
+        /// Requests of the same caller and class that wait.
+        caller_waiting: u32,
+        /// Slots that this entry host may use, all in use or unsuitable.
+        usable_slots: u32,
+        /// Targets that take no new work: leaving, ejected or not active.
+        unusable_targets: u32,
+    },
+    /// A target runs it.
+    Running {
+        /// The target.
+        target: TargetId,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+        /// Time since the attempt was sent, in milliseconds.
+        running_ms: u64,
+    },
+    /// Another data centre handles it.
+    Forwarded {
+        /// The data centre.
+        data_centre: DataCentreId,
+    },
+}
+
+impl RequestEngine {
+    /// Returns the load of every service on this entry host. Costs as much as
+    /// the data centre has targets.
+    pub fn loads(&self) -> Vec<ServiceLoad> {
+        self.services
+            .values()
+            .filter(|service| service.limits.is_some())
+            .map(|service| ServiceLoad {
+                service: service.id.clone(),
+                idle_slots: service.targets.iter().map(|&target| self.idle_slots(target)).sum(),
+                queued: service.queue.len(),
+                in_flight: service.in_flight,
+            })
+            .collect()
+    }
+
+    fn idle_slots(&self, key: TargetKey) -> u32 {
+        let target = &self.targets[key];
+        if self.seat.is_none() || self.stopping || !target.takes_work(self.now_ms) {
+            return 0;
+        }
+        let available = target.slots.available(&self.loans_in);
+        let limit = target.health.concurrency(available).min(available);
+        u32::from(limit.saturating_sub(target.slots.in_flight))
+    }
+
+    /// Returns what this entry host has in use on a host: unfinished attempts,
+    /// those of ended requests included, and slots lent to peers.
+    pub fn in_flight_on(&self, host: &HostId) -> u32 {
+        let keys = self.host_targets.get(host).into_iter().flatten();
+        keys.filter_map(|&key| self.targets.get(key))
+            .map(|target| u32::from(target.slots.in_flight) + u32::from(target.slots.lent))
+            .sum()
+    }
+
+    /// Returns the number of requests that have not ended.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Tells what a request that has not ended is doing, and why.
+    pub fn explain(&self, request: RequestId) -> Option<Explanation> {
+        let request = &self.requests[*self.request_keys.get(&request)?];
+        Some(match &request.stage {
+            Stage::Running(key) => {
+                let attempt = self.attempts.get(*key)?;
+                Explanation::Running {
+                    target: self.targets.get(attempt.target)?.id.clone(),
+                    attempt: attempt.number,
+                    running_ms: self.now_ms.saturating_sub(attempt.started_ms),
+                }
+            }
+            Stage::Forwarded(data_centre) => {
+                Explanation::Forwarded { data_centre: data_centre.clone() }
+            }
+            Stage::Waiting(_) => {
+                let service = &self.services[request.service];
+                let usable = |key: &&TargetKey| self.targets[**key].takes_work(self.now_ms);
+                let usable_targets = service.targets.iter().filter(usable).count();
+                let slots = service.targets.iter().filter(usable);
+                Explanation::Waiting {
+                    service: service.id.clone(),
+                    caller: request.meta.caller.clone(),
+                    urgency: request.meta.urgency,
+                    waited_ms: self.now_ms.saturating_sub(request.arrived_ms),
+                    remaining_ms: request.meta.deadline_at_ms.saturating_sub(self.now_ms),
+                    class_waiting: service.queue.class_len(request.class),
+                    caller_waiting: service.queue.flow_len(request.class, request.caller),
+                    usable_slots: slots
+                        .map(|&key| u32::from(self.targets[key].slots.available(&self.loans_in)))
+                        .sum(),
+                    unusable_targets: (service.targets.len() - usable_targets) as u32,
+                }
+            }
+        })
+    }
+
+    /// Returns the counts since the start of the process.
+    pub fn counters(&self) -> &RequestCounters {
+        &self.counters
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/requests/state.rs
@@ -0,0 +1,176 @@
+//! What the engine keeps of services, targets, requests and attempts.
+
+use std::collections::HashMap;
+
+use super::{
+    RequestMeta, ServiceLimits, ServiceLoad,
+    health::{ErrorShare, TargetHealth},
+    keys::{AttemptKey, CallerKey, EntryKey, RequestKey, ServiceKey, TargetKey},
+    limits::RunningMean,
+    queue::ServiceQueue,
+    retry::RetryBudget,
+    slots::{SlotSource, TargetSlots},
+};
+use crate::{
+    protocol::caller::Refusal,
+    state::ids::{DataCentreId, EntryId, RequestId, ServiceId, TargetId},
+};
+
+/// Slot time that is assumed before the first answer, in milliseconds.
+const SLOT_TIME_UNKNOWN_MS: f64 = 20.0;
+
+/// One service.
+#[derive(Debug)]
+pub(super) struct Service {
+    pub id: ServiceId,
+    /// Limits of the document; none while the document does not name it.
+    pub limits: Option<ServiceLimits>,
+    /// Targets of this data centre.
+    pub targets: Vec<TargetKey>,
+    pub queue: ServiceQueue,
+    pub retries: RetryBudget,
+    pub errors: ErrorShare,
+    /// Mean latency of answers by class.
+    pub slot_time_ms: [RunningMean; 3],
+    /// Mean latency of all answers.
+    pub latency_ms: RunningMean,
+    /// Requests in flight, forwarded ones not included.
+    pub in_flight: u32,
+    /// Slots that this entry host may use, counted now and then.
+    pub capacity: Capacity,
+    /// Load of other data centres.
+    pub remotes: Vec<Remote>,
+    /// When peers were last asked for slots.
+    pub asked_at_ms: Option<u64>,
+    pub borrow_timer: bool,
+    pub review_timer: bool,
+    /// Position in the list of peers for the next round of asking.
+    pub next_peer: usize,
+}
+
+impl Service {
+    pub fn new(id: ServiceId) -> Self {
+        Self {
+            id,
+            limits: None,
+            targets: Vec::new(),
+            queue: ServiceQueue::default(),
+            retries: RetryBudget::new(),
+            errors: ErrorShare::default(),
+            slot_time_ms: [RunningMean::default(); 3],
+            latency_ms: RunningMean::default(),
+            in_flight: 0,
+            capacity: Capacity::default(),
+            remotes: Vec::new(),
+            asked_at_ms: None,
+            borrow_timer: false,
+            review_timer: false,
+            next_peer: 0,
+        }
+    }
+
+    /// Expected slot time of a class, in milliseconds, if any answer is known.
+    pub fn expected_ms(&self, class: usize) -> Option<f64> {
+        self.slot_time_ms[class].get().or(self.latency_ms.get())
+    }
+
+    /// Expected slot time by class in microseconds, for fair queueing.
+    pub fn costs_us(&self) -> [f64; 3] {
+        [0, 1, 2].map(|class| self.expected_ms(class).unwrap_or(SLOT_TIME_UNKNOWN_MS) * 1_000.0)
+    }
+}
+
+/// Slots that this entry host may use for a service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Capacity {
+    /// Slots of usable targets, occupied ones included, lent ones not.
+    pub slots: u32,
+    /// Targets that take new work.
+    pub usable_targets: u32,
+    /// When it was counted; none if it must be counted again.
+    pub counted_at_ms: Option<u64>,
+}
+
+/// Load of a service in another data centre.
+#[derive(Debug)]
+pub(super) struct Remote {
+    pub data_centre: DataCentreId,
+    pub gateway: EntryId,
+    pub load: ServiceLoad,
+    pub received_at_ms: u64,
+    /// Forwards under way.
+    pub outstanding: u32,
+    /// Forwards that were under way when the load was received.
+    pub outstanding_then: u32,
+}
+
+/// One target.
+#[derive(Debug)]
+pub(super) struct Target {
+    pub id: TargetId,
+    pub service: ServiceKey,
+    pub slots: TargetSlots,
+    pub health: TargetHealth,
+    /// Whether the fleet state lists the target in this data centre.
+    pub listed: bool,
+    /// Whether the fleet state lets it receive work.
+    pub accepts_work: bool,
+}
+
+impl Target {
+    /// Whether it takes new work beyond probes.
+    pub fn takes_work(&self, now_ms: u64) -> bool {
+        self.accepts_work && !self.health.is_leaving(now_ms) && !self.health.is_out()
+    }
+}
+
+/// Where a request is in its life.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Stage {
+    /// It waits in the queue of its service.
+    Waiting(EntryKey),
+    /// An attempt runs.
+    Running(AttemptKey),
+    /// Another data centre handles it.
+    Forwarded(DataCentreId),
+}
+
+/// One request that has not ended.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub id: RequestId,
+    pub meta: RequestMeta,
+    pub service: ServiceKey,
+    pub caller: CallerKey,
+    pub class: usize,
+    pub stage: Stage,
+    pub arrived_ms: u64,
+    /// Attempts and forwards so far.
+    pub attempts: u32,
+    /// Why the outcome is unknown if no further attempt succeeds; none while
+    /// no attempt may have started.
+    pub may_have_run: Option<Refusal>,
+    /// Target of the last failed attempt.
+    pub avoid: Option<TargetKey>,
+    /// Whether it was forwarded before, which happens at most once.
+    pub was_forwarded: bool,
+}
+
+/// One attempt whose slot is not free yet.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub id: RequestId,
+    pub number: u32,
+    /// The request, unless the attempt no longer matters to it.
+    pub request: Option<RequestKey>,
+    pub target: TargetKey,
+    pub source: SlotSource,
+    pub started_ms: u64,
+    pub class: usize,
+    pub caller: CallerKey,
+    /// Slot time that the caller was charged, in microseconds.
+    pub charged_us: f64,
+}
+
+/// Attempts that no longer matter, by request and number.
+pub(super) type Abandoned = HashMap<(RequestId, u32), AttemptKey>;
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/requests/targets.rs
@@ -0,0 +1,161 @@
+//! Targets, seats and signs of leaving.
+
+use super::{
+    RequestEngine, RequestsMessage, SeatShare, TargetState,
+    health::TargetHealth,
+    keys::{ServiceKey, TargetKey},
+    slots::{ATTEMPT_GRACE_MS, ATTEMPT_MAX_MS, TargetSlots, base_slots},
+    state::Target,
+    timers::Timer,
+};
+use crate::state::ids::{HostId, TargetId};
+
+/// Time in which a change of the number of seats reaches every entry host of
+/// the data centre, in milliseconds (promise P8).
+const CONFIGURATION_SPREAD_MS: u64 = 6_000;
+/// Time for which slots gained by a change of the number of seats are held
+/// back: their former owner may start an attempt until it knows the change.
+const SEATS_SETTLE_MS: u64 =
+    CONFIGURATION_SPREAD_MS + (ATTEMPT_MAX_MS + ATTEMPT_GRACE_MS) * 11 / 10;
+
+impl RequestEngine {
+    pub(super) fn targets_changed(&mut self, states: Vec<TargetState>) {
+        for service in self.services.values_mut() {
+            service.targets.clear();
+        }
+        for target in self.targets.values_mut() {
+            target.listed = false;
+        }
+        let mut leaving = Vec::new();
+        for state in states {
+            if state.data_centre != self.data_centre {
+                continue;
+            }
+            let key = self.target_key(&state.target);
+            let target = &mut self.targets[key];
+            if state.accepts_work && !target.accepts_work {
+                target.health.clear_leaving();
+            }
+            if target.accepts_work && !state.accepts_work {
+                leaving.push(state.target.host.clone());
+            }
+            target.listed = true;
+            target.accepts_work = state.accepts_work;
+            let service = target.service;
+            self.services[service].targets.push(key);
+        }
+        self.forget_unlisted();
+        self.refresh_bases(false);
+        for host in leaving {
+            self.host_leaving(&host, true);
+        }
+        self.pump_all();
+    }
+
+    fn target_key(&mut self, id: &TargetId) -> TargetKey {
+        if let Some(&key) = self.target_keys.get(id) {
+            return key;
+        }
+        let service = self.service_key(&id.service);
+        let key = self.targets.insert(Target {
+            id: id.clone(),
+            service,
+            slots: TargetSlots::default(),
+            health: TargetHealth::new(),
+            listed: false,
+            accepts_work: false,
+        });
+        self.target_keys.insert(id.clone(), key);
+        self.host_targets.entry(id.host.clone()).or_default().push(key);
+        key
+    }
+
+    /// Drops unlisted targets once nothing of them is in use.
+    fn forget_unlisted(&mut self) {
+        let unused = |target: &Target| {
+            !target.listed
+                && target.slots.in_flight == 0
+                && target.slots.lent == 0
+                && target.slots.loans.is_empty()
+        };
+        let keys: Vec<TargetKey> = self
+            .targets
+            .iter_mut()
+            .filter_map(|(key, target)| {
+                target.accepts_work &= target.listed;
+                unused(target).then_some(key)
+            })
+            .collect();
+        for key in keys {
+            let Some(target) = self.targets.remove(key) else { continue };
+            self.target_keys.remove(&target.id);
+            if let Some(list) = self.host_targets.get_mut(&target.id.host) {
+                list.retain(|other| *other != key);
+                if list.is_empty() {
+                    self.host_targets.remove(&target.id.host);
+                }
+            }
+        }
+    }
+
+    pub(super) fn seat_changed(&mut self, seat: Option<SeatShare>) {
+        let seats = seat.map(|seat| seat.seats);
+        let resized = seats.is_some() && self.seats.is_some() && seats != self.seats;
+        self.seats = seats.or(self.seats);
+        self.seat = seat;
+        self.refresh_bases(resized);
+        if resized {
+            self.timers.add(self.now_ms + SEATS_SETTLE_MS, Timer::SeatsSettled);
+        }
+        self.pump_all();
+    }
+
+    /// Computes the base shares again.
+    pub(super) fn refresh_bases(&mut self, resized: bool) {
+        for target in self.targets.values_mut() {
+            let total = self.services[target.service].limits.as_ref().map_or(0, |l| l.slots);
+            let base = self.seat.map_or(0, |seat| base_slots(total, &target.id, seat));
+            target.slots.set_base(base, resized);
+        }
+        for service in self.services.values_mut() {
+            service.capacity.counted_at_ms = None;
+        }
+    }
+
+    pub(super) fn seats_settled(&mut self) {
+        for target in self.targets.values_mut() {
+            target.slots.held_back = 0;
+        }
+        self.pump_all();
+    }
+
+    /// Takes all targets of a host out of use for new work; `tell` passes the
+    /// first sign to the peers.
+    pub(super) fn host_leaving(&mut self, host: &HostId, tell: bool) {
+        let Some(keys) = self.host_targets.get(host) else { return };
+        let mut first = false;
+        for &key in keys {
+            if let Some(target) = self.targets.get_mut(key) {
+                first |= target.health.mark_leaving(self.now_ms);
+            }
+        }
+        if first && tell {
+            for peer in self.peers.clone() {
+                self.send(&peer, RequestsMessage::Leaving { host: host.clone() });
+            }
+        }
+    }
+
+    /// Serves what waits for any service, after a change that may free slots.
+    pub(super) fn pump_all(&mut self) {
+        let waiting: Vec<ServiceKey> = self
+            .services
+            .iter()
+            .filter(|(_, service)| !service.queue.is_empty())
+            .map(|(key, _)| key)
+            .collect();
+        for service in waiting {
+            self.pump(service);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/requests/tests/support.rs
@@ -0,0 +1,135 @@
+//! One engine with one service, and shorthands for its events.
+
+use crate::{
+    coordination::requests::{
+        AttemptResult, CallerLimits, RequestEngine, RequestMeta, RequestsAction, RequestsEvent,
+        SeatShare, ServiceLimits, TargetState,
+    },
+    state::{
+        clock::ClockReading,
+        document::Urgency,
+        ids::{CallerId, DataCentreId, EntryId, HostId, RequestId, ServiceId, TargetId},
+    },
+};
+
+/// Seed of all engines in these tests.
+pub const SEED: u64 = 7;
+pub const SERVICE: &str = "booking";
+pub const DATA_CENTRE: &str = "gasabo";
+
+/// An engine that holds the only seat, on a clock that the test moves.
+pub struct Bench {
+    pub engine: RequestEngine,
+    pub now_ms: u64,
+}
+
+pub fn target(host: &str) -> TargetId {
+    TargetId::new(ServiceId::new(SERVICE), HostId::new(host))
+}
+
+pub fn targets(hosts: &[&str]) -> Vec<TargetState> {
+    let state = |host: &&str| TargetState {
+        target: target(host),
+        data_centre: DataCentreId::new(DATA_CENTRE),
+        accepts_work: true,
+    };
+    hosts.iter().map(state).collect()
+}
+
+pub fn services(slots: u16, queue_limit: u32) -> Vec<ServiceLimits> {
+    vec![ServiceLimits { service: ServiceId::new(SERVICE), slots, connections: 64, queue_limit }]
+}
+
+pub fn peer(name: &str) -> EntryId {
+    EntryId::new(name)
+}
+
+impl Bench {
+    /// Makes an engine with `slots` slots on each host and a queue of 1000.
+    pub fn new(hosts: &[&str], slots: u16) -> Self {
+        let mut bench = Self::without_seat(hosts, slots);
+        bench.event(RequestsEvent::SeatChanged { seat: Some(SeatShare { index: 0, seats: 1 }) });
+        bench
+    }
+
+    pub fn without_seat(hosts: &[&str], slots: u16) -> Self {
+        println!("seed {SEED}");
+        let engine = RequestEngine::new(peer("e1"), DataCentreId::new(DATA_CENTRE), SEED);
+        let mut bench = Self { engine, now_ms: 1_000 };
+        let callers = Vec::<CallerLimits>::new();
+        bench.event(RequestsEvent::ServicesChanged { services: services(slots, 1_000), callers });
+        bench.event(RequestsEvent::TargetsChanged { targets: targets(hosts) });
+        bench
+    }
+
+    pub fn event(&mut self, event: RequestsEvent) -> Vec<RequestsAction> {
+        self.engine.handle(ClockReading::new(self.now_ms, 0), event)
+    }
+
+    /// Moves the clock and fires the timers up to then.
+    pub fn advance(&mut self, ms: u64) -> Vec<RequestsAction> {
+        let end_ms = self.now_ms + ms;
+        let mut actions = Vec::new();
+        while let Some(at_ms) = self.engine.next_tick_ms().filter(|&at_ms| at_ms <= end_ms) {
+            self.now_ms = self.now_ms.max(at_ms);
+            actions.extend(self.event(RequestsEvent::Tick));
+        }
+        self.now_ms = end_ms;
+        actions.extend(self.event(RequestsEvent::Tick));
+        actions
+    }
+
+    pub fn submit(&mut self, id: u64, meta: RequestMeta) -> Vec<RequestsAction> {
+        self.event(RequestsEvent::Submitted { request: RequestId(id), meta })
+    }
+
+    /// A normal repeatable request of caller `aline` with a deadline of 5 s.
+    pub fn meta(&self) -> RequestMeta {
+        RequestMeta {
+            service: ServiceId::new(SERVICE),
+            caller: CallerId::new("aline"),
+            urgency: Urgency::Normal,
+            deadline_at_ms: self.now_ms + 5_000,
+            repeatable: true,
+            forwarded: false,
+        }
+    }
+
+    pub fn once(&self) -> RequestMeta {
+        RequestMeta { repeatable: false, ..self.meta() }
+    }
+
+    pub fn ended(&mut self, id: u64, attempt: u32, result: AttemptResult) -> Vec<RequestsAction> {
+        self.event(RequestsEvent::AttemptEnded { request: RequestId(id), attempt, result })
+    }
+
+    pub fn answer(&mut self, id: u64) -> Vec<RequestsAction> {
+        self.ended(id, 0, AttemptResult::Answered { status: 200, leaving: false })
+    }
+
+    pub fn cancel(&mut self, id: u64) -> Vec<RequestsAction> {
+        self.event(RequestsEvent::Cancelled { request: RequestId(id) })
+    }
+}
+
+/// Requests that the actions dispatch, with the attempt and the host.
+pub fn dispatched(actions: &[RequestsAction]) -> Vec<(u64, u32, HostId)> {
+    let dispatch = |action: &RequestsAction| match action {
+        RequestsAction::Dispatch { request, attempt, target, .. } => {
+            Some((request.0, *attempt, target.host.clone()))
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(dispatch).collect()
+}
+
+/// How the actions end requests: `answered`, `not-run` or `unknown`.
+pub fn ends(actions: &[RequestsAction]) -> Vec<(u64, &'static str)> {
+    let end = |action: &RequestsAction| match action {
+        RequestsAction::Answer { request, .. } => Some((request.0, "answered")),
+        RequestsAction::NotRun { request, .. } => Some((request.0, "not-run")),
+        RequestsAction::Unknown { request, .. } => Some((request.0, "unknown")),
+        _ => None,
+    };
+    actions.iter().filter_map(end).collect()
+}
