Add the configuration engine

Puts are authorised and rebased by section, validated whole and written by one swap of the head with an operation id. The head carries what its revision changed until the entry is in the history, so that an accepted revision gets its entry even if its writer dies. One watcher per data centre pushes deltas; heartbeats show the rest what to pull.

--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/configuration/engine/distribution.rs
@@ -0,0 +1,281 @@
+//! Pushes to and pulls from other entry hosts.
+
+use super::ConfigurationEngine;
+use crate::{
+    coordination::configuration::{
+        ConfigurationAction, ConfigurationMessage, Position, WholePart, in_force::Applied,
+    },
+    state::{
+        clock::ClockReading,
+        ids::{EntryId, Epoch, HostId},
+        records::{HeadRecord, HostRecord},
+    },
+};
+
+/// Time after which an unanswered pull is tried again at the next heartbeat, in
+/// milliseconds.
+const PULL_LIMIT_MS: u64 = 900;
+/// Time for which changes of host records are gathered before they are pushed
+/// and reported, in milliseconds.
+const HOSTS_BATCH_MS: u64 = 50;
+
+impl ConfigurationEngine {
+    /// Applies the head of the store, or reports that the store was restored.
+    pub(super) fn apply_head(
+        &mut self,
+        now: ClockReading,
+        head: &HeadRecord,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        let found = head.position();
+        if found < self.position() {
+            self.report_restored(found, actions);
+            return;
+        }
+        self.told_restored = None;
+        let applied = self.in_force.apply_whole(found, &head.text);
+        self.on_applied(now, None, found, applied, actions);
+    }
+
+    pub(super) fn report_restored(
+        &mut self,
+        found: Position,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        self.forget_copied();
+        if self.told_restored.replace(found) != Some(found) {
+            let in_force = self.position();
+            actions.push(ConfigurationAction::StoreRestored { in_force, found });
+        }
+    }
+
+    /// Tells whether the store shows older state than the one in force.
+    pub(super) fn is_restored(&self) -> bool {
+        self.told_restored.is_some()
+    }
+
+    /// Follows up an attempt to apply a position from the store or a peer.
+    fn on_applied(
+        &mut self,
+        now: ClockReading,
+        from: Option<&EntryId>,
+        position: Position,
+        applied: Applied,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        match applied {
+            Applied::Newer => self.on_newer(now.monotonic_ms, from, actions),
+            Applied::NotNewer => {}
+            Applied::OtherBase => {
+                if let Some(from) = from {
+                    self.send_pull(now.monotonic_ms, from.clone(), actions);
+                }
+            }
+            Applied::Unusable(errors) => {
+                let message = errors.to_string().into();
+                actions.push(ConfigurationAction::Unusable { position, message });
+            }
+        }
+    }
+
+    fn on_newer(
+        &mut self,
+        now_ms: u64,
+        from: Option<&EntryId>,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        let position = self.position();
+        let previous = self.in_force.previous();
+        self.told_restored = None;
+        if previous.epoch != position.epoch && previous != Position::default() {
+            self.hosts.start_epoch();
+            self.restart_watching(now_ms);
+        }
+        if let Some(document) = self.in_force.document() {
+            let (document, text) = (document.clone(), self.in_force.whole().clone());
+            actions.push(ConfigurationAction::InForce { position, document, text });
+        }
+        // Only deltas are pushed; a node that needs the whole text pulls it.
+        let message = self.in_force.message_from(previous);
+        if matches!(message, ConfigurationMessage::Delta { .. }) {
+            self.push(from, &message, actions);
+        }
+    }
+
+    /// Sends news to the data centre's peers, unless one of them sent it.
+    fn push(
+        &self,
+        from: Option<&EntryId>,
+        message: &ConfigurationMessage,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        if from.is_some_and(|from| self.peers.contains(from)) {
+            return;
+        }
+        let send =
+            |to: &EntryId| ConfigurationAction::Send { to: to.clone(), message: message.clone() };
+        actions.extend(self.peers.iter().map(send));
+    }
+
+    pub(super) fn on_peer_ahead(
+        &mut self,
+        now_ms: u64,
+        peer: EntryId,
+        position: Position,
+        fleet_version: u64,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        self.start.highest_seen = self.start.highest_seen.max(position);
+        let is_ahead = position > self.position()
+            || position.epoch == self.position().epoch && fleet_version > self.hosts.version();
+        if is_ahead {
+            self.send_pull(now_ms, peer, actions);
+        }
+    }
+
+    /// Asks one peer at a time for what is newer.
+    pub(super) fn send_pull(
+        &mut self,
+        now_ms: u64,
+        to: EntryId,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        if self.pull.as_ref().is_some_and(|(_, sent_ms)| now_ms < sent_ms + PULL_LIMIT_MS) {
+            return;
+        }
+        self.pull = Some((to.clone(), now_ms));
+        let (position, fleet_version) = (self.position(), self.hosts.version());
+        let message = ConfigurationMessage::Pull { position, fleet_version };
+        actions.push(ConfigurationAction::Send { to, message });
+    }
+
+    pub(super) fn on_message(
+        &mut self,
+        now: ClockReading,
+        from: EntryId,
+        message: ConfigurationMessage,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        match message {
+            ConfigurationMessage::Pull { position, fleet_version } => {
+                self.answer_pull(from, position, fleet_version, actions);
+            }
+            ConfigurationMessage::Delta { base, position, edits } => {
+                self.on_answer(&from);
+                let applied = self.in_force.apply_delta(base, position, &edits);
+                self.on_applied(now, Some(&from), position, applied, actions);
+            }
+            ConfigurationMessage::Whole { position, text } => {
+                self.on_answer(&from);
+                let applied = self.in_force.apply_whole(position, &text);
+                self.on_applied(now, Some(&from), position, applied, actions);
+            }
+            ConfigurationMessage::Hosts { epoch, base, fleet_version, records, removed, whole } => {
+                let known = if whole.is_some_and(|part| part.first) { 0 } else { base };
+                if !self.can_take_hosts(now.monotonic_ms, &from, epoch, known, actions) {
+                    return;
+                }
+                let before = self.hosts.version();
+                self.begin_part(&from, whole);
+                let changed = self.take_hosts(records, removed);
+                self.hosts.reach(fleet_version);
+                let swept = self.end_part(&from, whole, fleet_version);
+                if changed || swept || before != self.hosts.version() {
+                    let is_own = self.peers.contains(&from);
+                    self.schedule_hosts(now.monotonic_ms, before, !is_own);
+                }
+            }
+        }
+    }
+
+    fn on_answer(&mut self, from: &EntryId) {
+        self.pull.take_if(|(peer, _)| peer == from);
+        self.start.has_answer = true;
+    }
+
+    fn answer_pull(
+        &self,
+        to: EntryId,
+        position: Position,
+        fleet_version: u64,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        let own = self.position();
+        let mut messages = vec![self.in_force.message_from(position)];
+        if own.epoch >= position.epoch {
+            let from = if own.epoch == position.epoch { fleet_version } else { 0 };
+            messages.extend(self.hosts.messages_from(own.epoch, from));
+        }
+        let send = |message| ConfigurationAction::Send { to: to.clone(), message };
+        actions.extend(messages.into_iter().map(send));
+    }
+
+    /// Tells whether host records of a peer continue those known here; pulls
+    /// what is missing otherwise.
+    fn can_take_hosts(
+        &mut self,
+        now_ms: u64,
+        from: &EntryId,
+        epoch: Epoch,
+        base: u64,
+        actions: &mut Vec<ConfigurationAction>,
+    ) -> bool {
+        let own = self.in_force.epoch();
+        if epoch > own || epoch == own && base > self.hosts.version() {
+            self.send_pull(now_ms, from.clone(), actions);
+            return false;
+        }
+        epoch == own
+    }
+
+    fn begin_part(&mut self, from: &EntryId, whole: Option<WholePart>) {
+        // A listing of the store under way keeps its own account.
+        if whole.is_some_and(|part| part.first) && !self.watcher.is_listing() {
+            self.whole_from = Some(from.clone());
+            self.hosts.begin_whole();
+        }
+    }
+
+    fn end_part(&mut self, from: &EntryId, whole: Option<WholePart>, fleet_version: u64) -> bool {
+        let ends = whole.is_some_and(|part| part.last) && self.whole_from.as_ref() == Some(from);
+        if ends {
+            self.whole_from = None;
+        }
+        ends && self.hosts.end_whole(fleet_version)
+    }
+
+    fn take_hosts(&mut self, records: Vec<(u64, HostRecord)>, removed: Vec<(u64, HostId)>) -> bool {
+        let mut changed = false;
+        for (version, record) in records {
+            changed |= self.hosts.put(version, record);
+        }
+        for (version, host) in removed {
+            changed |= self.hosts.remove(version, host);
+        }
+        changed
+    }
+
+    /// Gathers a change of host records, which were complete up to `before`.
+    pub(super) fn schedule_hosts(&mut self, now_ms: u64, before: u64, push: bool) {
+        self.hosts_due_ms.get_or_insert(now_ms + HOSTS_BATCH_MS);
+        if push {
+            self.push_hosts_from.get_or_insert(before);
+        }
+    }
+
+    /// Pushes and reports gathered changes of host records.
+    pub(super) fn report_hosts(&mut self, now_ms: u64, actions: &mut Vec<ConfigurationAction>) {
+        if self.hosts_due_ms.take_if(|due_ms| now_ms >= *due_ms).is_none() {
+            return;
+        }
+        let fleet_version = self.hosts.version();
+        let records = self.hosts.all();
+        actions.push(ConfigurationAction::FleetChanged { fleet_version, records });
+        // All records at once are pulled by those who need them.
+        if let Some(from) = self.push_hosts_from.take().filter(|from| *from > 0) {
+            for message in self.hosts.messages_from(self.in_force.epoch(), from) {
+                self.push(None, &message, actions);
+            }
+        }
+    }
+}
--- a/crates/tamarackproxy/src/coordination/configuration/events.rs
+++ b/crates/tamarackproxy/src/coordination/configuration/events.rs
@@ -9,7 +9,7 @@
     protocol::store::{StoreError, StoreReply, StoreRequest, WatchEvent},
     state::{
         document::{Document, SectionName},
-        ids::{CallId, DataCentreId, EntryId, Epoch, Revision, TeamId},
+        ids::{CallId, DataCentreId, EntryId, Epoch, HostId, Revision, TeamId},
         records::HostRecord,
     },
 };
@@ -43,14 +43,39 @@
 /// Messages between configuration engines.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConfigurationMessage {
-    /// Asks for what is newer than the sender's state.
+    /// Asks for what is newer than the sender's state. The answer is a `Delta`,
+    /// which is empty where the receiver has nothing newer, or a `Whole`, and
+    /// `Hosts` if the receiver has newer host records.
     Pull { position: Position, fleet_version: u64 },
     /// Sections that changed from `base` to `position`.
     Delta { base: Position, position: Position, edits: Vec<SectionEdit> },
     /// The whole text, sent only where no delta reaches the receiver's state.
     Whole { position: Position, text: Box<str> },
-    /// Host records that changed, up to `fleet_version`.
-    Hosts { fleet_version: u64, records: Vec<(u64, HostRecord)> },
+    /// Host records that changed after `base`, up to `fleet_version`.
+    Hosts {
+        /// Epoch of the sender's document; versions of different epochs do not
+        /// compare, because a restored store counts on from its backup.
+        epoch: Epoch,
+        /// Version that the receiver must have reached.
+        base: u64,
+        /// Version that the receiver has reached afterwards.
+        fleet_version: u64,
+        /// Records with their versions.
+        records: Vec<(u64, HostRecord)>,
+        /// Hosts whose records were removed, with the versions of the removal.
+        removed: Vec<(u64, HostId)>,
+        /// Whether this is a part of all records, in the order of versions.
+        whole: Option<WholePart>,
+    },
+}
+
+/// Place of a message in a sequence that carries all host records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WholePart {
+    /// Whether it is the first; records that no part names are removed.
+    pub first: bool,
+    /// Whether it is the last.
+    pub last: bool,
 }
 
 /// Why a put was not accepted.
@@ -72,6 +97,8 @@
     StoreRestored,
     /// too many puts wait; repeat the put later
     Busy,
+    /// the history holds no former text of revision {0}; put the sections with the text that you want
+    NoHistory(Revision),
 }
 
 impl std::error::Error for PutError {}
@@ -82,6 +109,9 @@
     /// An authenticated team puts sections; `raise_epoch` accepts the store's
     /// restored state as the base of a new epoch.
     Put { call: OperatorCall, team: TeamId, edits: Vec<SectionEdit>, raise_epoch: bool },
+    /// An authenticated team puts back the sections that a revision changed, as
+    /// a new revision; fails if one of them was changed since.
+    Revert { call: OperatorCall, team: TeamId, revision: Revision },
     /// A reader waits until this revision is in force here.
     WaitFor { call: OperatorCall, revision: Revision, until_ms: u64 },
     /// Live entry hosts of the data centre, and a gateway of each other one.
@@ -92,8 +122,11 @@
     Received { from: EntryId, message: ConfigurationMessage },
     /// A call to the store ended.
     StoreReplied { call: CallId, result: Result<StoreReply, StoreError> },
-    /// A watch that this entry host holds reports a change.
-    Watched { event: WatchEvent },
+    /// A watch that this entry host holds reports a change. After
+    /// `Interrupted` the watch is over and the engine starts another.
+    Watched { prefix: Box<str>, event: WatchEvent },
+    /// The entry host stops: the control lease of the watch is released.
+    Stopping,
     /// Time passed.
     Tick,
 }
@@ -109,11 +142,14 @@
     Ready { ready: bool },
     /// The store shows older state than the one in force.
     StoreRestored { in_force: Position, found: Position },
-    /// A put ended.
+    /// A revision in the store cannot be read by this version and is not used.
+    Unusable { position: Position, message: Box<str> },
+    /// A put or revert ended.
     PutEnded { call: OperatorCall, result: Result<Position, PutError> },
     /// A waiting reader may read, or its time ran out.
     WaitEnded { call: OperatorCall, reached: bool },
-    /// Starts a watch on a prefix from a version, or ends it.
+    /// Starts a watch on a prefix from a version, which is the first that it
+    /// reports; replaces an earlier watch on the prefix.
     Watch { prefix: Box<str>, from_version: u64 },
     /// Ends the watch on a prefix.
     Unwatch { prefix: Box<str> },
--- a/crates/tamarackproxy/src/coordination/configuration/mod.rs
+++ b/crates/tamarackproxy/src/coordination/configuration/mod.rs
@@ -1,8 +1,23 @@
 //! Accepting, distributing and keeping document revisions.
 
+mod decide;
+mod engine;
 mod events;
+mod hosts;
+mod in_force;
+mod put;
 
-pub use self::events::{
-    ConfigurationAction, ConfigurationEvent, ConfigurationMessage, OperatorCall, Position,
-    PutError, SectionEdit,
+pub use self::{
+    engine::ConfigurationEngine,
+    events::{
+        ConfigurationAction, ConfigurationEvent, ConfigurationMessage, OperatorCall, Position,
+        PutError, SectionEdit, WholePart,
+    },
 };
+
+/// Key of the document.
+pub const HEAD_KEY: &str = "document/head";
+/// Prefix of the keys of the history.
+pub const HISTORY_PREFIX: &str = "document/history/";
+/// Prefix of the keys of host records.
+pub const HOST_PREFIX: &str = "host/";
--- a/crates/tamarackproxy/src/coordination/control/lease.rs
+++ b/crates/tamarackproxy/src/coordination/control/lease.rs
@@ -63,6 +63,8 @@
     expired: bool,
     retry_ms: u64,
     other: Option<EntryId>,
+    /// When the scope was last found to be held by another.
+    other_since_ms: Option<u64>,
     backoff: Backoff,
     random: ChaCha8Rng,
 }
@@ -86,6 +88,7 @@
             expired: true,
             retry_ms: DEFAULT_RETRY_MS,
             other: None,
+            other_since_ms: None,
             backoff: Backoff::new(BACKOFF_MIN_MS, BACKOFF_MAX_MS),
             random: ChaCha8Rng::seed_from_u64(hasher.finish()),
         }
@@ -94,7 +97,13 @@
     /// Sets the delay between attempts while another entry host holds the
     /// scope, in milliseconds.
     pub fn set_retry_ms(&mut self, retry_ms: u64) {
+        if self.retry_ms == retry_ms {
+            return;
+        }
         self.retry_ms = retry_ms;
+        if let (Phase::Waiting, Some(since_ms)) = (&self.phase, self.other_since_ms) {
+            self.next_ms = since_ms + self.retry_ms;
+        }
     }
 
     /// Returns the term while this entry host holds the scope, as of the last
@@ -108,7 +117,8 @@
         }
     }
 
-    /// Returns the other entry host that was seen to hold the scope last.
+    /// Returns the entry host that was seen to hold the scope last while this
+    /// process did not; it has this one's name after a restart.
     pub fn other_holder(&self) -> Option<&EntryId> {
         self.other.as_ref()
     }
@@ -186,8 +196,7 @@
     fn on_key(&mut self, now_ms: u64, value: Option<KeyValue>) -> Option<StoreRequest> {
         self.backoff.reset();
         if value.is_some() {
-            let found = decode_tenure(value.as_ref());
-            self.other = found.map(|found| found.holder).filter(|holder| *holder != self.holder);
+            self.other = decode_tenure(value.as_ref()).map(|found| found.holder);
             self.wait_for_other(now_ms);
             return None;
         }
@@ -274,10 +283,12 @@
 
     fn wait_for_other(&mut self, now_ms: u64) {
         let jitter_ms = self.random.random_range(0..=self.retry_ms / 4);
+        self.other_since_ms = Some(now_ms);
         self.next_ms = now_ms + self.retry_ms + jitter_ms;
     }
 
     fn wait_after_failure(&mut self, now_ms: u64) -> Option<StoreRequest> {
+        self.other_since_ms = None;
         self.next_ms = now_ms + self.backoff.next_delay_ms(&mut self.random);
         None
     }
--- a/crates/tamarackproxy/src/state/records/mod.rs
+++ b/crates/tamarackproxy/src/state/records/mod.rs
@@ -3,10 +3,12 @@
 //! Every record is a JSON value under one key. Changing it is one
 //! compare-and-swap on the key's version.
 
+mod document;
 mod host;
 mod tenure;
 
 pub use self::{
+    document::{HeadRecord, HistoryRecord, RevisionChange, SectionChange},
     host::{HostPhase, HostRecord},
     tenure::TenureRecord,
 };
