--- /dev/null
+++ b/crates/standins/src/fleet/mod.rs
@@ -0,0 +1,13 @@
+//! Virtual-time world around fleet engines: store, platform, hosts and seats.
+
+mod checks;
+mod deployment;
+mod store;
+mod world;
+
+pub use self::{
+    checks::Checks,
+    deployment::{Deployment, DeploymentSize},
+    store::VirtualStore,
+    world::{Acknowledgement, FleetWorld, HostTruth, Timing, WriteFault},
+};
--- /dev/null
+++ b/crates/standins/src/fleet/world.rs
@@ -0,0 +1,663 @@
+//! Fleet engines with their store, platform, hosts and seats on virtual time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tamarackproxy::{
+    coordination::fleet::{FleetAction, FleetEngine, FleetEvent, FleetMessage, FleetReport},
+    protocol::{
+        platform::{ListedHost, ListedState},
+        store::{StoreError, StoreReply, StoreRequest},
+    },
+    state::{
+        clock::ClockReading,
+        document::Document,
+        ids::{CallId, DataCentreId, EntryId, HostId, OperationId},
+        records::{BudgetRecord, HostPhase, HostRecord},
+    },
+};
+
+use super::{checks::Checks, deployment::Deployment, store::VirtualStore};
+
+/// Wall-clock time of the world's start, in milliseconds.
+const UNIX_START_MS: u64 = 1_800_000_000_000;
+/// One-way delay of calls and messages, in milliseconds.
+const DELAY_MS: u64 = 2;
+/// Interval between readings of the platform's list, in milliseconds.
+const LIST_INTERVAL_MS: u64 = 5_000;
+/// Time after which the seat of a dead holder becomes vacant, in milliseconds.
+const SEAT_TAKEOVER_MS: u64 = 16_000;
+
+/// Durations of the world, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Shortest and longest time for which a seat has requests in flight on a
+    /// host that drains.
+    pub drain_ms: (u64, u64),
+    /// Shortest and longest time from the reboot call until the host answers
+    /// health checks.
+    pub reboot_ms: (u64, u64),
+}
+
+impl Timing {
+    /// Returns the mean time from the start of a drain to the end of the
+    /// reboot, in milliseconds.
+    pub fn mean_stop_ms(&self) -> f64 {
+        let sum = self.drain_ms.0 + self.drain_ms.1 + self.reboot_ms.0 + self.reboot_ms.1;
+        sum as f64 / 2.0
+    }
+}
+
+/// How the seats of an entry host acknowledge drains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acknowledgement {
+    /// Once their requests have ended.
+    Prompt,
+    /// This many milliseconds later than that.
+    Late(u64),
+    /// Not at all.
+    Never,
+}
+
+/// What happens at one effective write of a host, budget or wave record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteFault {
+    /// The reply is lost.
+    LoseReply,
+    /// The writer dies and never sees the reply.
+    KillWriter,
+    /// The writer is paused for this long, in milliseconds.
+    PauseWriter(u64),
+    /// The store is unavailable for this long, in milliseconds, beginning with
+    /// the reply.
+    StoreDown(u64),
+}
+
+/// A host as it is.
+#[derive(Clone, Debug)]
+pub struct HostTruth {
+    /// Whether it answers health checks.
+    pub up: bool,
+    /// Whether it comes back from a reboot.
+    pub returns: bool,
+    /// Whether the platform lists it.
+    pub listed: bool,
+    listed_host: ListedHost,
+    operations: BTreeSet<OperationId>,
+}
+
+struct Node {
+    entry: EntryId,
+    data_centre: DataCentreId,
+    engine: FleetEngine,
+    alive: bool,
+    paused_until_ms: u64,
+    tick_ms: Option<u64>,
+    acknowledgement: Acknowledgement,
+    /// Latest version that the node has seen of each host that left `active`,
+    /// and when its requests on the host end.
+    leaving: BTreeMap<HostId, (u64, u64)>,
+    seen_version: u64,
+    vacant: bool,
+}
+
+enum Happening {
+    Deliver { node: usize, event: Box<FleetEvent> },
+    Call { node: usize, call: CallId, request: Box<StoreRequest> },
+    Query { node: usize, from: usize, host: HostId, version: u64 },
+    Reboot { node: usize, host: HostId, operation: OperationId },
+    Returned { host: HostId },
+    Check { node: usize, host: HostId },
+    Vacate { node: usize },
+    List,
+    Tick { node: usize, at_ms: u64 },
+    Fault(Box<dyn FnOnce(&mut FleetWorld)>),
+}
+
+/// Engines with everything around them.
+pub struct FleetWorld {
+    /// The store.
+    pub store: VirtualStore,
+    /// The hosts.
+    pub hosts: BTreeMap<HostId, HostTruth>,
+    /// What was checked.
+    pub checks: Checks,
+    /// Reports of all engines, with their times in milliseconds.
+    pub reports: Vec<(u64, FleetReport)>,
+    /// Fault at the effective write with this number, counted from 1.
+    pub write_fault: Option<(u64, WriteFault)>,
+    /// Data centres without contact to the others, the store and the platform.
+    pub cut: BTreeSet<DataCentreId>,
+    document: Arc<Document>,
+    records: BTreeMap<HostId, HostRecord>,
+    versions: BTreeMap<HostId, u64>,
+    nodes: Vec<Node>,
+    candidates: usize,
+    queue: BTreeMap<(u64, u64), Happening>,
+    sequence: u64,
+    now_ms: u64,
+    store_down_until_ms: u64,
+    timing: Timing,
+    rng: ChaCha8Rng,
+}
+
+impl FleetWorld {
+    /// Starts a world with one entry host for each seat of every data centre,
+    /// of which at most `candidates` run an engine.
+    pub fn new(deployment: Deployment, timing: Timing, candidates: usize, seed: u64) -> Self {
+        let hosts = deployment.hosts.into_iter().map(|listed_host| {
+            let host = listed_host.host.clone();
+            let operations = BTreeSet::new();
+            let truth =
+                HostTruth { up: true, returns: true, listed: true, listed_host, operations };
+            (host, truth)
+        });
+        let mut world = Self {
+            store: VirtualStore::default(),
+            hosts: hosts.collect(),
+            checks: Checks::default(),
+            reports: Vec::new(),
+            write_fault: None,
+            cut: BTreeSet::new(),
+            document: Arc::new(deployment.document),
+            records: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            nodes: Vec::new(),
+            candidates,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            now_ms: 0,
+            store_down_until_ms: 0,
+            timing,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        world.start_nodes();
+        world.schedule(0, Happening::List);
+        world
+    }
+
+    fn start_nodes(&mut self) {
+        let document = self.document.clone();
+        let seats = document.data_centres.values().map(|section| section.seats).max().unwrap_or(1);
+        for seat in 0..seats {
+            for (data_centre, section) in &document.data_centres {
+                if seat < section.seats {
+                    let seed = self.rng.random();
+                    let entry = EntryId::new(format!("e-{data_centre}-{seat}"));
+                    let engine = FleetEngine::new(entry.clone(), data_centre.clone(), seed);
+                    self.nodes.push(Node {
+                        entry,
+                        data_centre: data_centre.clone(),
+                        engine,
+                        alive: true,
+                        paused_until_ms: 0,
+                        tick_ms: None,
+                        acknowledgement: Acknowledgement::Prompt,
+                        leaving: BTreeMap::new(),
+                        seen_version: 0,
+                        vacant: false,
+                    });
+                }
+            }
+        }
+        self.candidates = self.candidates.min(self.nodes.len());
+        for node in 0..self.candidates {
+            self.introduce(node);
+        }
+    }
+
+    /// Tells a node everything that a started entry host learns.
+    fn introduce(&mut self, node: usize) {
+        let records = self
+            .records
+            .values()
+            .map(|record| (self.versions[&record.host], record.clone()))
+            .collect();
+        let mut events = vec![
+            FleetEvent::DocumentChanged { document: self.document.clone() },
+            FleetEvent::FleetChanged { records: Arc::new(records) },
+        ];
+        for data_centre in self.document.data_centres.keys() {
+            let holders = self.holders(data_centre);
+            events.push(FleetEvent::SeatsChanged { data_centre: data_centre.clone(), holders });
+        }
+        for event in events {
+            self.deliver(node, event);
+        }
+    }
+
+    fn holders(&self, data_centre: &DataCentreId) -> Vec<Option<EntryId>> {
+        self.nodes
+            .iter()
+            .filter(|node| node.data_centre == *data_centre)
+            .map(|node| (!node.vacant).then(|| node.entry.clone()))
+            .collect()
+    }
+
+    /// Returns the present time, in milliseconds since the start.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Returns the document in force.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// Puts another document in force everywhere.
+    pub fn set_document(&mut self, document: Document) {
+        self.document = Arc::new(document);
+        for node in 0..self.candidates {
+            self.deliver(node, FleetEvent::DocumentChanged { document: self.document.clone() });
+        }
+    }
+
+    /// Returns the committed host records.
+    pub fn records(&self) -> &BTreeMap<HostId, HostRecord> {
+        &self.records
+    }
+
+    /// Returns the engine of an entry host.
+    pub fn engine(&self, node: usize) -> &FleetEngine {
+        &self.nodes[node].engine
+    }
+
+    /// Returns the number of entry hosts that run an engine; they come first.
+    pub fn candidates(&self) -> usize {
+        self.candidates
+    }
+
+    /// Returns the data centre of an entry host.
+    pub fn data_centre(&self, node: usize) -> &DataCentreId {
+        &self.nodes[node].data_centre
+    }
+
+    /// Runs a function on the world at this time.
+    pub fn at(&mut self, at_ms: u64, fault: impl FnOnce(&mut FleetWorld) + 'static) {
+        self.schedule(at_ms, Happening::Fault(Box::new(fault)));
+    }
+
+    /// Delivers an event to an engine now.
+    pub fn deliver(&mut self, node: usize, event: FleetEvent) {
+        self.schedule(self.now_ms, Happening::Deliver { node, event: Box::new(event) });
+    }
+
+    /// Ends the process of an entry host; its seat becomes vacant later.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].alive = false;
+        self.schedule(self.now_ms + SEAT_TAKEOVER_MS, Happening::Vacate { node });
+    }
+
+    /// Pauses the process of an entry host.
+    pub fn pause(&mut self, node: usize, duration_ms: u64) {
+        self.nodes[node].paused_until_ms = self.now_ms + duration_ms;
+    }
+
+    /// Makes the store unavailable.
+    pub fn store_down(&mut self, duration_ms: u64) {
+        self.store_down_until_ms = self.now_ms + duration_ms;
+    }
+
+    /// Ends a partition: the data centre's nodes learn what they missed.
+    pub fn heal(&mut self, data_centre: &DataCentreId) {
+        self.cut.remove(data_centre);
+        let records: Vec<HostRecord> = self.records.values().cloned().collect();
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].data_centre == *data_centre && self.nodes[node].alive {
+                for record in &records {
+                    self.see(node, self.versions[&record.host], record);
+                }
+                if node < self.candidates {
+                    self.introduce(node);
+                }
+            }
+        }
+    }
+
+    /// Sets how a seat acknowledges drains.
+    pub fn acknowledge(&mut self, node: usize, acknowledgement: Acknowledgement) {
+        self.nodes[node].acknowledgement = acknowledgement;
+    }
+
+    /// Makes a host fail at once; the platform's list shows it later.
+    pub fn fail_host(&mut self, host: &HostId) {
+        if let Some(truth) = self.hosts.get_mut(host) {
+            truth.up = false;
+            truth.listed = false;
+        }
+    }
+
+    /// Makes a failed host run again.
+    pub fn repair_host(&mut self, host: &HostId) {
+        if let Some(truth) = self.hosts.get_mut(host) {
+            truth.up = true;
+            truth.listed = true;
+        }
+    }
+
+    /// Returns the hosts of each rack.
+    pub fn racks(&self) -> BTreeMap<Box<str>, Vec<HostId>> {
+        let mut racks: BTreeMap<Box<str>, Vec<HostId>> = BTreeMap::new();
+        for (host, truth) in &self.hosts {
+            racks.entry(truth.listed_host.rack.as_str().into()).or_default().push(host.clone());
+        }
+        racks
+    }
+
+    /// Runs until `done` or until the time limit; returns whether it is done.
+    pub fn run_until(&mut self, limit_ms: u64, done: impl Fn(&FleetWorld) -> bool) -> bool {
+        let mut checked_ms = self.now_ms;
+        while let Some((&(at_ms, _), _)) = self.queue.first_key_value() {
+            if at_ms > limit_ms {
+                break;
+            }
+            let Some((_, happening)) = self.queue.pop_first() else {
+                break;
+            };
+            self.now_ms = at_ms;
+            self.happen(happening);
+            if at_ms >= checked_ms + 100 {
+                checked_ms = at_ms;
+                if done(self) {
+                    return true;
+                }
+            }
+        }
+        self.now_ms = self.now_ms.max(limit_ms);
+        done(self)
+    }
+
+    fn schedule(&mut self, at_ms: u64, happening: Happening) {
+        self.sequence += 1;
+        self.queue.insert((at_ms.max(self.now_ms), self.sequence), happening);
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Deliver { node, event } => self.handle(node, *event),
+            Happening::Tick { node, at_ms } => {
+                if self.nodes[node].tick_ms == Some(at_ms) {
+                    self.nodes[node].tick_ms = None;
+                    self.handle(node, FleetEvent::Tick);
+                }
+            }
+            Happening::Call { node, call, request } => self.on_call(node, call, &request),
+            Happening::Query { node, from, host, version } => {
+                self.on_query(node, from, host, version);
+            }
+            Happening::Reboot { node, host, operation } => self.on_reboot(node, host, operation),
+            Happening::Returned { host } => {
+                if let Some(truth) = self.hosts.get_mut(&host)
+                    && truth.returns
+                {
+                    truth.up = true;
+                }
+            }
+            Happening::Check { node, host } => {
+                let reachable = self.reachable(node, &host);
+                let healthy = reachable && self.hosts.get(&host).is_some_and(|truth| truth.up);
+                self.handle(node, FleetEvent::HealthChecked { host, healthy });
+            }
+            Happening::Vacate { node } => self.vacate(node),
+            Happening::List => self.list(),
+            Happening::Fault(fault) => fault(self),
+        }
+    }
+
+    fn reachable(&self, node: usize, host: &HostId) -> bool {
+        let own = &self.nodes[node].data_centre;
+        let other = self.hosts.get(host).map(|truth| &truth.listed_host.data_centre);
+        other.is_some_and(|other| own == other || !(self.is_cut(own) || self.is_cut(other)))
+    }
+
+    fn is_cut(&self, data_centre: &DataCentreId) -> bool {
+        self.cut.contains(data_centre)
+    }
+
+    fn handle(&mut self, node: usize, event: FleetEvent) {
+        let state = &mut self.nodes[node];
+        if !state.alive {
+            return;
+        }
+        if self.now_ms < state.paused_until_ms {
+            let at_ms = state.paused_until_ms;
+            self.schedule(at_ms, Happening::Deliver { node, event: Box::new(event) });
+            return;
+        }
+        let now = ClockReading::new(self.now_ms, UNIX_START_MS + self.now_ms);
+        let mut actions = Vec::new();
+        state.engine.handle(now, event, &mut actions);
+        let next_ms = state.engine.next_tick_ms().map(|at_ms| at_ms.max(self.now_ms + 1));
+        if let Some(at_ms) = next_ms
+            && state.tick_ms.is_none_or(|known| at_ms < known || known <= self.now_ms)
+        {
+            state.tick_ms = Some(at_ms);
+            self.schedule(at_ms, Happening::Tick { node, at_ms });
+        }
+        for action in actions {
+            self.act(node, action);
+        }
+    }
+
+    fn act(&mut self, node: usize, action: FleetAction) {
+        let at_ms = self.now_ms + DELAY_MS;
+        match action {
+            FleetAction::Store { call, request } => {
+                self.schedule(at_ms, Happening::Call { node, call, request: Box::new(request) });
+            }
+            FleetAction::Send { to, message: FleetMessage::DrainQuery { host, version } } => {
+                let receiver = self.nodes.iter().position(|other| other.entry == to);
+                if let Some(receiver) = receiver {
+                    let query = Happening::Query { node: receiver, from: node, host, version };
+                    self.schedule(at_ms, query);
+                }
+            }
+            FleetAction::Send { .. } => {}
+            FleetAction::Reboot { host, operation } => {
+                self.schedule(at_ms, Happening::Reboot { node, host, operation });
+            }
+            FleetAction::CheckHealth { host } => {
+                self.schedule(at_ms, Happening::Check { node, host });
+            }
+            FleetAction::Report { report } => self.reports.push((self.now_ms, report)),
+        }
+    }
+
+    fn on_call(&mut self, node: usize, call: CallId, request: &StoreRequest) {
+        let down =
+            self.now_ms < self.store_down_until_ms || self.is_cut(&self.nodes[node].data_centre);
+        let result = if down { Err(StoreError::NotSent) } else { self.execute(node, request) };
+        let event = FleetEvent::StoreReplied { call, result };
+        let at_ms = self.now_ms + DELAY_MS;
+        self.schedule(at_ms, Happening::Deliver { node, event: Box::new(event) });
+    }
+
+    fn execute(&mut self, node: usize, request: &StoreRequest) -> Result<StoreReply, StoreError> {
+        let reply = self.store.call(self.now_ms, request);
+        let (StoreRequest::CompareAndSwap { key, .. }, StoreReply::Swapped(version)) =
+            (request, &reply)
+        else {
+            return Ok(reply);
+        };
+        if key.starts_with("control") {
+            return Ok(reply);
+        }
+        self.on_write(key, version.0);
+        self.checks.writes += 1;
+        match self.write_fault {
+            Some((number, fault)) if number == self.checks.writes => {
+                self.inject(node, fault);
+                if matches!(fault, WriteFault::LoseReply | WriteFault::StoreDown(_)) {
+                    return Err(StoreError::Unknown);
+                }
+            }
+            _ => {}
+        }
+        Ok(reply)
+    }
+
+    fn inject(&mut self, node: usize, fault: WriteFault) {
+        match fault {
+            WriteFault::LoseReply => {}
+            WriteFault::KillWriter => self.kill(node),
+            WriteFault::PauseWriter(duration_ms) => self.pause(node, duration_ms),
+            WriteFault::StoreDown(duration_ms) => self.store_down(duration_ms),
+        }
+    }
+
+    fn on_write(&mut self, key: &str, version: u64) {
+        if key.starts_with("budget/") {
+            if let Some(record) = self.store.record::<BudgetRecord>(key) {
+                self.checks.on_budget(&record);
+            }
+        } else if key.starts_with("host/")
+            && let Some(record) = self.store.record::<HostRecord>(key)
+        {
+            self.on_host_written(version, record);
+        }
+    }
+
+    fn on_host_written(&mut self, version: u64, record: HostRecord) {
+        let before = self.records.insert(record.host.clone(), record.clone());
+        self.versions.insert(record.host.clone(), version);
+        self.checks.on_host(&self.store, &self.records, &self.document, before.as_ref(), &record);
+        if let Some(before) = before
+            && before.pool != record.pool
+        {
+            self.checks.transfers += 1;
+            self.check_unused(&record.host, "changes pool");
+        }
+        let at_ms = self.now_ms + DELAY_MS;
+        for node in 0..self.nodes.len() {
+            let cut = self.is_cut(&self.nodes[node].data_centre);
+            if self.nodes[node].alive && !cut {
+                self.see(node, version, &record);
+                if node < self.candidates {
+                    let record = Box::new(record.clone());
+                    let event = FleetEvent::HostRecordChanged { version, record };
+                    self.schedule(at_ms, Happening::Deliver { node, event: Box::new(event) });
+                }
+            }
+        }
+    }
+
+    /// A seat learns of a record and stops using a host that leaves `active`.
+    fn see(&mut self, node: usize, version: u64, record: &HostRecord) {
+        let (shortest, longest) = self.timing.drain_ms;
+        let state = &mut self.nodes[node];
+        state.seen_version = state.seen_version.max(version);
+        if record.data_centre != state.data_centre {
+            return;
+        }
+        if record.phase.accepts_work() {
+            state.leaving.remove(&record.host);
+            return;
+        }
+        let drained_ms = self.now_ms + self.rng.random_range(shortest..=longest);
+        let known = state.leaving.entry(record.host.clone()).or_insert((version, drained_ms));
+        known.0 = version;
+    }
+
+    fn on_query(&mut self, node: usize, from: usize, host: HostId, version: u64) {
+        let (own, other) = (&self.nodes[node].data_centre, &self.nodes[from].data_centre);
+        let cut = own != other && (self.is_cut(own) || self.is_cut(other));
+        let state = &self.nodes[node];
+        let late_ms = match state.acknowledgement {
+            Acknowledgement::Prompt => 0,
+            Acknowledgement::Late(late_ms) => late_ms,
+            Acknowledgement::Never => return,
+        };
+        if cut || !state.alive || state.seen_version < version {
+            return;
+        }
+        let drained_ms = state.leaving.get(&host).map_or(0, |&(_, drained_ms)| drained_ms);
+        let in_flight = u32::from(self.now_ms < drained_ms + late_ms);
+        let message = FleetMessage::DrainStatus { host, version: state.seen_version, in_flight };
+        let event = FleetEvent::Received { from: state.entry.clone(), message };
+        let at_ms = self.now_ms + DELAY_MS;
+        self.schedule(at_ms, Happening::Deliver { node: from, event: Box::new(event) });
+    }
+
+    fn on_reboot(&mut self, node: usize, host: HostId, operation: OperationId) {
+        let accepted = !self.is_cut(&self.nodes[node].data_centre);
+        if accepted {
+            let new =
+                self.hosts.get_mut(&host).is_some_and(|truth| truth.operations.insert(operation));
+            if new {
+                self.check_unused(&host, "reboots");
+                *self.checks.reboots.entry(host.clone()).or_default() += 1;
+                let (shortest, longest) = self.timing.reboot_ms;
+                let at_ms = self.now_ms + self.rng.random_range(shortest..=longest);
+                if let Some(truth) = self.hosts.get_mut(&host) {
+                    truth.up = false;
+                }
+                self.schedule(at_ms, Happening::Returned { host: host.clone() });
+            }
+        }
+        self.handle(node, FleetEvent::RebootAccepted { host, accepted });
+    }
+
+    /// Checks that no seat of the host's data centre uses the host.
+    fn check_unused(&mut self, host: &HostId, what: &str) {
+        let Some(truth) = self.hosts.get(host) else {
+            return;
+        };
+        for node in &self.nodes {
+            if node.data_centre != truth.listed_host.data_centre || !node.alive {
+                continue;
+            }
+            let unused =
+                node.leaving.get(host).is_some_and(|&(_, drained_ms)| drained_ms <= self.now_ms);
+            if !unused {
+                self.checks.interrupted.push(format!(
+                    "{host} {what} at {} ms while {} uses it",
+                    self.now_ms, node.entry
+                ));
+            }
+        }
+    }
+
+    fn vacate(&mut self, node: usize) {
+        let data_centre = self.nodes[node].data_centre.clone();
+        self.nodes[node].vacant = true;
+        let holders = self.holders(&data_centre);
+        for other in 0..self.candidates {
+            self.deliver(
+                other,
+                FleetEvent::SeatsChanged {
+                    data_centre: data_centre.clone(),
+                    holders: holders.clone(),
+                },
+            );
+        }
+    }
+
+    fn list(&mut self) {
+        let hosts: Vec<ListedHost> = self
+            .hosts
+            .values()
+            .filter(|truth| truth.listed)
+            .map(|truth| ListedHost { state: ListedState::Live, ..truth.listed_host.clone() })
+            .collect();
+        for node in 0..self.candidates {
+            if !self.is_cut(&self.nodes[node].data_centre) {
+                self.deliver(node, FleetEvent::HostsListed { hosts: hosts.clone() });
+            }
+        }
+        self.schedule(self.now_ms + LIST_INTERVAL_MS, Happening::List);
+    }
+
+    /// Returns the hosts that are active in a pool and run.
+    pub fn available(&self, pool: &str) -> u32 {
+        let runs = |host: &HostId| self.hosts.get(host).is_some_and(|truth| truth.up);
+        self.records
+            .values()
+            .filter(|record| record.pool.as_str() == pool && record.phase == HostPhase::Active)
+            .filter(|record| runs(&record.host))
+            .count() as u32
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/fleet/budget.rs
@@ -0,0 +1,155 @@
+//! Rules of availability budgets.
+
+use std::collections::BTreeMap;
+
+use super::view::RackKey;
+use crate::state::{
+    document::{BudgetSection, FailureReserve},
+    ids::{HostId, OperationId, PoolId, Term, WaveId},
+    records::{BudgetRecord, Reservation, ReservationKind},
+};
+
+/// Departed hosts that a budget record keeps. Each entry matters only until
+/// every candidate's view of the host is newer, which takes seconds.
+const DEPARTED_KEPT: usize = 64;
+
+/// A change of one budget record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum BudgetChange {
+    /// Counts the host as stopped, if the budget allows it; a failure is
+    /// always counted.
+    Reserve {
+        host: HostId,
+        rack: RackKey,
+        kind: ReservationKind,
+        operation: OperationId,
+        wave: Option<WaveId>,
+        next_pool: Option<PoolId>,
+    },
+    /// Ends the reservation of a host that runs again, or that left the pool
+    /// with this version of its record.
+    Release { host: HostId, departed: Option<u64> },
+}
+
+/// Limits of one budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct BudgetLimits {
+    pub min_available: u32,
+    pub max_stopped: u32,
+    pub failure_reserve: FailureReserve,
+}
+
+impl BudgetLimits {
+    /// Takes the limits from the document; a service without a budget section
+    /// is not limited.
+    pub fn new(section: Option<&BudgetSection>) -> Self {
+        match section {
+            Some(section) => Self {
+                min_available: section.min_available,
+                max_stopped: section.max_stopped,
+                failure_reserve: section.failure_reserve,
+            },
+            None => Self {
+                min_available: 0,
+                max_stopped: u32::MAX,
+                failure_reserve: FailureReserve::None,
+            },
+        }
+    }
+
+    /// Tells whether the remaining instances, counted by rack, still leave room
+    /// for the reserved failure; stops that have not gone beyond the drain are
+    /// given up if they do not.
+    pub fn holds(&self, available: &BTreeMap<RackKey, u32>) -> bool {
+        let total: u32 = available.values().sum();
+        let largest = available.values().max().copied().unwrap_or(0);
+        total >= self.min_available.saturating_add(self.reserved_for_failure(largest))
+    }
+
+    fn reserved_for_failure(&self, largest_rack: u32) -> u32 {
+        match self.failure_reserve {
+            FailureReserve::None => 0,
+            FailureReserve::Rack => largest_rack,
+        }
+    }
+
+    /// Tells whether one more host in `rack` may be stopped while `stopped`
+    /// hosts are, where `available` counts the remaining ones by rack.
+    pub fn allows_stop(
+        &self,
+        available: &BTreeMap<RackKey, u32>,
+        stopped: usize,
+        rack: &RackKey,
+    ) -> bool {
+        let own = available.get(rack).copied().unwrap_or(0);
+        if own == 0 || stopped >= self.max_stopped as usize {
+            return false;
+        }
+        let total: u32 = available.values().sum::<u32>() - 1;
+        let largest = available
+            .iter()
+            .map(|(key, &count)| if key == rack { count - 1 } else { count })
+            .max()
+            .unwrap_or(0);
+        total >= self.min_available.saturating_add(self.reserved_for_failure(largest))
+    }
+}
+
+/// Applies changes to a budget; returns whether anything changed.
+///
+/// `available` counts the instances that are available under the given record
+/// and is kept in step with the changes.
+pub(super) fn apply(
+    record: &mut BudgetRecord,
+    changes: &[BudgetChange],
+    limits: BudgetLimits,
+    available: &mut BTreeMap<RackKey, u32>,
+    term: Term,
+    unix_ms: u64,
+) -> bool {
+    let mut changed = false;
+    for change in changes {
+        changed |= match change {
+            BudgetChange::Reserve { host, rack, kind, operation, wave, next_pool } => {
+                let known = record.reservations.contains_key(host);
+                let granted = *kind == ReservationKind::Failure
+                    || limits.allows_stop(available, record.reservations.len(), rack);
+                if known || !granted {
+                    continue;
+                }
+                if let Some(count) = available.get_mut(rack) {
+                    *count = count.saturating_sub(1);
+                }
+                let reservation = Reservation {
+                    kind: *kind,
+                    operation: *operation,
+                    term,
+                    wave: wave.clone(),
+                    next_pool: next_pool.clone(),
+                    since_unix_ms: unix_ms,
+                };
+                record.reservations.insert(host.clone(), reservation);
+                true
+            }
+            BudgetChange::Release { host, departed } => {
+                let known = record.reservations.remove(host).is_some();
+                if let (true, Some(version)) = (known, departed) {
+                    record_departure(record, host, *version);
+                }
+                known
+            }
+        };
+    }
+    changed
+}
+
+/// Remembers a departed host and forgets the oldest beyond the limit.
+fn record_departure(record: &mut BudgetRecord, host: &HostId, version: u64) {
+    record.departed.insert(host.clone(), version);
+    if record.departed.len() > DEPARTED_KEPT {
+        let oldest = record.departed.iter().min_by_key(|&(_, &version)| version);
+        if let Some(host) = oldest.map(|(host, _)| host.clone()) {
+            record.departed.remove(&host);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/fleet/drain.rs
@@ -0,0 +1,347 @@
+//! Drain acknowledgements, reboots and health checks of single hosts.
+
+use std::collections::BTreeMap;
+
+use super::{FleetAction, FleetMessage, FleetReport, calls::HostChange, engine::FleetEngine};
+use crate::{
+    protocol::platform::ListedState,
+    state::{
+        clock::ClockReading,
+        ids::{DataCentreId, EntryId, HostId},
+        records::{HostPhase, HostRecord},
+    },
+};
+
+/// Interval between drain queries to a seat that has not acknowledged, in
+/// milliseconds.
+const DRAIN_QUERY_MS: u64 = 500;
+/// Interval between reboot calls until the platform accepts one, in
+/// milliseconds.
+const REBOOT_RETRY_MS: u64 = 5_000;
+/// Time after an accepted reboot before the first health check, in
+/// milliseconds, since the host may still answer while it goes down.
+const REBOOT_SETTLE_MS: u64 = 2_000;
+/// Interval between health checks of a host that returns or is suspected, in
+/// milliseconds.
+const HEALTH_CHECK_MS: u64 = 1_000;
+/// Interval between health checks of a failed host, in milliseconds.
+const FAILED_CHECK_MS: u64 = 10_000;
+/// Healthy results in a row after which a host counts as returned; a single
+/// one may be the late result of a check before the reboot.
+const HEALTHY_CHECKS: u32 = 2;
+/// Unhealthy results in a row after which an active host counts as failed.
+const UNHEALTHY_CHECKS: u32 = 3;
+/// Time for which a host that became active is not judged by the platform's
+/// list, which lags, in milliseconds.
+const LIST_LAG_MS: u64 = 60_000;
+/// Age of the last answer of a data centre's seats above which it counts as
+/// cut off, in milliseconds.
+const CONTACT_FRESH_MS: u64 = 15_000;
+/// Interval between probes of a data centre without recent answers, in
+/// milliseconds.
+const PROBE_MS: u64 = 2_000;
+
+/// Last contact with the seats of a data centre.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Contact {
+    answered_ms: Option<u64>,
+    probed_ms: Option<u64>,
+}
+
+/// Progress of one host within one version of its record.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Progress {
+    version: u64,
+    /// Latest version and requests in flight that each seat holder stated.
+    statuses: BTreeMap<EntryId, (u64, u32)>,
+    next_ms: u64,
+    reboot_accepted: bool,
+    checking: bool,
+    healthy_in_row: u32,
+}
+
+/// Health of a host that is active.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Health {
+    unhealthy_in_row: u32,
+    next_check_ms: u64,
+}
+
+/// State of a drain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Drain {
+    /// Every seat has acknowledged, with nothing in flight.
+    Complete,
+    /// This many seats have not.
+    Waits { seats: u32 },
+}
+
+impl FleetEngine {
+    pub(super) fn on_drain_status(
+        &mut self,
+        now: ClockReading,
+        from: EntryId,
+        host: &HostId,
+        version: u64,
+        in_flight: u32,
+    ) {
+        let Some(view) = self.view.host(host) else {
+            return;
+        };
+        let (pool, data_centre) = (view.record.pool.clone(), view.record.data_centre.clone());
+        let seated = self
+            .seats
+            .get(&data_centre)
+            .is_some_and(|holders| holders.iter().flatten().any(|holder| *holder == from));
+        if !seated {
+            return;
+        }
+        self.contacts.entry(data_centre).or_default().answered_ms = Some(now.monotonic_ms);
+        if let Some(progress) = self.progress.get_mut(host) {
+            progress.statuses.insert(from, (version, in_flight));
+        }
+        self.mark_pool(&pool);
+    }
+
+    pub(super) fn on_health(&mut self, now: ClockReading, host: &HostId, healthy: bool) {
+        let Some(view) = self.view.host(host) else {
+            return;
+        };
+        let (pool, phase) = (view.record.pool.clone(), view.record.phase);
+        match phase {
+            HostPhase::Active | HostPhase::Draining | HostPhase::Moving => {
+                let listed = !matches!(self.view.listed_state(host), Some(None));
+                if healthy && listed {
+                    self.health.remove(host);
+                } else if healthy {
+                    let next_check_ms = now.monotonic_ms + FAILED_CHECK_MS;
+                    self.health.insert(host.clone(), Health { unhealthy_in_row: 0, next_check_ms });
+                } else {
+                    let health = self.health.entry(host.clone()).or_default();
+                    health.unhealthy_in_row += 1;
+                    health.next_check_ms = now.monotonic_ms + HEALTH_CHECK_MS;
+                }
+            }
+            HostPhase::Rebooting | HostPhase::Returning | HostPhase::Failed => {
+                if let Some(progress) = self.progress.get_mut(host)
+                    && std::mem::take(&mut progress.checking)
+                {
+                    progress.healthy_in_row = if healthy { progress.healthy_in_row + 1 } else { 0 };
+                    if progress.healthy_in_row > 0 {
+                        progress.next_ms = now.monotonic_ms + HEALTH_CHECK_MS;
+                    }
+                }
+            }
+        }
+        self.mark_pool(&pool);
+    }
+
+    pub(super) fn on_reboot(&mut self, host: &HostId, accepted: bool) {
+        let Some(view) = self.view.host(host) else {
+            return;
+        };
+        let (pool, phase) = (view.record.pool.clone(), view.record.phase);
+        if let (HostPhase::Rebooting, true, Some(progress)) =
+            (phase, accepted, self.progress.get_mut(host))
+        {
+            progress.reboot_accepted = true;
+        }
+        self.mark_pool(&pool);
+    }
+
+    /// Returns the progress of a host in this version of its record.
+    fn progress_of(&mut self, host: &HostId, version: u64) -> &mut Progress {
+        let progress = self.progress.entry(host.clone()).or_default();
+        if progress.version != version {
+            *progress = Progress { version, ..Progress::default() };
+        }
+        progress
+    }
+
+    /// Tells whether seats of the data centre have answered lately; a data
+    /// centre whose seats are all vacant has nobody to wait for.
+    pub(super) fn in_contact(&self, now: ClockReading, data_centre: &DataCentreId) -> bool {
+        let vacant = self
+            .seats
+            .get(data_centre)
+            .is_some_and(|holders| holders.iter().all(|holder| holder.is_none()));
+        let answered = self.contacts.get(data_centre).and_then(|contact| contact.answered_ms);
+        vacant || answered.is_some_and(|answered| now.monotonic_ms < answered + CONTACT_FRESH_MS)
+    }
+
+    /// Asks the seats of a data centre for a sign of life, in the form of a
+    /// query for a host that is not being drained; returns when to try again.
+    pub(super) fn probe(
+        &mut self,
+        now: ClockReading,
+        record: &HostRecord,
+        version: u64,
+        actions: &mut Vec<FleetAction>,
+    ) -> u64 {
+        let contact = self.contacts.entry(record.data_centre.clone()).or_default();
+        let due_ms = contact.probed_ms.map_or(0, |probed| probed + PROBE_MS);
+        if now.monotonic_ms < due_ms {
+            return due_ms;
+        }
+        contact.probed_ms = Some(now.monotonic_ms);
+        for to in self.seats.get(&record.data_centre).into_iter().flatten().flatten() {
+            let message = FleetMessage::DrainQuery { host: record.host.clone(), version };
+            actions.push(FleetAction::Send { to: to.clone(), message });
+        }
+        now.monotonic_ms + PROBE_MS
+    }
+
+    /// Collects drain acknowledgements of every seat of the host's data
+    /// centre.
+    pub(super) fn drain(
+        &mut self,
+        now: ClockReading,
+        record: &HostRecord,
+        version: u64,
+        actions: &mut Vec<FleetAction>,
+    ) -> Drain {
+        let Some(holders) = self.seats.get(&record.data_centre).cloned() else {
+            return Drain::Waits { seats: 1 };
+        };
+        let progress = self.progress_of(&record.host, version);
+        let waiting: Vec<EntryId> = holders
+            .into_iter()
+            .flatten()
+            .filter(|holder| {
+                !matches!(progress.statuses.get(holder), Some(&(seen, 0)) if seen >= version)
+            })
+            .collect();
+        if waiting.is_empty() {
+            return Drain::Complete;
+        }
+        if now.monotonic_ms >= progress.next_ms {
+            progress.next_ms = now.monotonic_ms + DRAIN_QUERY_MS;
+            for to in &waiting {
+                let message = FleetMessage::DrainQuery { host: record.host.clone(), version };
+                actions.push(FleetAction::Send { to: to.clone(), message });
+            }
+        }
+        let next_ms = progress.next_ms;
+        self.wake_pool(&record.pool, next_ms);
+        Drain::Waits { seats: waiting.len() as u32 }
+    }
+
+    /// Calls for the reboot until the platform accepts it.
+    pub(super) fn reboot(
+        &mut self,
+        now: ClockReading,
+        record: &HostRecord,
+        version: u64,
+        operation: crate::state::ids::OperationId,
+        actions: &mut Vec<FleetAction>,
+    ) -> Option<HostChange> {
+        let progress = self.progress_of(&record.host, version);
+        if progress.reboot_accepted {
+            return Some(phase_change(HostPhase::Rebooting, HostPhase::Returning));
+        }
+        if now.monotonic_ms >= progress.next_ms {
+            progress.next_ms = now.monotonic_ms + REBOOT_RETRY_MS;
+            actions.push(FleetAction::Reboot { host: record.host.clone(), operation });
+        }
+        let next_ms = progress.next_ms;
+        self.wake_pool(&record.pool, next_ms);
+        None
+    }
+
+    /// Checks the health of a host that returns or has failed; returns whether
+    /// it is healthy.
+    pub(super) fn check_return(
+        &mut self,
+        now: ClockReading,
+        record: &HostRecord,
+        version: u64,
+        actions: &mut Vec<FleetAction>,
+    ) -> bool {
+        let settles = record.phase == HostPhase::Returning;
+        let interval_ms = if settles { HEALTH_CHECK_MS } else { FAILED_CHECK_MS };
+        let first = self.progress.get(&record.host).is_none_or(|known| known.version != version);
+        let progress = self.progress_of(&record.host, version);
+        if first && settles {
+            progress.next_ms = now.monotonic_ms + REBOOT_SETTLE_MS;
+        }
+        if progress.healthy_in_row >= HEALTHY_CHECKS {
+            return true;
+        }
+        if now.monotonic_ms >= progress.next_ms {
+            progress.next_ms = now.monotonic_ms + interval_ms;
+            progress.checking = true;
+            actions.push(FleetAction::CheckHealth { host: record.host.clone() });
+        }
+        let next_ms = progress.next_ms;
+        self.wake_pool(&record.pool, next_ms);
+        false
+    }
+
+    /// Tells whether a host that should run has been lost, by the platform's
+    /// list or by health checks. A data centre that cannot be reached says
+    /// nothing about the health of its hosts.
+    pub(super) fn is_lost(
+        &mut self,
+        now: ClockReading,
+        record: &HostRecord,
+        version: u64,
+        actions: &mut Vec<FleetAction>,
+    ) -> bool {
+        let settled = now.unix_ms >= record.phase_since_unix_ms + LIST_LAG_MS;
+        match self.view.listed_state(&record.host) {
+            Some(Some(ListedState::Leaving)) if settled => return true,
+            Some(None) if settled && record.phase == HostPhase::Active => {
+                self.health.entry(record.host.clone()).or_default();
+            }
+            _ => {}
+        }
+        let Some(health) = self.health.get(&record.host).copied() else {
+            return false;
+        };
+        if !self.in_contact(now, &record.data_centre) {
+            let next_ms = self.probe(now, record, version, actions);
+            self.wake_pool(&record.pool, next_ms);
+            return false;
+        }
+        if health.unhealthy_in_row >= UNHEALTHY_CHECKS {
+            return true;
+        }
+        let mut next_ms = health.next_check_ms;
+        if now.monotonic_ms >= next_ms {
+            next_ms = now.monotonic_ms + HEALTH_CHECK_MS;
+            if let Some(health) = self.health.get_mut(&record.host) {
+                health.next_check_ms = next_ms;
+            }
+            actions.push(FleetAction::CheckHealth { host: record.host.clone() });
+        }
+        self.wake_pool(&record.pool, next_ms);
+        false
+    }
+
+    /// Tells whether a host may need [`FleetEngine::is_lost`].
+    pub(super) fn is_suspect(&self, host: &HostId) -> bool {
+        self.health.contains_key(host)
+            || matches!(self.view.listed_state(host), Some(None | Some(ListedState::Leaving)))
+    }
+
+    /// Forgets what was collected for a host that is active again.
+    pub(super) fn forget_progress(&mut self, host: &HostId) {
+        self.progress.remove(host);
+    }
+
+    /// Shows that a drain waits for longer than its deadline.
+    pub(super) fn report_drain(
+        &mut self,
+        record: &HostRecord,
+        seats: u32,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let report = FleetReport::DrainWaits { host: record.host.clone(), waiting_for: seats };
+        self.report(format!("drain/{}", record.host), report, actions);
+    }
+}
+
+/// Makes the change from one phase to another.
+pub(super) fn phase_change(from: HostPhase, to: HostPhase) -> HostChange {
+    HostChange::Phase { from, to, next_pool: None }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/fleet/engine.rs
@@ -0,0 +1,400 @@
+//! The fleet engine: state, events and timers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    FleetAction, FleetEvent, FleetMessage, FleetReport, ServiceDemand,
+    backoff::Backoff,
+    calls::{Call, Calls},
+    control::ControlLease,
+    drain::{Contact, Health, Progress},
+    view::FleetView,
+};
+use crate::{
+    coordination::record::Stored,
+    protocol::store::{StoreError, StoreReply, StoreRequest},
+    state::{
+        clock::ClockReading,
+        document::Document,
+        ids::{CallId, DataCentreId, EntryId, HostId, PoolId, ServiceId, Term, WaveId},
+        records::{BudgetRecord, WavePoolRecord, WaveRecord},
+    },
+};
+
+/// Control of one pool by this entry host.
+#[derive(Clone, Debug)]
+pub(super) struct PoolControl {
+    pub lease: ControlLease,
+    /// Whether something changed since the pool was reconciled last.
+    pub dirty: bool,
+    /// When the pool is reconciled next without a change.
+    pub wake_ms: Option<u64>,
+    /// When each wave's shared record was read last.
+    pub wave_read_ms: BTreeMap<WaveId, u64>,
+    /// Since when the pool holds more of a wave's grant than it can use.
+    pub unused_since_ms: BTreeMap<WaveId, u64>,
+}
+
+/// Counters of the engine's work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetCounts {
+    /// Reads of records.
+    pub store_reads: u64,
+    /// Writes of records; those of control leases are not among them.
+    pub store_writes: u64,
+    /// Moves that this engine began.
+    pub moves: u64,
+}
+
+/// Controller and candidate for the control of every pool.
+///
+/// All steps of stops and moves are derived from the records in the store, so
+/// any entry host that takes the control over resumes them. Only drain
+/// acknowledgements and results of health checks live in memory; they are
+/// collected anew.
+#[derive(Clone, Debug)]
+pub struct FleetEngine {
+    pub(super) entry: EntryId,
+    data_centre: DataCentreId,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) document: Option<Arc<Document>>,
+    pub(super) services: BTreeMap<PoolId, Vec<ServiceId>>,
+    pub(super) pool_waves: BTreeMap<PoolId, Vec<WaveId>>,
+    pub(super) view: FleetView,
+    pub(super) seats: BTreeMap<DataCentreId, Vec<Option<EntryId>>>,
+    pub(super) contacts: BTreeMap<DataCentreId, Contact>,
+    pub(super) controls: BTreeMap<PoolId, PoolControl>,
+    pub(super) budgets: BTreeMap<ServiceId, Stored<BudgetRecord>>,
+    pub(super) waves: BTreeMap<WaveId, Stored<WaveRecord>>,
+    pub(super) wave_pools: BTreeMap<(WaveId, PoolId), Stored<WavePoolRecord>>,
+    pub(super) progress: BTreeMap<HostId, Progress>,
+    pub(super) health: BTreeMap<HostId, Health>,
+    pub(super) demand: Vec<ServiceDemand>,
+    pub(super) calls: Calls,
+    pub(super) backoff: Backoff,
+    pub(super) adoption_ms: u64,
+    pub(super) reports: BTreeMap<Box<str>, FleetReport>,
+    pub(super) counts: FleetCounts,
+    stopping: bool,
+}
+
+impl FleetEngine {
+    /// Makes the engine of an entry host. `seed` drives delays and operation
+    /// ids and must differ between entry hosts and restarts.
+    pub fn new(entry: EntryId, data_centre: DataCentreId, seed: u64) -> Self {
+        Self {
+            entry,
+            data_centre,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            document: None,
+            services: BTreeMap::new(),
+            pool_waves: BTreeMap::new(),
+            view: FleetView::default(),
+            seats: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            controls: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            waves: BTreeMap::new(),
+            wave_pools: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            health: BTreeMap::new(),
+            demand: Vec::new(),
+            calls: Calls::default(),
+            backoff: Backoff::default(),
+            adoption_ms: 0,
+            reports: BTreeMap::new(),
+            counts: FleetCounts::default(),
+            stopping: false,
+        }
+    }
+
+    /// Takes an event and appends the resulting actions.
+    pub fn handle(&mut self, now: ClockReading, event: FleetEvent, actions: &mut Vec<FleetAction>) {
+        match event {
+            FleetEvent::DocumentChanged { document } => self.on_document(document),
+            FleetEvent::FleetChanged { records } => {
+                let pools = self.view.replace_records(&records);
+                self.mark_pools(&pools);
+            }
+            FleetEvent::HostRecordChanged { version, record } => {
+                let pools = self.view.learn(version, &record);
+                self.mark_pools(&pools);
+            }
+            FleetEvent::HostsListed { hosts } => {
+                let pools = self.view.replace_list(hosts);
+                self.mark_pools(&pools);
+                if !self.view.all_recorded() {
+                    self.mark_all();
+                }
+            }
+            FleetEvent::SeatsChanged { data_centre, holders } => {
+                self.seats.insert(data_centre, holders);
+                self.rank_candidates();
+                self.mark_all();
+            }
+            FleetEvent::Demand { demand } => self.demand = demand,
+            FleetEvent::Received { from, message } => self.on_message(now, from, message),
+            FleetEvent::HealthChecked { host, healthy } => self.on_health(now, &host, healthy),
+            FleetEvent::RebootAccepted { host, accepted } => self.on_reboot(&host, accepted),
+            FleetEvent::StoreReplied { call, result } => {
+                self.on_store_replied(now, call, result, actions);
+            }
+            FleetEvent::Stopping => self.on_stopping(actions),
+            FleetEvent::Tick => {}
+        }
+        if !self.stopping {
+            self.tick_controls(now, actions);
+            self.reconcile_due(now, actions);
+        }
+    }
+
+    /// Returns the monotonic time at which [`FleetEvent::Tick`] is next
+    /// needed, in milliseconds.
+    pub fn next_tick_ms(&self) -> Option<u64> {
+        self.controls
+            .values()
+            .flat_map(|control| [Some(control.lease.next_tick_ms()), control.wake_ms])
+            .flatten()
+            .filter(|&at_ms| at_ms < u64::MAX)
+            .min()
+    }
+
+    /// Returns the pools that this entry host controls, with its terms.
+    pub fn controlled_pools(&self, now: ClockReading) -> Vec<(PoolId, Term)> {
+        self.controls
+            .iter()
+            .filter_map(|(pool, control)| {
+                Some((pool.clone(), control.lease.held_at(now.monotonic_ms)?))
+            })
+            .collect()
+    }
+
+    /// Returns the entry host and the data centre that it stands in.
+    pub fn identity(&self) -> (&EntryId, &DataCentreId) {
+        (&self.entry, &self.data_centre)
+    }
+
+    /// Returns the counters of the engine's work.
+    pub fn counts(&self) -> FleetCounts {
+        self.counts
+    }
+
+    /// Returns the conditions that hold at present in the controlled pools.
+    pub fn reports(&self) -> impl Iterator<Item = &FleetReport> {
+        self.reports.values()
+    }
+
+    /// Returns the budget of a service as this controller knows it.
+    pub fn budget(&self, service: &ServiceId) -> Option<&BudgetRecord> {
+        self.budgets.get(service).map(|stored| &stored.record)
+    }
+
+    /// Returns the shared record of a wave as this controller knows it.
+    pub fn wave(&self, wave: &WaveId) -> Option<&WaveRecord> {
+        self.waves.get(wave).map(|stored| &stored.record)
+    }
+
+    /// Returns the progress of a wave in a pool as this controller knows it.
+    pub fn wave_progress(&self, wave: &WaveId, pool: &PoolId) -> Option<&WavePoolRecord> {
+        self.wave_pools.get(&(wave.clone(), pool.clone())).map(|stored| &stored.record)
+    }
+
+    /// Returns the term under which this entry host controls the pool.
+    pub(super) fn held(&self, now: ClockReading, pool: &PoolId) -> Option<Term> {
+        self.controls.get(pool)?.lease.held_at(now.monotonic_ms)
+    }
+
+    /// Asks for a reconciliation of the pool at this time at the latest.
+    pub(super) fn wake_pool(&mut self, pool: &PoolId, at_ms: u64) {
+        if let Some(control) = self.controls.get_mut(pool) {
+            control.wake_ms = Some(control.wake_ms.map_or(at_ms, |known| known.min(at_ms)));
+        }
+    }
+
+    /// Shows a condition; returns whether it is new.
+    pub(super) fn report(
+        &mut self,
+        key: String,
+        report: FleetReport,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if self.reports.get(key.as_str()) != Some(&report) {
+            self.reports.insert(key.into(), report.clone());
+            actions.push(FleetAction::Report { report });
+        }
+    }
+
+    /// Ends a condition.
+    pub(super) fn resolve_report(&mut self, key: &str) {
+        self.reports.remove(key);
+    }
+
+    fn on_document(&mut self, document: Arc<Document>) {
+        self.services.clear();
+        for (service, section) in &document.services {
+            self.services.entry(section.pool.clone()).or_default().push(service.clone());
+        }
+        self.pool_waves.clear();
+        for (wave, section) in &document.waves {
+            for pool in &section.pools {
+                self.pool_waves.entry(pool.clone()).or_default().push(wave.clone());
+            }
+        }
+        self.controls.retain(|pool, _| document.pools.contains_key(pool));
+        for pool in document.pools.keys() {
+            self.controls.entry(pool.clone()).or_insert_with(|| PoolControl {
+                lease: ControlLease::new(format!("pool-{pool}"), self.entry.clone()),
+                dirty: true,
+                wake_ms: None,
+                wave_read_ms: BTreeMap::new(),
+                unused_since_ms: BTreeMap::new(),
+            });
+        }
+        self.document = Some(document);
+        self.rank_candidates();
+        self.mark_all();
+    }
+
+    /// Ranks this entry host among the candidates of each pool by rendezvous
+    /// hashing, so that few of them read a pool's control record often.
+    fn rank_candidates(&mut self) {
+        let candidates: BTreeSet<&EntryId> =
+            self.seats.values().flatten().flatten().chain([&self.entry]).collect();
+        for (pool, control) in &mut self.controls {
+            let own = rendezvous_weight(pool, &self.entry);
+            let rank = candidates
+                .iter()
+                .filter(|candidate| rendezvous_weight(pool, candidate) > own)
+                .count();
+            control.lease.set_rank(rank as u64);
+        }
+    }
+
+    fn on_message(&mut self, now: ClockReading, from: EntryId, message: FleetMessage) {
+        let FleetMessage::DrainStatus { host, version, in_flight } = message else {
+            return;
+        };
+        self.on_drain_status(now, from, &host, version, in_flight);
+    }
+
+    fn on_stopping(&mut self, actions: &mut Vec<FleetAction>) {
+        self.stopping = true;
+        let requests: Vec<StoreRequest> =
+            self.controls.values_mut().filter_map(|control| control.lease.release()).collect();
+        for request in requests {
+            let call = self.calls.push(Call::Ignored);
+            actions.push(FleetAction::Store { call, request });
+        }
+    }
+
+    fn on_store_replied(
+        &mut self,
+        now: ClockReading,
+        call: CallId,
+        result: Result<StoreReply, StoreError>,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        match self.calls.take(call) {
+            Some(Call::Control { pool, sent_ms }) => {
+                self.on_control_reply(now, &pool, sent_ms, result, actions);
+            }
+            Some(Call::Host { host, mut write }) => {
+                let step = write.update.on_result(result);
+                self.follow_host(now, host, *write, step, actions);
+            }
+            Some(Call::Budget { service, mut write }) => {
+                let step = write.update.on_result(result);
+                self.follow_budget(now, service, *write, step, actions);
+            }
+            Some(Call::Wave { wave, mut write }) => {
+                let step = write.update.on_result(result);
+                self.follow_wave(now, wave, *write, step, actions);
+            }
+            Some(Call::WavePool { wave, mut write }) => {
+                let step = write.update.on_result(result);
+                self.follow_wave_pool(now, wave, *write, step, actions);
+            }
+            Some(Call::Ignored) | None => {}
+        }
+    }
+
+    fn on_control_reply(
+        &mut self,
+        now: ClockReading,
+        pool: &PoolId,
+        sent_ms: u64,
+        result: Result<StoreReply, StoreError>,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let Some(control) = self.controls.get_mut(pool) else {
+            return;
+        };
+        let held = control.lease.held_at(now.monotonic_ms);
+        let request = control.lease.on_store_reply(now, sent_ms, result, &mut self.rng);
+        control.dirty |= control.lease.held_at(now.monotonic_ms) != held;
+        if let Some(request) = request {
+            let sent_ms = now.monotonic_ms;
+            let call = self.calls.push(Call::Control { pool: pool.clone(), sent_ms });
+            actions.push(FleetAction::Store { call, request });
+        }
+    }
+
+    fn tick_controls(&mut self, now: ClockReading, actions: &mut Vec<FleetAction>) {
+        for (pool, control) in &mut self.controls {
+            if let Some(request) = control.lease.tick(now, &mut self.rng) {
+                let sent_ms = now.monotonic_ms;
+                let call = self.calls.push(Call::Control { pool: pool.clone(), sent_ms });
+                actions.push(FleetAction::Store { call, request });
+            }
+        }
+    }
+
+    fn reconcile_due(&mut self, now: ClockReading, actions: &mut Vec<FleetAction>) {
+        let due: Vec<PoolId> = self
+            .controls
+            .iter()
+            .filter(|(_, control)| {
+                control.dirty || control.wake_ms.is_some_and(|at_ms| at_ms <= now.monotonic_ms)
+            })
+            .map(|(pool, _)| pool.clone())
+            .collect();
+        for pool in due {
+            self.reconcile(now, &pool, actions);
+        }
+    }
+
+    /// Asks for a reconciliation of these pools with the present event.
+    pub(super) fn mark_pools(&mut self, pools: &BTreeSet<PoolId>) {
+        for pool in pools {
+            self.mark_pool(pool);
+        }
+    }
+
+    /// Asks for a reconciliation of one pool with the present event.
+    pub(super) fn mark_pool(&mut self, pool: &PoolId) {
+        if let Some(control) = self.controls.get_mut(pool) {
+            control.dirty = true;
+        }
+    }
+
+    fn mark_all(&mut self) {
+        self.controls.values_mut().for_each(|control| control.dirty = true);
+    }
+}
+
+/// Weight of a candidate for a pool; FNV-1a with a final mix, stable between
+/// builds.
+fn rendezvous_weight(pool: &PoolId, entry: &EntryId) -> u64 {
+    let bytes = pool.as_str().bytes().chain([0]).chain(entry.as_str().bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed ^ (mixed >> 33)
+}
--- a/crates/tamarackproxy/src/coordination/fleet/events.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/events.rs
@@ -47,6 +47,8 @@
     DocumentChanged { document: Arc<Document> },
     /// The host records changed; lists all known ones with their versions.
     FleetChanged { records: Arc<Vec<(u64, HostRecord)>> },
+    /// One host record changed.
+    HostRecordChanged { version: u64, record: Box<HostRecord> },
     /// The platform's list was read.
     HostsListed { hosts: Vec<ListedHost> },
     /// The seats of a data centre and their holders; a missing holder means
--- a/crates/tamarackproxy/src/coordination/fleet/mod.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/mod.rs
@@ -1,5 +1,25 @@
 //! Host records, availability budgets, maintenance waves and pool moves.
 
+mod adopt;
+mod backoff;
+mod budget;
+mod calls;
+pub mod control;
+mod drain;
+mod engine;
 mod events;
+mod explain;
+mod moves;
+mod plan;
+mod reconcile;
+mod view;
+mod wave;
+mod writes;
 
-pub use self::events::{FleetAction, FleetEvent, FleetMessage, FleetReport, ServiceDemand};
+pub use self::{
+    engine::{FleetCounts, FleetEngine},
+    events::{FleetAction, FleetEvent, FleetMessage, FleetReport, ServiceDemand},
+};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/fleet/reconcile.rs
@@ -0,0 +1,634 @@
+//! Steps of the hosts of one pool, derived from the records.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+
+use super::{
+    FleetAction, FleetReport,
+    budget::BudgetChange,
+    calls::{HostChange, budget_key, host_key, wave_pool_key},
+    drain::{Drain, phase_change},
+    engine::FleetEngine,
+    view::{HostView, RackKey},
+    wave::WavePoolChange,
+};
+use crate::{
+    protocol::platform::ListedState,
+    state::{
+        clock::ClockReading,
+        document::Document,
+        ids::{HostId, OperationId, PoolId, ServiceId, Term, WaveId},
+        records::{BudgetRecord, HostPhase, HostRecord, Reservation, ReservationKind, WaveStop},
+    },
+};
+
+/// Time that a rebooted host gets to return when no wave states one, in
+/// milliseconds.
+const RETURN_DEADLINE_MS: u64 = 600_000;
+/// Time that a drain gets before it is reported when no wave states one, in
+/// milliseconds.
+const DRAIN_DEADLINE_MS: u64 = 60_000;
+/// Interval at which a pool with a running wave or a rejected write looks
+/// again without an event, in milliseconds.
+pub(super) const RECHECK_MS: u64 = 2_000;
+
+/// Writes that a reconciliation wants.
+#[derive(Debug, Default)]
+pub(super) struct Wants {
+    pub hosts: Vec<(HostId, HostChange)>,
+    pub budgets: BTreeMap<ServiceId, Vec<BudgetChange>>,
+    pub waves: BTreeMap<WaveId, Vec<WavePoolChange>>,
+}
+
+impl Wants {
+    pub fn host(&mut self, host: &HostId, change: HostChange) {
+        self.hosts.push((host.clone(), change));
+    }
+
+    pub fn budget(&mut self, service: &ServiceId, change: BudgetChange) {
+        self.budgets.entry(service.clone()).or_default().push(change);
+    }
+
+    pub fn wave(&mut self, wave: &WaveId, change: WavePoolChange) {
+        self.waves.entry(wave.clone()).or_default().push(change);
+    }
+}
+
+/// What a step of one host looks at.
+#[derive(Clone, Debug)]
+pub(super) struct Facts {
+    pub record: HostRecord,
+    pub version: u64,
+    /// Services of the pool, each with the host's reservation.
+    pub reserved: Vec<(ServiceId, Option<Reservation>)>,
+    /// The wave that has started to stop the host.
+    pub stop: Option<(WaveId, WaveStop)>,
+}
+
+impl Facts {
+    pub(super) fn host(&self) -> &HostId {
+        &self.record.host
+    }
+
+    pub fn rack(&self) -> RackKey {
+        (self.record.data_centre.clone(), self.record.rack.clone())
+    }
+
+    /// Services that do not count the host as stopped.
+    pub(super) fn unreserved(&self) -> impl Iterator<Item = &ServiceId> {
+        self.reserved.iter().filter(|(_, known)| known.is_none()).map(|(service, _)| service)
+    }
+
+    pub(super) fn is_reserved(&self) -> bool {
+        self.unreserved().next().is_none()
+    }
+
+    pub(super) fn reservation(&self) -> Option<&Reservation> {
+        self.reserved.iter().find_map(|(_, known)| known.as_ref())
+    }
+
+    /// Pool that the host is reserved to move to.
+    fn next_pool(&self) -> Option<&PoolId> {
+        self.reservation().and_then(|known| known.next_pool.as_ref())
+    }
+
+    /// Id of the whole operation.
+    pub(super) fn operation(&self) -> Option<OperationId> {
+        let stop = self.stop.as_ref().map(|(_, stop)| stop.operation);
+        stop.or_else(|| self.reservation().map(|known| known.operation))
+    }
+}
+
+impl FleetEngine {
+    /// Brings a pool forward as far as possible without waiting.
+    pub(super) fn reconcile(
+        &mut self,
+        now: ClockReading,
+        pool: &PoolId,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let Some(control) = self.controls.get_mut(pool) else {
+            return;
+        };
+        control.dirty = false;
+        control.wake_ms = None;
+        let (Some(term), Some(document)) =
+            (control.lease.held_at(now.monotonic_ms), self.document.clone())
+        else {
+            return;
+        };
+        if let Some(until_ms) = self.backoff.waits_until(now.monotonic_ms) {
+            self.wake_pool(pool, until_ms);
+            return;
+        }
+        if !self.view.records_read() || !self.take_over(now, pool, term, actions) {
+            self.wake_pool(pool, now.monotonic_ms + RECHECK_MS);
+            return;
+        }
+        let mut wants = Wants::default();
+        let unsettled = self.unsettled_hosts(pool);
+        if !unsettled.is_empty() {
+            self.wake_pool(pool, now.monotonic_ms + RECHECK_MS);
+        }
+        for facts in unsettled {
+            self.step(now, &document, term, &facts, &mut wants, actions);
+        }
+        self.release_departed(pool, &mut wants);
+        self.report_budgets(&document, pool, actions);
+        self.plan_waves(now, &document, pool, term, &mut wants, actions);
+        self.submit(now, pool, term, wants, actions);
+        self.adopt(now, &document, pool, term, actions);
+    }
+
+    /// Raises the term in every record that the controller spends from, so
+    /// that delayed writes of predecessors fail; returns whether it is done.
+    fn take_over(
+        &mut self,
+        now: ClockReading,
+        pool: &PoolId,
+        term: Term,
+        actions: &mut Vec<FleetAction>,
+    ) -> bool {
+        let mut ready = true;
+        for service in self.services.get(pool).cloned().unwrap_or_default() {
+            let fenced = self
+                .budgets
+                .get(&service)
+                .is_some_and(|known| known.record.term == term && known.record.pool == *pool);
+            if !fenced {
+                ready = false;
+                self.budgets.remove(&service);
+                self.write_budget(now, pool, term, &service, Vec::new(), actions);
+            }
+        }
+        for wave in self.pool_waves.get(pool).cloned().unwrap_or_default() {
+            let key = (wave.clone(), pool.clone());
+            if self.wave_pools.get(&key).is_none_or(|known| known.record.term != term) {
+                ready = false;
+                self.wave_pools.remove(&key);
+                self.write_wave_pool(now, pool, term, &wave, Vec::new(), actions);
+            }
+        }
+        ready
+    }
+
+    /// Returns the hosts of the pool that need a step.
+    fn unsettled_hosts(&self, pool: &PoolId) -> Vec<Facts> {
+        let services: &[ServiceId] = self.services.get(pool).map_or(&[], |known| known);
+        let waves: &[WaveId] = self.pool_waves.get(pool).map_or(&[], |known| known);
+        self.view
+            .hosts_of(pool)
+            .filter_map(|view| self.facts(view, services, waves))
+            .filter(|facts| !self.calls.is_busy(&host_key(facts.host())))
+            .collect()
+    }
+
+    fn facts(&self, view: &HostView, services: &[ServiceId], waves: &[WaveId]) -> Option<Facts> {
+        let host = &view.record.host;
+        let pool = &view.record.pool;
+        let touched = view.record.phase != HostPhase::Active
+            || self.is_suspect(host)
+            || self.is_relocated(&view.record)
+            || services.iter().any(|service| self.reservation(service, host).is_some())
+            || waves.iter().any(|wave| self.is_in_wave(wave, pool, host));
+        touched.then(|| Facts {
+            record: view.record.clone(),
+            version: view.version,
+            reserved: services
+                .iter()
+                .map(|service| (service.clone(), self.reservation(service, host).cloned()))
+                .collect(),
+            stop: waves.iter().find_map(|wave| {
+                let progress = self.wave_progress(wave, pool)?;
+                Some((wave.clone(), progress.in_progress.get(host)?.clone()))
+            }),
+        })
+    }
+
+    fn reservation(&self, service: &ServiceId, host: &HostId) -> Option<&Reservation> {
+        self.budget(service)?.reservations.get(host)
+    }
+
+    fn is_in_wave(&self, wave: &WaveId, pool: &PoolId, host: &HostId) -> bool {
+        self.wave_progress(wave, pool).is_some_and(|progress| {
+            progress.in_progress.contains_key(host) || progress.failed.contains_key(host)
+        })
+    }
+
+    fn is_relocated(&self, record: &HostRecord) -> bool {
+        self.view
+            .listed(&record.host)
+            .is_some_and(|listed| listed.address != record.address || listed.rack != record.rack)
+    }
+
+    /// Takes one step of a host.
+    fn step(
+        &mut self,
+        now: ClockReading,
+        document: &Document,
+        term: Term,
+        facts: &Facts,
+        wants: &mut Wants,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        match facts.record.phase {
+            HostPhase::Active => self.step_active(now, document, term, facts, wants, actions),
+            HostPhase::Draining => self.step_draining(now, document, facts, wants, actions),
+            HostPhase::Moving => self.step_moving(now, document, facts, wants, actions),
+            HostPhase::Rebooting => {
+                let change = match facts.operation() {
+                    Some(operation) => {
+                        self.reboot(now, &facts.record, facts.version, operation, actions)
+                    }
+                    // Without any record of the stop, the host is only checked.
+                    None => Some(phase_change(HostPhase::Rebooting, HostPhase::Returning)),
+                };
+                if let Some(change) = change {
+                    wants.host(facts.host(), change);
+                }
+            }
+            HostPhase::Returning => self.step_returning(now, document, facts, wants, actions),
+            HostPhase::Failed => self.step_failed(now, document, facts, wants, actions),
+        }
+    }
+
+    fn step_active(
+        &mut self,
+        now: ClockReading,
+        document: &Document,
+        term: Term,
+        facts: &Facts,
+        wants: &mut Wants,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        self.forget_progress(facts.host());
+        self.resolve_report(&format!("drain/{}", facts.host()));
+        self.resolve_report(&format!("return/{}", facts.host()));
+        if self.is_suspect(facts.host()) && self.is_lost(now, &facts.record, facts.version, actions)
+        {
+            if facts.is_reserved() {
+                wants.host(facts.host(), phase_change(HostPhase::Active, HostPhase::Failed));
+            } else {
+                self.reserve_failure(facts, wants);
+            }
+            return;
+        }
+        if self.is_relocated(&facts.record) && facts.stop.is_none() {
+            wants.host(facts.host(), HostChange::Relocate);
+            return;
+        }
+        self.recover_in_waves(facts, wants);
+        match (&facts.stop, facts.next_pool().cloned()) {
+            (Some((wave, stop)), _) => self.begin_stop(facts, wave, stop, term, wants),
+            (None, Some(next_pool)) => {
+                self.begin_move(document, facts, next_pool, term, wants);
+            }
+            (None, None) => self.release(facts, term, wants),
+        }
+    }
+
+    /// Reserves the missing budgets of a planned stop, then drains; gives the
+    /// stop up if a budget does not allow it.
+    fn begin_stop(
+        &mut self,
+        facts: &Facts,
+        wave: &WaveId,
+        stop: &WaveStop,
+        term: Term,
+        wants: &mut Wants,
+    ) {
+        if facts.is_reserved() && self.budgets_hold(&facts.record.pool) {
+            wants.host(facts.host(), phase_change(HostPhase::Active, HostPhase::Draining));
+        } else if !facts.is_reserved() && self.budgets_allow(facts) {
+            for service in facts.unreserved() {
+                let change = BudgetChange::Reserve {
+                    host: facts.host().clone(),
+                    rack: facts.rack(),
+                    kind: ReservationKind::Planned,
+                    operation: stop.operation,
+                    wave: Some(wave.clone()),
+                    next_pool: None,
+                };
+                wants.budget(service, change);
+            }
+        } else if facts.reservation().is_some() {
+            self.release(facts, term, wants);
+        } else {
+            wants.wave(wave, WavePoolChange::Withdraw { host: facts.host().clone() });
+        }
+    }
+
+    /// Tells whether every budget that does not count the host as stopped
+    /// allows it to be stopped.
+    pub(super) fn budgets_allow(&self, facts: &Facts) -> bool {
+        let rack = facts.rack();
+        facts.unreserved().all(|service| {
+            self.budget(service).is_some_and(|budget| {
+                let available = self.view.available_by_rack(&facts.record.pool, budget);
+                let stopped = budget.reservations.len();
+                self.budget_limits(service).allows_stop(&available, stopped, &rack)
+            })
+        })
+    }
+
+    /// Tells whether the budgets of the pool's services hold with all present
+    /// reservations; a failure after a reservation can break them.
+    pub(super) fn budgets_hold(&self, pool: &PoolId) -> bool {
+        self.services.get(pool).into_iter().flatten().all(|service| {
+            self.budget(service).is_some_and(|budget| {
+                let available = self.view.available_by_rack(pool, budget);
+                self.budget_limits(service).holds(&available)
+            })
+        })
+    }
+
+    /// Ends the reservations of a host that runs. The host's record must carry
+    /// this controller's term first: a delayed write of a predecessor could
+    /// otherwise drain the host after its reservation is gone.
+    pub(super) fn release(&mut self, facts: &Facts, term: Term, wants: &mut Wants) {
+        if facts.reservation().is_none() {
+            return;
+        }
+        if facts.record.term != term {
+            wants.host(facts.host(), HostChange::Fence);
+            return;
+        }
+        for (service, known) in &facts.reserved {
+            if known.is_some() {
+                let host = facts.host().clone();
+                wants.budget(service, BudgetChange::Release { host, departed: None });
+            }
+        }
+    }
+
+    fn reserve_failure(&mut self, facts: &Facts, wants: &mut Wants) {
+        let operation = facts.operation().unwrap_or_else(|| OperationId(self.rng.random()));
+        for service in facts.unreserved() {
+            let change = BudgetChange::Reserve {
+                host: facts.host().clone(),
+                rack: facts.rack(),
+                kind: ReservationKind::Failure,
+                operation,
+                wave: None,
+                next_pool: None,
+            };
+            wants.budget(service, change);
+        }
+    }
+
+    fn recover_in_waves(&mut self, facts: &Facts, wants: &mut Wants) {
+        let pool = &facts.record.pool;
+        for wave in self.pool_waves.get(pool).into_iter().flatten() {
+            let failed = self
+                .wave_progress(wave, pool)
+                .is_some_and(|progress| progress.failed.contains_key(facts.host()));
+            if failed {
+                wants.wave(wave, WavePoolChange::Recovered { host: facts.host().clone() });
+            }
+        }
+    }
+
+    fn step_draining(
+        &mut self,
+        now: ClockReading,
+        document: &Document,
+        facts: &Facts,
+        wants: &mut Wants,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if self.is_suspect(facts.host()) && self.is_lost(now, &facts.record, facts.version, actions)
+        {
+            wants.host(facts.host(), phase_change(HostPhase::Draining, HostPhase::Failed));
+            return;
+        }
+        let Some((wave, _)) = facts.stop.clone() else {
+            wants.host(facts.host(), phase_change(HostPhase::Draining, HostPhase::Active));
+            return;
+        };
+        // A service that was placed on the pool meanwhile has not granted the
+        // stop, and a failure since may need the host back.
+        if !facts.is_reserved() || !self.budgets_hold(&facts.record.pool) {
+            wants.wave(&wave, WavePoolChange::Withdraw { host: facts.host().clone() });
+            return;
+        }
+        match self.drain(now, &facts.record, facts.version, actions) {
+            Drain::Complete => {
+                wants.host(facts.host(), phase_change(HostPhase::Draining, HostPhase::Rebooting));
+            }
+            Drain::Waits { seats } => {
+                let deadline_ms = document
+                    .waves
+                    .get(&wave)
+                    .map_or(DRAIN_DEADLINE_MS, |section| section.drain_deadline.as_ms());
+                if self.drain_overdue(now, facts, deadline_ms, seats, actions) {
+                    wants.wave(&wave, WavePoolChange::Withdraw { host: facts.host().clone() });
+                }
+            }
+        }
+    }
+
+    /// Reports an overdue drain; returns whether it is hopeless, since the
+    /// data centre is cut off.
+    fn drain_overdue(
+        &mut self,
+        now: ClockReading,
+        facts: &Facts,
+        deadline_ms: u64,
+        seats: u32,
+        actions: &mut Vec<FleetAction>,
+    ) -> bool {
+        if now.unix_ms < facts.record.phase_since_unix_ms.saturating_add(deadline_ms) {
+            return false;
+        }
+        self.report_drain(&facts.record, seats, actions);
+        !self.in_contact(now, &facts.record.data_centre)
+    }
+
+    fn step_moving(
+        &mut self,
+        now: ClockReading,
+        document: &Document,
+        facts: &Facts,
+        wants: &mut Wants,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let lost = self.is_suspect(facts.host())
+            && self.is_lost(now, &facts.record, facts.version, actions);
+        if lost {
+            wants.host(facts.host(), phase_change(HostPhase::Moving, HostPhase::Failed));
+            return;
+        }
+        let next_pool = facts.record.next_pool.as_ref();
+        let possible = next_pool.is_some_and(|next| document.pools.contains_key(next))
+            && facts.is_reserved()
+            && self.budgets_hold(&facts.record.pool);
+        if !possible {
+            wants.host(facts.host(), phase_change(HostPhase::Moving, HostPhase::Active));
+            return;
+        }
+        match self.drain(now, &facts.record, facts.version, actions) {
+            Drain::Complete => wants.host(facts.host(), HostChange::Transfer),
+            Drain::Waits { seats } => {
+                if self.drain_overdue(now, facts, DRAIN_DEADLINE_MS, seats, actions) {
+                    wants.host(facts.host(), phase_change(HostPhase::Moving, HostPhase::Active));
+                }
+            }
+        }
+    }
+
+    fn step_returning(
+        &mut self,
+        now: ClockReading,
+        document: &Document,
+        facts: &Facts,
+        wants: &mut Wants,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if self.check_return(now, &facts.record, facts.version, actions) {
+            match &facts.stop {
+                // The wave counts the host before it becomes active, so an
+                // active host in progress has not been rebooted yet.
+                Some((wave, _)) => {
+                    wants.wave(wave, WavePoolChange::Done { host: facts.host().clone() });
+                }
+                None => {
+                    wants.host(facts.host(), phase_change(HostPhase::Returning, HostPhase::Active))
+                }
+            }
+            return;
+        }
+        let deadline_ms = facts
+            .stop
+            .as_ref()
+            .and_then(|(wave, _)| document.waves.get(wave))
+            .map_or(RETURN_DEADLINE_MS, |section| section.return_deadline.as_ms());
+        if now.unix_ms >= facts.record.phase_since_unix_ms.saturating_add(deadline_ms) {
+            let report = FleetReport::NotReturned { host: facts.host().clone() };
+            self.report(format!("return/{}", facts.host()), report, actions);
+            wants.host(facts.host(), phase_change(HostPhase::Returning, HostPhase::Failed));
+        }
+    }
+
+    /// Counts a failed host in every budget and wave, and checks whether it
+    /// runs again.
+    fn step_failed(
+        &mut self,
+        now: ClockReading,
+        document: &Document,
+        facts: &Facts,
+        wants: &mut Wants,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        self.health.remove(facts.host());
+        if !facts.is_reserved() {
+            self.reserve_failure(facts, wants);
+        }
+        self.fail_in_waves(document, facts, wants);
+        let listed = self.view.listed_state(facts.host());
+        let gone = matches!(listed, Some(None | Some(ListedState::Leaving)));
+        if !gone && self.check_return(now, &facts.record, facts.version, actions) {
+            wants.host(facts.host(), phase_change(HostPhase::Failed, HostPhase::Active));
+        }
+    }
+
+    fn fail_in_waves(&mut self, document: &Document, facts: &Facts, wants: &mut Wants) {
+        let pool = &facts.record.pool;
+        for wave in self.pool_waves.get(pool).into_iter().flatten() {
+            let Some(progress) = self.wave_progress(wave, pool) else {
+                continue;
+            };
+            let planned = progress.in_progress.contains_key(facts.host());
+            let counted = progress.failed.contains_key(facts.host());
+            if document.waves.contains_key(wave) && !counted {
+                let host = facts.host().clone();
+                wants.wave(wave, WavePoolChange::Failed { host, planned });
+            }
+        }
+    }
+
+    /// Ends reservations and wave entries of hosts that are in another pool
+    /// now, or whose record is gone.
+    fn release_departed(&mut self, pool: &PoolId, wants: &mut Wants) {
+        for service in self.services.get(pool).into_iter().flatten() {
+            let Some(budget) = self.budget(service) else {
+                continue;
+            };
+            for host in budget.reservations.keys() {
+                if let Some(version) = self.departed(pool, host) {
+                    let departed = Some(version);
+                    wants.budget(service, BudgetChange::Release { host: host.clone(), departed });
+                }
+            }
+        }
+        for wave in self.pool_waves.get(pool).into_iter().flatten() {
+            let Some(progress) = self.wave_progress(wave, pool) else {
+                continue;
+            };
+            for host in progress.in_progress.keys().chain(progress.failed.keys()) {
+                if self.departed(pool, host).is_some() {
+                    wants.wave(wave, WavePoolChange::Withdraw { host: host.clone() });
+                    wants.wave(wave, WavePoolChange::Recovered { host: host.clone() });
+                }
+            }
+        }
+    }
+
+    /// Returns the version of the record that names another pool.
+    fn departed(&self, pool: &PoolId, host: &HostId) -> Option<u64> {
+        self.view.host(host).filter(|view| view.record.pool != *pool).map(|view| view.version)
+    }
+
+    fn report_budgets(
+        &mut self,
+        document: &Document,
+        pool: &PoolId,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        for service in self.services.get(pool).cloned().unwrap_or_default() {
+            let (Some(section), Some(budget)) =
+                (document.budgets.get(&service), self.budget(&service))
+            else {
+                continue;
+            };
+            let available = self.available(pool, budget);
+            let min_available = section.min_available;
+            let key = format!("budget/{service}");
+            if available < min_available {
+                let report = FleetReport::BudgetBroken { service, available, min_available };
+                self.report(key, report, actions);
+            } else {
+                self.resolve_report(&key);
+            }
+        }
+    }
+
+    fn available(&self, pool: &PoolId, budget: &BudgetRecord) -> u32 {
+        self.view.available_by_rack(pool, budget).values().sum()
+    }
+
+    /// Starts the wanted writes; what cannot start now is wanted again by the
+    /// reconciliation that the reply of the present write brings about.
+    fn submit(
+        &mut self,
+        now: ClockReading,
+        pool: &PoolId,
+        term: Term,
+        wants: Wants,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        for (service, changes) in wants.budgets {
+            if !self.calls.is_busy(&budget_key(&service)) {
+                self.write_budget(now, pool, term, &service, changes, actions);
+            }
+        }
+        for (wave, changes) in wants.waves {
+            if !self.calls.is_busy(&wave_pool_key(&wave, pool)) {
+                self.write_wave_pool(now, pool, term, &wave, changes, actions);
+            }
+        }
+        for (host, change) in wants.hosts {
+            self.write_host(now, pool, term, &host, change, actions);
+        }
+    }
+}
--- a/crates/tamarackproxy/src/state/records/mod.rs
+++ b/crates/tamarackproxy/src/state/records/mod.rs
@@ -3,9 +3,17 @@
 //! Every record is a JSON value under one key. Changing it is one
 //! compare-and-swap on the key's version.
 
+mod budget;
+mod control;
 mod host;
-
-pub use self::host::{HostPhase, HostRecord};
+mod wave;
+
+pub use self::{
+    budget::{BudgetRecord, Reservation, ReservationKind},
+    control::{ControlRecord, ControlTermRecord},
+    host::{HostPhase, HostRecord},
+    wave::{WaveFailure, WavePhase, WavePoolRecord, WaveRecord, WaveStop},
+};
 
 use std::collections::VecDeque;
 
