Add the node: transport, event loop, administration API and tamarackctl

Cause: the engines need a process that connects them to sockets. Change: HTTP servers for callers and operators, h2 links between entry hosts with bounded bincode frames, clients for targets, store and platform, the event loop that drives the engines, tamarackd and tamarackctl; merges the fleet engine. Requests that may not be repeated use a new connection, since a target that closes an idle connection while a request is written leaves its outcome unknown. Not run yet against a store.

--- a/crates/tamarackproxy/src/lib.rs
+++ b/crates/tamarackproxy/src/lib.rs
@@ -4,9 +4,13 @@
 //! `tamarackctl` do. Its layers, from the bottom: [`state`] (ids, units, the
 //! operators' document and the records kept in the platform's store),
 //! [`coordination`] (decisions, as state machines without I/O), [`protocol`]
-//! (messages and formats) and [`transport`] (sockets).
+//! (messages and formats) and [`transport`] (sockets). [`node`] runs them in
+//! one event loop.
 
 pub mod coordination;
+pub mod ctl;
+pub mod node;
+pub mod observability;
 pub mod protocol;
 pub mod state;
 pub mod transport;
--- /dev/null
+++ b/crates/tamarackproxy/src/node/seats.rs
@@ -0,0 +1,103 @@
+//! The seat engine and what depends on the seat.
+
+use super::{event_loop::EventLoop, input::Engine};
+use crate::{
+    coordination::{
+        configuration::{ConfigurationEvent, Position},
+        fleet::FleetEvent,
+        once::{OnceEvent, SeatTenure},
+        requests::{RequestsEvent, SeatShare},
+        seats::{LivePeer, SeatsAction, SeatsEvent},
+    },
+    protocol::peer::PeerMessage,
+    state::ids::Term,
+};
+
+impl EventLoop {
+    pub(super) fn on_seats(&mut self, event: SeatsEvent) {
+        let mut actions = Vec::new();
+        self.seats.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.apply_seats(action);
+        }
+    }
+
+    fn apply_seats(&mut self, action: SeatsAction) {
+        match action {
+            SeatsAction::SeatHeld { index, term } | SeatsAction::SeatResumed { index, term } => {
+                log::info!(seat = index, term = term.0; "seat is held");
+                self.peers.is_suspended = false;
+                self.set_seat(Some((index, term)));
+            }
+            SeatsAction::SeatSuspended => {
+                log::warn!("seat is suspended until the store or a peer confirms it");
+                self.peers.is_suspended = true;
+                self.publish_seat();
+            }
+            SeatsAction::SeatLost => {
+                log::warn!("seat was lost to another holder");
+                self.peers.is_suspended = false;
+                self.set_seat(None);
+            }
+            SeatsAction::DetachedChanged { detached } => {
+                log::warn!(detached = detached; "reachability of the store changed");
+                self.on_once(OnceEvent::DetachedChanged { detached });
+            }
+            SeatsAction::PeersChanged { peers } => self.set_peers(peers),
+            SeatsAction::AddressesChanged { entries } => {
+                self.peers.connect(entries, &self.ends);
+            }
+            SeatsAction::GatewaysChanged { gateways } => {
+                self.peers.gateways = gateways;
+                self.publish_peers();
+            }
+            SeatsAction::HoldersChanged { data_centre, holders } => {
+                self.on_fleet(FleetEvent::SeatsChanged { data_centre, holders });
+            }
+            SeatsAction::PeerIsAhead { peer, in_force, fleet_version } => {
+                let position = Position { epoch: in_force.0, revision: in_force.1 };
+                let event = ConfigurationEvent::PeerIsAhead { peer, position, fleet_version };
+                self.on_configuration(event);
+            }
+            SeatsAction::Send { to, message } => self.send(&to, PeerMessage::Seats(message)),
+            SeatsAction::Store { call, request } => self.call_store(Engine::Seats, call, request),
+            SeatsAction::Released => self.is_released = true,
+        }
+    }
+
+    fn set_seat(&mut self, seat: Option<(u16, Term)>) {
+        self.peers.seat = seat;
+        self.publish_seat();
+    }
+
+    /// Tells the engines that depend on it whether the seat may be used.
+    pub(super) fn publish_seat(&mut self) {
+        let usable = self.peers.seat.filter(|_| !self.peers.is_suspended);
+        let seats = self.configured_seats();
+        let share = usable.zip(seats).map(|((index, _), seats)| SeatShare { index, seats });
+        self.on_requests(RequestsEvent::SeatChanged { seat: share });
+        let tenure = usable.map(|(index, term)| SeatTenure { index, term });
+        self.on_once(OnceEvent::SeatChanged { seat: tenure });
+    }
+
+    /// Returns the number of seats of this data centre in the document.
+    pub(super) fn configured_seats(&self) -> Option<u16> {
+        let document = self.view.as_ref()?.document();
+        Some(document.data_centres.get(&self.settings.data_centre)?.seats)
+    }
+
+    fn set_peers(&mut self, peers: Vec<LivePeer>) {
+        self.peers.live = peers;
+        self.publish_peers();
+    }
+
+    fn publish_peers(&mut self) {
+        let live: Vec<_> = self.peers.live.iter().map(|peer| peer.entry.clone()).collect();
+        let seated = self.peers.live.iter().filter(|peer| peer.seat.is_some());
+        let seated: Vec<_> = seated.map(|peer| peer.entry.clone()).collect();
+        self.on_requests(RequestsEvent::PeersChanged { peers: seated.clone() });
+        self.on_once(OnceEvent::PeersChanged { peers: seated });
+        let gateways = self.peers.gateways.clone();
+        self.on_configuration(ConfigurationEvent::PeersChanged { peers: live, gateways });
+    }
+}
--- a/crates/tamarackproxy/src/state/records/document.rs
+++ b/crates/tamarackproxy/src/state/records/document.rs
@@ -79,6 +79,34 @@
 }
 
 impl HeadRecord {
+    /// Makes the head of the first revision, written by `author` into an empty
+    /// store.
+    pub fn first(
+        text: &DocumentText,
+        author: TeamId,
+        at_unix_ms: u64,
+        operation: OperationId,
+    ) -> Self {
+        let revision = Revision(1);
+        let sections: Vec<&SectionName> = text.sections().map(|(name, _)| name).collect();
+        let mut operations = RecentOperations::default();
+        operations.push(operation);
+        Self {
+            epoch: Epoch(1),
+            revision,
+            text: text.to_text().into(),
+            changed: sections.iter().map(|name| (name.to_string().into(), revision)).collect(),
+            change: RevisionChange {
+                author,
+                at_unix_ms,
+                operation,
+                before: sections.into_iter().map(|name| (name.clone(), None)).collect(),
+                before_omitted: false,
+            },
+            operations,
+        }
+    }
+
     /// Returns the history entry of this revision.
     pub fn history(&self) -> HistoryRecord {
         let text = DocumentText::parse(&self.text).unwrap_or_default();
--- a/crates/tamarackproxy/src/transport/mod.rs
+++ b/crates/tamarackproxy/src/transport/mod.rs
@@ -1,1 +1,12 @@
 //! Sockets: HTTP servers and clients, peer links and the store client.
+
+pub(crate) mod admin_server;
+pub(crate) mod caller_server;
+pub mod frame;
+pub(crate) mod http_server;
+pub(crate) mod peer_client;
+pub(crate) mod peer_server;
+mod peer_stream;
+pub(crate) mod platform_client;
+pub(crate) mod store_client;
+pub(crate) mod target_client;
