--- a/crates/tamarackproxy/src/transport/caller_server.rs
+++ b/crates/tamarackproxy/src/transport/caller_server.rs
@@ -111,16 +111,7 @@
     receive_timeout: Duration,
 ) -> Router {
     let handler = CallHandler { inputs, next_request, receive_timeout };
-    Router::new().push(Router::with_path("call/{**rest}").goal(handler.clone())).goal(NotFound)
-}
-
-struct NotFound;
-
-#[async_trait]
-impl Handler for NotFound {
-    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        write(res, CallerResponse::refused(&Refusal::UnknownService, Outcome::NotRun, None));
-    }
+    Router::new().push(Router::with_path("{**rest}").goal(handler))
 }
 
 #[async_trait]
