Add the report on service-level burn

Cause: operators need to see what spends each service's error budget. Change: counts by service, class and cause at three resolutions, kept by seat in the store once a minute so that a replaced entry host goes on from them; multi-window alerts; GET /admin/v1/report and tamarackctl report with a table, JSON and a self-contained page with plots. Conclusion: at most the counts of one minute are lost with an entry host.

--- a/crates/tamarackproxy/src/coordination/mod.rs
+++ b/crates/tamarackproxy/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing in this layer does I/O or reads a clock, so the same code runs in
 //! the daemon, under the fault matrix and in measurements.
 
+pub mod burn;
 pub mod configuration;
 pub mod control;
 pub mod fleet;
--- a/crates/tamarackproxy/src/ctl/arguments.rs
+++ b/crates/tamarackproxy/src/ctl/arguments.rs
@@ -44,6 +44,8 @@
     Document(DocumentArguments),
     /// tell why a host or a request waits
     Explain(ExplainArguments),
+    /// report on service-level burn
+    Report(ReportArguments),
 }
 
 /// No arguments.
@@ -76,6 +78,16 @@
     pub name: String,
 }
 
+/// Arguments of `report`.
+#[derive(Debug, Options)]
+pub struct ReportArguments {
+    /// print this help
+    pub help: bool,
+    /// also write a self-contained page with plots
+    #[options(no_short, meta = "FILE")]
+    pub html: Option<PathBuf>,
+}
+
 /// Arguments of `document`.
 #[derive(Debug, Options)]
 pub struct DocumentArguments {
--- a/crates/tamarackproxy/src/ctl/mod.rs
+++ b/crates/tamarackproxy/src/ctl/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod document;
 mod error;
+mod report;
 mod run;
 mod table;
 
--- a/crates/tamarackproxy/src/ctl/run.rs
+++ b/crates/tamarackproxy/src/ctl/run.rs
@@ -10,14 +10,17 @@
 
 use super::{
     Arguments, ControlError,
-    arguments::{Command, DocumentArguments, DocumentCommand, ExplainArguments, InitArguments},
+    arguments::{
+        Command, DocumentArguments, DocumentCommand, ExplainArguments, InitArguments,
+        ReportArguments,
+    },
     check::{check, read},
     client::AdminClient,
-    document,
+    document, report,
     table::Table,
 };
 use crate::{
-    coordination::configuration::HEAD_KEY,
+    coordination::{burn::BurnReport, configuration::HEAD_KEY},
     protocol::{
         admin::Status,
         store::{StoreReply, StoreRequest},
@@ -85,6 +88,7 @@
 ) -> Result<String, ControlError> {
     let (path, columns): (&str, &[&str]) = match command {
         Command::Status(_) => return status(client, json).await,
+        Command::Report(arguments) => return burn_report(client, arguments, json).await,
         Command::Explain(arguments) => return explain(client, arguments, json).await,
         Command::Document(arguments) => {
             let command = arguments.command.ok_or(ControlError::NoCommand)?;
@@ -156,6 +160,21 @@
     Ok(format!("{}\n", body["explanation"].as_str().unwrap_or("-")))
 }
 
+async fn burn_report(
+    client: &AdminClient,
+    arguments: ReportArguments,
+    json: bool,
+) -> Result<String, ControlError> {
+    let burn: BurnReport = client.get("report").await?;
+    if let Some(path) = arguments.html {
+        fs::write(&path, report::html(&burn)?).map_err(|error| ControlError::File {
+            path: path.display().to_string().into(),
+            message: error.to_string().into(),
+        })?;
+    }
+    if json { to_json(&burn) } else { Ok(report::table(&burn).to_string()) }
+}
+
 /// Writes the first document into an empty store.
 pub(super) async fn init(arguments: InitArguments) -> Result<String, ControlError> {
     let text = read(&arguments.file)?;
--- a/crates/tamarackproxy/src/ctl/tests.rs
+++ b/crates/tamarackproxy/src/ctl/tests.rs
@@ -7,7 +7,13 @@
     Arguments, Table,
     document::{changes, diff_text},
 };
-use crate::state::document::DocumentText;
+use crate::{
+    coordination::burn::{BadCause, BurnLedger, BurnReport, Event},
+    state::{
+        document::{Document, DocumentText, Urgency},
+        ids::ServiceId,
+    },
+};
 
 fn text(body: &str) -> DocumentText {
     DocumentText::parse(body).expect("valid headers")
@@ -38,6 +44,25 @@
     insta::assert_snapshot!(Table::new(&["host", "load/queued", "pools"]).with_rows(&rows));
 }
 
+/// Guards against a page that needs other files or breaks on an empty report.
+#[test]
+fn report_page_holds_table_and_plots() {
+    let document = Document::parse(include_str!("../../../../examples/kielce.ini"));
+    let document = document.expect("the example is valid");
+    let service = ServiceId::new("certification");
+    let mut ledger = BurnLedger::default();
+    for minute in 0..30 {
+        let event = if minute == 7 { Event::Bad(BadCause::Flood) } else { Event::Good };
+        ledger.add_event(minute * 60_000, &service, Urgency::Urgent, event);
+    }
+    let report = BurnReport::new(&ledger, &document, 30 * 60_000);
+    insta::assert_snapshot!(super::report::table(&report));
+    let page = super::report::html(&report).expect("draws");
+    assert_eq!(page.matches("<svg").count(), 1);
+    assert!(!page.contains("src="));
+    assert!(super::report::html(&BurnReport { at_unix_ms: 0, rows: Vec::new() }).is_ok());
+}
+
 #[test]
 fn help_lists_every_command() {
     insta::assert_snapshot!(format!(
--- a/crates/tamarackproxy/src/node/admin.rs
+++ b/crates/tamarackproxy/src/node/admin.rs
@@ -11,7 +11,7 @@
     coordination::configuration::{ConfigurationEvent, OperatorCall, Position, PutError},
     protocol::{
         admin::{DocumentBody, HostRow, PoolRow, PutRequest, ServiceRow, Status},
-        store::{StoreReply, StoreRequest},
+        store::{KeyValue, StoreReply, StoreRequest},
     },
     state::{
         ids::{HostId, RequestId, Revision, TeamId},
@@ -67,32 +67,44 @@
     }
 }
 
-/// Lists records with a prefix as JSON, each with its key and version.
-async fn list_records(store: StoreClient, prefix: Box<str>) -> AdminResponse {
-    let mut rows = Vec::new();
+/// Reads all records with a prefix; nothing if the store does not answer.
+pub(super) async fn list_all(
+    store: &StoreClient,
+    prefix: &str,
+    limit: u32,
+) -> Option<Vec<KeyValue>> {
+    let mut records = Vec::new();
     let mut after = None;
     loop {
-        let request = StoreRequest::List { prefix: prefix.clone(), after, limit: LIST_LIMIT };
-        match store.call(&request).await {
-            Ok(StoreReply::Values { items, more }) => {
-                after = items.last().map(|item| item.key.clone());
-                rows.extend(items.iter().map(|item| {
-                    let record: Value = serde_json::from_slice(&item.value).unwrap_or_default();
-                    json!({ "key": item.key, "version": item.version, "record": record })
-                }));
-                if !more || after.is_none() {
-                    return AdminResponse::json(&rows);
-                }
-            }
-            _ => {
-                let detail = "the platform's store does not answer; repeat the request later";
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                return AdminResponse::problem(status, "store-unavailable", detail);
-            }
+        let request = StoreRequest::List { prefix: prefix.into(), after, limit };
+        let Ok(StoreReply::Values { items, more }) = store.call(&request).await else {
+            return None;
+        };
+        after = items.last().map(|item| item.key.clone());
+        records.extend(items);
+        if !more || after.is_none() {
+            return Some(records);
         }
     }
 }
 
+pub(super) fn store_unavailable() -> AdminResponse {
+    let detail = "the platform's store does not answer; repeat the request later";
+    AdminResponse::problem(StatusCode::SERVICE_UNAVAILABLE, "store-unavailable", detail)
+}
+
+/// Lists records with a prefix as JSON, each with its key and version.
+async fn list_records(store: StoreClient, prefix: Box<str>) -> AdminResponse {
+    let Some(records) = list_all(&store, &prefix, LIST_LIMIT).await else {
+        return store_unavailable();
+    };
+    let row = |item: &KeyValue| {
+        let record: Value = serde_json::from_slice(&item.value).unwrap_or_default();
+        json!({ "key": item.key, "version": item.version, "record": record })
+    };
+    AdminResponse::json(&records.iter().map(row).collect::<Vec<Value>>())
+}
+
 impl EventLoop {
     pub(super) fn on_admin(&mut self, input: AdminInput) {
         match input {
@@ -137,6 +149,9 @@
             self.admin.puts.insert(call, reply);
             return self.on_configuration(ConfigurationEvent::Revert { call, team, revision });
         }
+        if path == "report" {
+            return self.answer_report(reply);
+        }
         let records = match path {
             "budgets" => Some("budget/"),
             "waves" => Some("wave/"),
--- a/crates/tamarackproxy/src/node/event_loop.rs
+++ b/crates/tamarackproxy/src/node/event_loop.rs
@@ -22,6 +22,7 @@
 };
 use crate::{
     coordination::{
+        burn::BurnEngine,
         configuration::{ConfigurationEngine, ConfigurationEvent, Position},
         fleet::{FleetEngine, FleetEvent},
         once::{OnceEngine, OnceEvent},
@@ -57,6 +58,7 @@
     pub(super) seats: SeatEngine,
     pub(super) configuration: ConfigurationEngine,
     pub(super) fleet: FleetEngine,
+    pub(super) burn: BurnEngine,
     pub(super) view: Option<View>,
     pub(super) position: Position,
     pub(super) is_ready: bool,
@@ -185,7 +187,8 @@
             once: OnceEngine::new(entry.clone(), data_centre.clone(), entry_hosts),
             seats: SeatEngine::new(own, known, seed),
             configuration: ConfigurationEngine::new(entry.clone(), data_centre.clone(), seed),
-            fleet: FleetEngine::new(entry.clone(), data_centre, seed),
+            fleet: FleetEngine::new(entry.clone(), data_centre.clone(), seed),
+            burn: BurnEngine::new(data_centre),
             view: None,
             position: Position::default(),
             is_ready: false,
@@ -257,6 +260,7 @@
             self.seats.next_tick_ms(),
             self.configuration.next_tick_ms(),
             self.fleet.next_tick_ms(),
+            self.burn.next_tick_ms(),
         ];
         let latest = self.now.monotonic_ms + TICK_MAX_MS;
         engines.into_iter().flatten().min().unwrap_or(latest).min(latest)
@@ -271,6 +275,7 @@
         self.on_requests(RequestsEvent::Tick);
         self.tick_fleet();
         self.tick_peers();
+        self.tick_burn();
         if self.is_stopping {
             self.continue_stop();
         }
@@ -299,6 +304,7 @@
                     self.on_configuration(ConfigurationEvent::StoreReplied { call, result });
                 }
                 Engine::Fleet => self.on_fleet(FleetEvent::StoreReplied { call, result }),
+                Engine::Burn => self.burn.store_replied(self.now, call, result),
             },
             TaskEnd::Watched { prefix, generation, event } => {
                 self.on_watched(&prefix, generation, event);
--- a/crates/tamarackproxy/src/node/input.rs
+++ b/crates/tamarackproxy/src/node/input.rs
@@ -17,6 +17,7 @@
     Once,
     Configuration,
     Fleet,
+    Burn,
 }
 
 /// End of a task that the loop has started.
--- a/crates/tamarackproxy/src/node/mod.rs
+++ b/crates/tamarackproxy/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! actions through the transport layer.
 
 mod admin;
+mod burn;
 mod configuration;
 mod event_loop;
 mod fleet;
--- a/crates/tamarackproxy/src/node/pending.rs
+++ b/crates/tamarackproxy/src/node/pending.rs
@@ -105,6 +105,8 @@
     pub(super) key: Option<Box<str>>,
     /// Claim that this entry host holds as the key's home.
     pub(super) claim: Option<Claim>,
+    /// Monotonic time of arrival, in milliseconds.
+    pub(super) received_at_ms: u64,
     /// Whether an attempt or a forward has begun.
     pub(super) is_started: bool,
     pub(super) hops: u8,
--- a/crates/tamarackproxy/src/node/requests.rs
+++ b/crates/tamarackproxy/src/node/requests.rs
@@ -161,7 +161,8 @@
             body: received.body,
             repeatable,
         };
-        self.submit(request, new_pending(origin, meta, target_request, key, 0));
+        let now_ms = self.now.monotonic_ms;
+        self.submit(request, new_pending(origin, meta, target_request, key, 0, now_ms));
     }
 
     /// Takes a request that another entry host forwarded.
@@ -196,7 +197,8 @@
             body: forwarded.body.into(),
             repeatable,
         };
-        let pending = new_pending(origin, meta, target_request, forwarded.key, forwarded.hops);
+        let (key, hops, now_ms) = (forwarded.key, forwarded.hops, self.now.monotonic_ms);
+        let pending = new_pending(origin, meta, target_request, key, hops, now_ms);
         self.submit(request, pending);
     }
 
@@ -403,6 +405,10 @@
     pub(super) fn finish(&mut self, request: RequestId, end: End) {
         let Some(pending) = self.pending.remove(&request) else { return };
         self.count(&pending, &end);
+        // A forwarded request is counted where its caller sent it.
+        if matches!(pending.origin, Origin::Caller(_)) {
+            self.count_burn(&pending, &end);
+        }
         if pending.claim.is_some() {
             let result = match &end {
                 End::Answered(response) => {
@@ -420,7 +426,7 @@
         pending.origin.reply(end);
     }
 
-    fn count(&mut self, pending: &Pending, end: &End) {
+    fn count(&self, pending: &Pending, end: &End) {
         let outcome: &'static str = end.outcome().into();
         let urgency: &'static str = pending.meta.urgency.into();
         let service = pending.meta.service.to_string();
@@ -438,6 +444,7 @@
     target_request: TargetRequest,
     key: Option<Box<str>>,
     hops: u8,
+    now_ms: u64,
 ) -> Pending {
     Pending {
         origin,
@@ -445,6 +452,7 @@
         target_request,
         key,
         claim: None,
+        received_at_ms: now_ms,
         is_started: false,
         hops,
         attempts: HashMap::new(),
--- a/crates/tamarackproxy/src/node/seats.rs
+++ b/crates/tamarackproxy/src/node/seats.rs
@@ -75,6 +75,7 @@
         let usable = self.peers.seat.filter(|_| !self.peers.is_suspended);
         let seats = self.configured_seats();
         let share = usable.zip(seats).map(|((index, _), seats)| SeatShare { index, seats });
+        self.burn.seat_changed(usable.map(|(index, _)| index));
         self.on_requests(RequestsEvent::SeatChanged { seat: share });
         let tenure = usable.map(|(index, term)| SeatTenure { index, term });
         self.on_once(OnceEvent::SeatChanged { seat: tenure });
