--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,5 +2,9 @@
 //! measurements that drive the library's decision code.
 //!
 //! Stand-ins record what happened and inject faults; they decide nothing.
+//! Each listens on loopback TCP addresses, runs on the current-thread
+//! runtime that starts it and stops when its handle is dropped.
 
 pub mod bench;
+pub mod net;
+pub mod store;
--- /dev/null
+++ b/crates/standins/src/net/client.rs
@@ -0,0 +1,130 @@
+//! A client that makes one call on a connection of its own.
+
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, StatusCode, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpSocket, task::JoinSet};
+
+/// One call to make.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Address that is called.
+    pub address: SocketAddr,
+    /// Address that the call comes from, if one is wanted.
+    pub source: Option<IpAddr>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: Box<str>,
+    /// Headers.
+    pub headers: Vec<(&'static str, Box<str>)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Prepares a call without headers and body.
+    pub fn new<P>(address: SocketAddr, method: Method, path: P) -> Self
+    where
+        P: Into<Box<str>>,
+    {
+        Self {
+            address,
+            source: None,
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with_header<V>(mut self, name: &'static str, value: V) -> Self
+    where
+        V: Into<Box<str>>,
+    {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn with_body<B>(mut self, body: B) -> Self
+    where
+        B: Into<Bytes>,
+    {
+        self.body = body.into();
+        self
+    }
+}
+
+/// A complete reply.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Why a call has no complete reply.
+#[derive(Debug)]
+pub enum CallError {
+    /// No connection was made, so nothing was sent.
+    NotConnected(io::Error),
+    /// The connection ended before the reply was complete.
+    Broken(Box<str>),
+}
+
+/// Makes the call and reads the whole reply; dropping the future closes the
+/// connection.
+///
+/// # Errors
+///
+/// Returns whether the connection failed before or after something was sent.
+pub async fn call(call: Call) -> Result<Reply, CallError> {
+    let stream = connect(&call).await.map_err(CallError::NotConnected)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(broken)?;
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path.as_ref())
+        .header("host", call.address.to_string())
+        .header("connection", "close");
+    for (name, value) in &call.headers {
+        request = request.header(*name, value.as_ref());
+    }
+    let request = request.body(Full::new(call.body)).map_err(broken)?;
+    // Dropping the set closes the connection.
+    let mut driver = JoinSet::new();
+    driver.spawn(connection);
+    let response = sender.send_request(request).await.map_err(broken)?;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.map_err(broken)?.to_bytes();
+    Ok(Reply { status: head.status, headers: head.headers, body })
+}
+
+async fn connect(call: &Call) -> io::Result<tokio::net::TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if let Some(source) = call.source {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    let stream = socket.connect(call.address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn broken<E>(error: E) -> CallError
+where
+    E: std::fmt::Display,
+{
+    CallError::Broken(error.to_string().into())
+}
--- /dev/null
+++ b/crates/standins/src/net/mod.rs
@@ -0,0 +1,16 @@
+//! Small HTTP/1.1 servers, clients and TCP relays on loopback addresses.
+
+mod body;
+mod client;
+mod relay;
+mod server;
+
+pub use self::{
+    body::{Body, BodySender, channel_body, full_body},
+    client::{Call, CallError, Reply, call},
+    relay::Relay,
+    server::{Handler, Server, ServerOptions},
+};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/standins/src/net/relay.rs
@@ -0,0 +1,117 @@
+//! A TCP relay that adds latency and can be cut.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+    task::JoinSet,
+    time::Instant,
+};
+
+/// Largest piece that is passed on at once, in bytes.
+const PIECE_BYTES: usize = 64 * 1024;
+/// Pieces on the way in one direction of one connection before its sender
+/// waits.
+const PIECES_ON_THE_WAY: usize = 64;
+
+/// Handle of a relay; dropping it stops the relay.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    open: watch::Sender<bool>,
+}
+
+impl Relay {
+    /// Listens on `address` (port 0 takes a free one) and passes connections
+    /// on to `to`, each direction delayed by `one_way`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if the address is in use.
+    pub async fn start(address: SocketAddr, to: SocketAddr, one_way: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (open, state) = watch::channel(true);
+        tokio::spawn(run(listener, to, one_way, state));
+        Ok(Self { address, open })
+    }
+
+    /// Returns the address that the relay listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts all connections and closes new ones at once, or passes
+    /// connections on again.
+    pub fn set_open(&self, open: bool) {
+        self.open.send_replace(open);
+    }
+}
+
+async fn run(
+    listener: TcpListener,
+    to: SocketAddr,
+    one_way: Duration,
+    mut open: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => if let Ok((stream, _)) = accepted
+                && *open.borrow()
+            {
+                connections.spawn(pass(stream, to, one_way));
+            },
+            changed = open.changed() => match changed {
+                Ok(()) if *open.borrow() => {}
+                Ok(()) => connections.shutdown().await,
+                Err(_) => return,
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn pass(near: TcpStream, to: SocketAddr, one_way: Duration) {
+    let Ok(far) = TcpStream::connect(to).await else { return };
+    if near.set_nodelay(true).is_err() || far.set_nodelay(true).is_err() {
+        return;
+    }
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    tokio::join!(
+        direction(near_read, far_write, one_way),
+        direction(far_read, near_write, one_way)
+    );
+}
+
+async fn direction(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, one_way: Duration) {
+    let (sender, mut pieces) = mpsc::channel::<(Instant, Bytes)>(PIECES_ON_THE_WAY);
+    let read = async move {
+        let mut buffer = BytesMut::with_capacity(PIECE_BYTES);
+        while let Ok(1..) = from.read_buf(&mut buffer).await {
+            let due = Instant::now() + one_way;
+            if sender.send((due, buffer.split().freeze())).await.is_err() {
+                return;
+            }
+            buffer.reserve(PIECE_BYTES);
+        }
+    };
+    let write = async move {
+        while let Some((due, piece)) = pieces.recv().await {
+            tokio::time::sleep_until(due).await;
+            if to.write_all(&piece).await.is_err() {
+                return;
+            }
+        }
+        // The peer learns that this direction has ended.
+        let _ = to.shutdown().await;
+    };
+    tokio::join!(read, write);
+}
--- /dev/null
+++ b/crates/standins/src/net/server.rs
@@ -0,0 +1,160 @@
+//! An HTTP/1.1 server whose listener can be closed and opened again.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+};
+
+use super::Body;
+
+/// Delay between attempts to listen again on an address, in milliseconds.
+const LISTEN_RETRY_MS: u64 = 10;
+
+/// Serves the requests of a [`Server`].
+pub trait Handler: Clone + Send + 'static {
+    /// Returns the response; an error closes the connection without one.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = io::Result<Response<Body>>> + Send;
+}
+
+/// Options of a [`Server`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServerOptions {
+    /// Connections above this number are closed at once and counted.
+    pub max_connections: Option<usize>,
+}
+
+/// Handle of a server; dropping it stops the server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    open: watch::Sender<bool>,
+    refused_connections: Arc<AtomicU64>,
+}
+
+impl Server {
+    /// Listens on `address` (port 0 takes a free one) and serves on the
+    /// present runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if the address is in use.
+    pub async fn start<H>(
+        address: SocketAddr,
+        options: ServerOptions,
+        handler: H,
+    ) -> io::Result<Self>
+    where
+        H: Handler + Sync,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (open, state) = watch::channel(true);
+        let refused_connections = Arc::new(AtomicU64::new(0));
+        let refused = refused_connections.clone();
+        tokio::spawn(run(listener, address, options, handler, state, refused));
+        Ok(Self { address, open, refused_connections })
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections, or listens again.
+    pub fn set_open(&self, open: bool) {
+        self.open.send_replace(open);
+    }
+
+    /// Returns the number of connections closed for the connection limit.
+    pub fn refused_connections(&self) -> u64 {
+        self.refused_connections.load(Ordering::Relaxed)
+    }
+}
+
+async fn run<H>(
+    listener: TcpListener,
+    address: SocketAddr,
+    options: ServerOptions,
+    handler: H,
+    mut open: watch::Receiver<bool>,
+    refused: Arc<AtomicU64>,
+) where
+    H: Handler + Sync,
+{
+    let mut listener = Some(listener);
+    loop {
+        if open.wait_for(|open| *open).await.is_err() {
+            return;
+        }
+        let current = match listener.take() {
+            Some(listener) => listener,
+            None => match TcpListener::bind(address).await {
+                Ok(listener) => listener,
+                Err(_) => {
+                    tokio::time::sleep(Duration::from_millis(LISTEN_RETRY_MS)).await;
+                    continue;
+                }
+            },
+        };
+        tokio::select! {
+            () = accept(current, options, &handler, &refused) => {}
+            result = open.wait_for(|open| !*open) => if result.is_err() { return },
+        }
+    }
+}
+
+/// Accepts until it is dropped, which closes all connections.
+async fn accept<H>(listener: TcpListener, options: ServerOptions, handler: &H, refused: &AtomicU64)
+where
+    H: Handler + Sync,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => {
+                    if options.max_connections.is_some_and(|max| connections.len() >= max) {
+                        refused.fetch_add(1, Ordering::Relaxed);
+                    } else {
+                        connections.spawn(serve(stream, peer, handler.clone()));
+                    }
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(LISTEN_RETRY_MS)).await,
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve<H>(stream: TcpStream, peer: SocketAddr, handler: H)
+where
+    H: Handler + Sync,
+{
+    // Without it small replies wait for the delayed acknowledgement.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(|request| {
+        let handler = handler.clone();
+        async move { handler.handle(request, peer).await }
+    });
+    // An error means that the peer or the handler closed the connection.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
