--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,6 @@
 //! runtime that starts it and stops when its handle is dropped.
 
 pub mod bench;
+pub mod fleet;
 pub mod net;
 pub mod store;
--- a/crates/standins/src/net/server.rs
+++ b/crates/standins/src/net/server.rs
@@ -100,6 +100,10 @@
 {
     let mut listener = Some(listener);
     loop {
+        if !*open.borrow() {
+            // A listener that is kept would take connections without serving them.
+            listener = None;
+        }
         if open.wait_for(|open| *open).await.is_err() {
             return;
         }
--- a/crates/standins/src/store/tests.rs
+++ b/crates/standins/src/store/tests.rs
@@ -158,6 +158,6 @@
     };
     store.set_cut(&names[0], true);
     tokio::task::yield_now().await;
-    eprintln!("x0");    assert!(read(&names[0]).await.is_err());eprintln!("x1");
+    assert!(read(&names[0]).await.is_err());
     assert!(read(&names[1]).await.is_ok());
 }
--- /dev/null
+++ b/crates/tamarackproxy/src/node/once.rs
@@ -0,0 +1,98 @@
+//! The at-most-once engine and the first responses that it refers to.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::{event_loop::EventLoop, input::Engine, pending::End};
+use crate::{
+    coordination::{
+        once::{OnceAction, OnceEvent},
+        requests::RequestsEvent,
+    },
+    protocol::{caller::Refusal, peer::PeerMessage},
+    state::ids::RequestId,
+    transport::target_client::TargetResponse,
+};
+
+/// First responses to idempotency keys, bounded in bytes; the oldest is
+/// dropped beyond the bound and a repeat is then answered unknown.
+pub(super) struct KeptResponses {
+    responses: HashMap<RequestId, TargetResponse>,
+    order: VecDeque<RequestId>,
+    kept_bytes: u64,
+    max_bytes: u64,
+}
+
+impl KeptResponses {
+    pub(super) fn new(max_bytes: u64) -> Self {
+        Self { responses: HashMap::new(), order: VecDeque::new(), kept_bytes: 0, max_bytes }
+    }
+
+    pub(super) fn insert(&mut self, request: RequestId, response: TargetResponse) {
+        self.kept_bytes += response.body.len() as u64;
+        self.responses.insert(request, response);
+        self.order.push_back(request);
+        while self.kept_bytes > self.max_bytes {
+            let Some(oldest) = self.order.pop_front() else { break };
+            self.forget(oldest);
+        }
+    }
+
+    fn forget(&mut self, request: RequestId) {
+        if let Some(response) = self.responses.remove(&request) {
+            self.kept_bytes -= response.body.len() as u64;
+        }
+        // Numbers of forgotten responses leave the front of the order.
+        while self.order.front().is_some_and(|first| !self.responses.contains_key(first)) {
+            self.order.pop_front();
+        }
+    }
+}
+
+impl EventLoop {
+    pub(super) fn on_once(&mut self, event: OnceEvent) {
+        let mut actions = Vec::new();
+        self.once.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.apply_once(action);
+        }
+    }
+
+    fn apply_once(&mut self, action: OnceAction) {
+        match action {
+            OnceAction::Run { request } => {
+                if let Some(pending) = self.pending.get(&request) {
+                    let meta = pending.meta.clone();
+                    self.on_requests(RequestsEvent::Submitted { request, meta });
+                }
+            }
+            OnceAction::Replay { request, first } => {
+                let end = match self.kept.responses.get(&first) {
+                    Some(response) => End::Answered(response.clone()),
+                    None => End::unknown(Refusal::ResponseForgotten),
+                };
+                self.end_unclaimed(request, end);
+            }
+            OnceAction::Forget { first } => self.kept.forget(first),
+            OnceAction::NotRun { request, refusal, retry_after_ms } => {
+                self.end_unclaimed(request, End::not_run(refusal, retry_after_ms));
+            }
+            OnceAction::Unknown { request, refusal } => {
+                self.end_unclaimed(request, End::unknown(refusal));
+            }
+            OnceAction::Send { to, message } => self.send(&to, PeerMessage::Once(message)),
+            OnceAction::Store { call, request } => self.call_store(Engine::Once, call, request),
+            OnceAction::LogOpen { open } => {
+                log::info!(open = open; "log of claims changed");
+            }
+        }
+    }
+
+    /// Ends a request that the at-most-once engine did not let run, so that it
+    /// is not told of a run.
+    fn end_unclaimed(&mut self, request: RequestId, end: End) {
+        if let Some(pending) = self.pending.get_mut(&request) {
+            pending.claim = None;
+        }
+        self.finish(request, end);
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/node/peers.rs
@@ -0,0 +1,252 @@
+//! Other entry hosts: links, seats, gateways and exchanged load.
+
+use std::collections::{BTreeMap, HashMap};
+
+use tokio::sync::mpsc;
+
+use super::{event_loop::EventLoop, input::TaskEnd};
+use crate::{
+    coordination::{
+        configuration::ConfigurationEvent,
+        fleet::{FleetEvent, FleetMessage, ServiceDemand},
+        once::OnceEvent,
+        requests::{RequestsEvent, RequestsMessage, ServiceLoad},
+        seats::{EntryAddress, LivePeer, SeatsEvent},
+    },
+    protocol::peer::{Hello, PeerMessage},
+    state::{
+        ids::{DataCentreId, EntryId, ServiceId, Term},
+        settings::Settings,
+    },
+    transport::{peer_client::PeerLink, peer_server::PeerInput},
+};
+
+/// Interval at which load is sent to peers and gateways, in milliseconds.
+const LOAD_INTERVAL_MS: u64 = 500;
+/// Age at which a peer's load no longer counts, in milliseconds.
+const LOAD_MAX_AGE_MS: u64 = 3 * LOAD_INTERVAL_MS;
+
+/// What this entry host knows of the others.
+pub(super) struct Peers {
+    hello: Hello,
+    /// Addresses from settings, which go before those from the store.
+    settled: HashMap<EntryId, EntryAddress>,
+    links: HashMap<EntryId, PeerLink>,
+    pub(super) live: Vec<LivePeer>,
+    pub(super) gateways: Vec<(DataCentreId, EntryId)>,
+    pub(super) seat: Option<(u16, Term)>,
+    /// Seat that is held but must not be used until it is confirmed.
+    pub(super) is_suspended: bool,
+    loads: BTreeMap<EntryId, (u64, Vec<ServiceLoad>)>,
+    next_load_ms: u64,
+}
+
+impl Peers {
+    pub(super) fn new(settings: &Settings) -> Self {
+        let settled = settings.peers.iter().map(|peer| {
+            let address = EntryAddress {
+                entry: peer.entry.clone(),
+                data_centre: peer.data_centre.clone(),
+                peer_address: peer.address.to_string().into(),
+            };
+            (peer.entry.clone(), address)
+        });
+        Self {
+            hello: Hello {
+                entry: settings.entry.clone(),
+                data_centre: settings.data_centre.clone(),
+            },
+            settled: settled.collect(),
+            links: HashMap::new(),
+            live: Vec::new(),
+            gateways: Vec::new(),
+            seat: None,
+            is_suspended: false,
+            loads: BTreeMap::new(),
+            next_load_ms: 0,
+        }
+    }
+
+    pub(super) fn link(&self, entry: &EntryId) -> Option<&PeerLink> {
+        self.links.get(entry)
+    }
+
+    /// Opens links to new addresses and closes those to forgotten ones.
+    pub(super) fn connect(
+        &mut self,
+        entries: Vec<EntryAddress>,
+        ends: &mpsc::UnboundedSender<TaskEnd>,
+    ) {
+        let mut wanted: HashMap<EntryId, EntryAddress> =
+            entries.into_iter().map(|entry| (entry.entry.clone(), entry)).collect();
+        wanted.extend(self.settled.clone());
+        wanted.remove(&self.hello.entry);
+        self.links.retain(|entry, link| {
+            let address = wanted.get(entry).map(|entry| &*entry.peer_address);
+            address.is_some_and(|address| *address == link.address().to_string())
+        });
+        for (entry, address) in wanted {
+            let Ok(socket_address) = address.peer_address.parse() else { continue };
+            if self.links.contains_key(&entry) {
+                continue;
+            }
+            let (ends, peer) = (ends.clone(), entry.clone());
+            let refused = move || {
+                let _ = ends.send(TaskEnd::PeerRefused { peer: peer.clone() });
+            };
+            let link = PeerLink::open(socket_address, self.hello.clone(), refused);
+            self.links.insert(entry, link);
+        }
+    }
+
+    /// Returns the seat of this entry host while it may be used.
+    pub(super) fn own_seat(&self) -> Option<u16> {
+        self.seat.filter(|_| !self.is_suspended).map(|(index, _)| index)
+    }
+
+    /// Returns the live holder of a seat of this data centre.
+    pub(super) fn holder_of(&self, seat: u16) -> Option<&EntryId> {
+        self.live.iter().find(|peer| peer.seat == Some(seat)).map(|peer| &peer.entry)
+    }
+
+    /// Returns the gateway of another data centre.
+    pub(super) fn gateway_of(&self, data_centre: &DataCentreId) -> Option<&EntryId> {
+        self.gateways.iter().find(|(name, _)| name == data_centre).map(|(_, entry)| entry)
+    }
+
+    /// Tells whether this entry host holds the lowest live seat.
+    pub(super) fn is_gateway(&self) -> bool {
+        let Some(own) = self.own_seat() else { return false };
+        self.live.iter().filter_map(|peer| peer.seat).all(|seat| seat > own)
+    }
+
+    fn live_entries(&self) -> Vec<EntryId> {
+        self.live.iter().map(|peer| peer.entry.clone()).collect()
+    }
+}
+
+/// Adds loads of several entry hosts by service.
+fn sum_loads<'a, I>(loads: I) -> Vec<ServiceLoad>
+where
+    I: IntoIterator<Item = &'a ServiceLoad>,
+{
+    let mut sums: BTreeMap<ServiceId, ServiceLoad> = BTreeMap::new();
+    for load in loads {
+        match sums.get_mut(&load.service) {
+            Some(sum) => {
+                sum.idle_slots += load.idle_slots;
+                sum.queued += load.queued;
+                sum.in_flight += load.in_flight;
+            }
+            None => {
+                sums.insert(load.service.clone(), load.clone());
+            }
+        }
+    }
+    sums.into_values().collect()
+}
+
+impl EventLoop {
+    /// Sends a control message; one to this entry host itself is taken at once.
+    pub(super) fn send(&mut self, to: &EntryId, message: PeerMessage) {
+        if *to == self.settings.entry {
+            let hello = self.peers.hello.clone();
+            return self.on_message(&hello, message);
+        }
+        match self.peers.link(to) {
+            Some(link) => link.send(message),
+            None => log::debug!(peer = to.as_str(); "no link to the peer; message dropped"),
+        }
+    }
+
+    pub(super) fn on_peer(&mut self, input: PeerInput) {
+        match input {
+            PeerInput::Message { hello, message } => self.on_message(&hello, message),
+            PeerInput::Forward { request, reply } => self.submit_forwarded(request, reply),
+        }
+    }
+
+    fn on_message(&mut self, hello: &Hello, message: PeerMessage) {
+        let from = hello.entry.clone();
+        match message {
+            PeerMessage::Hello(_) => {}
+            PeerMessage::Seats(message) => self.on_seats(SeatsEvent::Received { from, message }),
+            PeerMessage::Requests(message) => {
+                if let RequestsMessage::Leaving { host } = &message {
+                    log::info!(host = host.as_str(); "a peer reports that the host is leaving");
+                }
+                self.on_requests(RequestsEvent::Received { from, message });
+            }
+            PeerMessage::Once(message) => self.on_once(OnceEvent::Received { from, message }),
+            PeerMessage::Configuration(message) => {
+                self.on_configuration(ConfigurationEvent::Received { from, message });
+            }
+            PeerMessage::Fleet(FleetMessage::DrainQuery { host, version }) => {
+                self.on_drain_query(&from, host, version);
+            }
+            PeerMessage::Fleet(message) => self.on_fleet(FleetEvent::Received { from, message }),
+            PeerMessage::HealthQuery { host } => self.check_health(host, Some(from)),
+            PeerMessage::HealthStatus { host, healthy } => self.on_health(host, healthy, None),
+            PeerMessage::Load { data_centre, loads } => self.on_load(from, data_centre, loads),
+        }
+    }
+
+    fn on_load(&mut self, from: EntryId, data_centre: DataCentreId, loads: Vec<ServiceLoad>) {
+        if data_centre == self.settings.data_centre {
+            self.peers.loads.insert(from, (self.now.monotonic_ms, loads));
+            return;
+        }
+        let comes_from_gateway = self.peers.gateway_of(&data_centre) == Some(&from);
+        if comes_from_gateway && self.peers.is_gateway() {
+            for peer in self.peers.live_entries() {
+                let (data_centre, loads) = (data_centre.clone(), loads.clone());
+                self.send(&peer, PeerMessage::Load { data_centre, loads });
+            }
+        }
+        if let Some(gateway) = self.peers.gateway_of(&data_centre).cloned() {
+            self.report_demand(&data_centre, &loads);
+            self.on_requests(RequestsEvent::RemoteLoad { data_centre, gateway, loads });
+        }
+    }
+
+    fn report_demand(&mut self, data_centre: &DataCentreId, loads: &[ServiceLoad]) {
+        if !self.peers.is_gateway() {
+            return;
+        }
+        let demand = loads.iter().map(|load| ServiceDemand {
+            service: load.service.clone(),
+            data_centre: data_centre.clone(),
+            in_flight: load.in_flight,
+            queued: load.queued,
+        });
+        let demand = demand.collect();
+        self.on_fleet(FleetEvent::Demand { demand });
+    }
+
+    /// Sends load to the peers of the data centre, and the sum over the data
+    /// centre to the other gateways if this entry host is one.
+    pub(super) fn tick_peers(&mut self) {
+        let now_ms = self.now.monotonic_ms;
+        if now_ms < self.peers.next_load_ms {
+            return;
+        }
+        self.peers.next_load_ms = now_ms + LOAD_INTERVAL_MS;
+        let own = self.requests.loads();
+        let data_centre = self.settings.data_centre.clone();
+        for peer in self.peers.live_entries() {
+            let loads = own.clone();
+            self.send(&peer, PeerMessage::Load { data_centre: data_centre.clone(), loads });
+        }
+        self.peers.loads.retain(|_, (at_ms, _)| *at_ms + LOAD_MAX_AGE_MS > now_ms);
+        if !self.peers.is_gateway() {
+            return;
+        }
+        let of_peers = self.peers.loads.values().flat_map(|(_, loads)| loads);
+        let sum = sum_loads(own.iter().chain(of_peers));
+        self.report_demand(&data_centre, &sum);
+        for (_, gateway) in self.peers.gateways.clone() {
+            let (data_centre, loads) = (data_centre.clone(), sum.clone());
+            self.send(&gateway, PeerMessage::Load { data_centre, loads });
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/node/pending.rs
@@ -0,0 +1,194 @@
+//! Requests that have no response yet.
+
+use std::collections::HashMap;
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use tokio::{sync::oneshot, task::AbortHandle};
+
+use crate::{
+    coordination::{once::Claim, requests::RequestMeta},
+    protocol::{
+        caller::{Outcome, Refusal},
+        peer::{ForwardRequest, ForwardResponse},
+    },
+    transport::{
+        caller_server::CallerResponse,
+        target_client::{TargetRequest, TargetResponse},
+    },
+};
+
+/// Where the response goes.
+pub(super) enum Origin {
+    Caller(oneshot::Sender<CallerResponse>),
+    Peer(oneshot::Sender<ForwardResponse>),
+}
+
+impl Origin {
+    /// Sends the response; a receiver that went away needs none.
+    pub(super) fn reply(self, end: End) {
+        match self {
+            Origin::Caller(reply) => {
+                let _ = reply.send(end.into_caller_response());
+            }
+            Origin::Peer(reply) => {
+                let _ = reply.send(end.into_forward_response());
+            }
+        }
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Debug)]
+pub(super) enum End {
+    Answered(TargetResponse),
+    Refused { outcome: Outcome, refusal: Refusal, retry_after_ms: Option<u64> },
+}
+
+impl End {
+    pub(super) fn not_run(refusal: Refusal, retry_after_ms: Option<u64>) -> Self {
+        Self::Refused { outcome: Outcome::NotRun, refusal, retry_after_ms }
+    }
+
+    pub(super) fn unknown(refusal: Refusal) -> Self {
+        Self::Refused { outcome: Outcome::Unknown, refusal, retry_after_ms: None }
+    }
+
+    pub(super) fn outcome(&self) -> Outcome {
+        match self {
+            End::Answered(_) => Outcome::Answered,
+            End::Refused { outcome, .. } => *outcome,
+        }
+    }
+
+    fn into_caller_response(self) -> CallerResponse {
+        match self {
+            End::Answered(response) => CallerResponse {
+                outcome: Outcome::Answered,
+                status: response.status,
+                headers: end_to_end(response.headers),
+                body: response.body,
+            },
+            End::Refused { outcome, refusal, retry_after_ms } => {
+                CallerResponse::refused(&refusal, outcome, retry_after_ms)
+            }
+        }
+    }
+
+    fn into_forward_response(self) -> ForwardResponse {
+        match self {
+            End::Answered(response) => ForwardResponse {
+                outcome: Outcome::Answered,
+                refusal: None,
+                retry_after_ms: None,
+                status: response.status.as_u16(),
+                headers: encode_headers(&end_to_end(response.headers)),
+                body: response.body.to_vec(),
+            },
+            End::Refused { outcome, refusal, retry_after_ms } => ForwardResponse {
+                outcome,
+                status: refusal.status().as_u16(),
+                refusal: Some(refusal),
+                retry_after_ms,
+                headers: Vec::new(),
+                body: Vec::new(),
+            },
+        }
+    }
+}
+
+/// A request that waits, runs or was forwarded.
+pub(super) struct Pending {
+    pub(super) origin: Origin,
+    pub(super) meta: RequestMeta,
+    pub(super) target_request: TargetRequest,
+    /// Idempotency key as the caller sent it.
+    pub(super) key: Option<Box<str>>,
+    /// Claim that this entry host holds as the key's home.
+    pub(super) claim: Option<Claim>,
+    /// Whether an attempt or a forward has begun.
+    pub(super) is_started: bool,
+    pub(super) hops: u8,
+    pub(super) attempts: HashMap<u32, AbortHandle>,
+    /// Whole response of the attempt that ended last with one.
+    pub(super) response: Option<TargetResponse>,
+}
+
+impl Pending {
+    /// Makes the message that forwards the request to another entry host.
+    pub(super) fn to_forward(
+        &self,
+        kind: crate::protocol::peer::ForwardKind,
+        now_ms: u64,
+    ) -> ForwardRequest {
+        ForwardRequest {
+            kind,
+            hops: self.hops + 1,
+            service: self.meta.service.clone(),
+            caller: self.meta.caller.clone(),
+            urgency: self.meta.urgency,
+            remaining_ms: self.meta.deadline_at_ms.saturating_sub(now_ms),
+            key: self.key.clone(),
+            method: self.target_request.method.as_str().into(),
+            path: self.target_request.path.to_string().into(),
+            headers: encode_headers(&self.target_request.headers),
+            body: self.target_request.body.to_vec(),
+        }
+    }
+}
+
+/// Headers that concern one connection and are not passed on (RFC 9110,
+/// section 7.6.1).
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes headers that concern one connection, and the length, which the
+/// sender of each hop sets.
+pub(super) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    headers
+}
+
+fn encode_headers(headers: &HeaderMap) -> Vec<(Box<str>, Vec<u8>)> {
+    headers.iter().map(|(name, value)| (name.as_str().into(), value.as_bytes().to_vec())).collect()
+}
+
+/// Decodes headers of a peer; unusable ones are left out.
+pub(super) fn decode_headers(encoded: &[(Box<str>, Vec<u8>)]) -> HeaderMap {
+    let decode_one = |(name, value): &(Box<str>, Vec<u8>)| {
+        Some((name.parse::<HeaderName>().ok()?, HeaderValue::from_bytes(value).ok()?))
+    };
+    let mut headers = HeaderMap::new();
+    for (name, value) in encoded.iter().filter_map(decode_one) {
+        headers.append(name, value);
+    }
+    headers
+}
+
+/// Decodes the answer of a forwarded request.
+pub(super) fn decode_answer(response: ForwardResponse) -> Option<TargetResponse> {
+    let status = StatusCode::from_u16(response.status).ok()?;
+    let headers = decode_headers(&response.headers);
+    Some(TargetResponse { status, headers, body: response.body.into() })
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/node/requests.rs
@@ -0,0 +1,479 @@
+//! Requests of callers and of other entry hosts.
+
+use std::{collections::HashMap, sync::atomic::Ordering, time::Duration};
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
+use tokio::sync::oneshot;
+
+use super::{
+    event_loop::EventLoop,
+    input::TaskEnd,
+    pending::{End, Origin, Pending, decode_answer, decode_headers, end_to_end},
+    view::View,
+};
+use crate::{
+    coordination::{
+        once::{Claim, IdempotencyKey, OnceEvent, RunResult, home_data_centre, home_seat},
+        requests::{AttemptResult, ForwardResult, RequestMeta, RequestsAction, RequestsEvent},
+    },
+    protocol::{
+        caller::{
+            DEADLINE_HEADER, DEADLINE_MAX_MS, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, Outcome,
+            Refusal,
+        },
+        peer::{ForwardKind, ForwardRequest, ForwardResponse},
+    },
+    state::{
+        document::{CallerSection, KeyRule, ServiceSection, Urgency},
+        ids::{CallerId, EntryId, RequestId, ServiceId, TargetId},
+    },
+    transport::{
+        caller_server::{CallerInput, CallerRequest},
+        peer_client::ForwardFailure,
+        target_client::{TargetRequest, TargetResponse},
+    },
+};
+
+/// Header by which targets learn the authenticated caller.
+const CALLER_HEADER: HeaderName = HeaderName::from_static("tamarack-caller");
+const PRIORITY_HEADER: &str = "priority";
+/// Entry hosts that may pass a request on: the first one to the home data
+/// centre, and one there to the seat's holder.
+const HOME_HOPS_MAX: u8 = 2;
+/// Delay that callers are told when an entry host is not ready, in
+/// milliseconds.
+const NOT_READY_RETRY_MS: u64 = 1_000;
+
+/// Reads a header as text.
+fn text<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn is_repeatable(method: &Method, rule: KeyRule) -> bool {
+    let by_method =
+        [Method::GET, Method::HEAD, Method::PUT, Method::DELETE, Method::OPTIONS].contains(method);
+    by_method || rule == KeyRule::Repeatable
+}
+
+fn deadline_ms(headers: &HeaderMap, service: &ServiceSection) -> Result<u64, Refusal> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(service.deadline.as_ms());
+    };
+    let value = value.to_str().ok().and_then(|value| value.trim().parse().ok());
+    value.filter(|ms| (1..=DEADLINE_MAX_MS).contains(ms)).ok_or_else(|| {
+        let message = format!("{DEADLINE_HEADER} must be from 1 to {DEADLINE_MAX_MS} milliseconds");
+        Refusal::Malformed(message.into())
+    })
+}
+
+/// Headers as the target receives them: without the caller's token and
+/// without what the proxy reads, with the caller's name.
+fn target_headers(headers: HeaderMap, caller: &CallerId) -> HeaderMap {
+    let mut headers = end_to_end(headers);
+    headers.remove(header::HOST);
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(header::EXPECT);
+    headers.remove(OUTCOME_HEADER);
+    if let Ok(name) = HeaderValue::from_str(caller.as_str()) {
+        headers.insert(CALLER_HEADER, name);
+    }
+    headers
+}
+
+/// Checks a caller's request against the document.
+fn admit(
+    view: &View,
+    received: &CallerRequest,
+) -> Result<(CallerId, ServiceId, Urgency, u64, bool), Refusal> {
+    let (caller, section) = view.authenticate_caller(&received.headers)?;
+    let (service, service_section) = view.service(&received.service)?;
+    check_allowed(section, service)?;
+    let wanted = text(&received.headers, PRIORITY_HEADER).map(Urgency::from_priority);
+    // Classes are ordered from the most urgent to the least.
+    let urgency = wanted.unwrap_or_default().max(section.most_urgent);
+    let deadline_ms = deadline_ms(&received.headers, service_section)?;
+    let repeatable = is_repeatable(&received.method, service_section.idempotency_key);
+    let has_key = received.headers.contains_key(IDEMPOTENCY_KEY_HEADER);
+    if !repeatable && !has_key && service_section.idempotency_key == KeyRule::Required {
+        return Err(Refusal::KeyMissing);
+    }
+    Ok((caller.clone(), service.clone(), urgency, deadline_ms, repeatable))
+}
+
+fn check_allowed(caller: &CallerSection, service: &ServiceId) -> Result<(), Refusal> {
+    let is_allowed = caller.services.is_empty() || caller.services.contains(service);
+    is_allowed.then_some(()).ok_or(Refusal::Forbidden)
+}
+
+/// Where a request that may not be repeated runs.
+enum Home {
+    Here,
+    Entry(EntryId),
+    Unreachable,
+}
+
+impl EventLoop {
+    pub(super) fn on_caller(&mut self, input: CallerInput) {
+        match input {
+            CallerInput::Request { request, received, reply } => {
+                self.submit_caller_request(request, *received, Origin::Caller(reply));
+            }
+            CallerInput::Gone { request } => self.on_caller_gone(request),
+        }
+    }
+
+    fn submit_caller_request(
+        &mut self,
+        request: RequestId,
+        received: CallerRequest,
+        origin: Origin,
+    ) {
+        let Some(view) = self.view.as_ref().filter(|_| self.is_ready) else {
+            return origin.reply(End::not_run(Refusal::NotReady, Some(NOT_READY_RETRY_MS)));
+        };
+        if self.is_stopping {
+            return origin.reply(End::not_run(Refusal::Stopping, Some(NOT_READY_RETRY_MS)));
+        }
+        let admitted = admit(view, &received).and_then(|admitted| {
+            let path = received.path.parse::<Uri>().map_err(|_| {
+                Refusal::Malformed("the path is not a valid URL path; encode it".into())
+            })?;
+            Ok((admitted, path))
+        });
+        let ((caller, service, urgency, deadline_ms, repeatable), path) = match admitted {
+            Ok(admitted) => admitted,
+            Err(refusal) => return origin.reply(End::not_run(refusal, None)),
+        };
+        let key = text(&received.headers, IDEMPOTENCY_KEY_HEADER).map(Box::from);
+        let headers = target_headers(received.headers, &caller);
+        let meta = RequestMeta {
+            service,
+            caller,
+            urgency,
+            deadline_at_ms: self.now.monotonic_ms + deadline_ms,
+            repeatable,
+            forwarded: false,
+        };
+        let target_request = TargetRequest {
+            method: received.method,
+            path,
+            headers,
+            body: received.body,
+            repeatable,
+        };
+        self.submit(request, new_pending(origin, meta, target_request, key, 0));
+    }
+
+    /// Takes a request that another entry host forwarded.
+    pub(super) fn submit_forwarded(
+        &mut self,
+        forwarded: ForwardRequest,
+        reply: oneshot::Sender<ForwardResponse>,
+    ) {
+        let origin = Origin::Peer(reply);
+        let request = RequestId(self.next_request.fetch_add(1, Ordering::Relaxed));
+        let rule = self.view.as_ref().and_then(|view| {
+            view.service(&forwarded.service.to_string()).ok().map(|(_, s)| s.idempotency_key)
+        });
+        let method = forwarded.method.parse::<Method>();
+        let path = forwarded.path.parse::<Uri>();
+        let (Some(rule), Ok(method), Ok(path)) = (rule, method, path) else {
+            return origin.reply(End::not_run(Refusal::NotReady, Some(NOT_READY_RETRY_MS)));
+        };
+        let repeatable = is_repeatable(&method, rule);
+        let meta = RequestMeta {
+            service: forwarded.service,
+            caller: forwarded.caller,
+            urgency: forwarded.urgency,
+            deadline_at_ms: self.now.monotonic_ms + forwarded.remaining_ms,
+            repeatable,
+            forwarded: forwarded.kind == ForwardKind::Run,
+        };
+        let target_request = TargetRequest {
+            method,
+            path,
+            headers: decode_headers(&forwarded.headers),
+            body: forwarded.body.into(),
+            repeatable,
+        };
+        let pending = new_pending(origin, meta, target_request, forwarded.key, forwarded.hops);
+        self.submit(request, pending);
+    }
+
+    fn submit(&mut self, request: RequestId, mut pending: Pending) {
+        // A request forwarded to be run was claimed by its home already.
+        let needs_claim = !pending.meta.repeatable && !pending.meta.forwarded;
+        let Some(key) = pending.key.clone().filter(|_| needs_claim) else {
+            return self.start_request(request, pending);
+        };
+        let Ok(key) = key.parse::<IdempotencyKey>() else {
+            return pending.origin.reply(End::not_run(Refusal::KeyUnusable, None));
+        };
+        if key.check(self.now).is_err() {
+            // A key outside the accepted time may stand for an earlier run.
+            return pending.origin.reply(End::unknown(Refusal::KeyUnusable));
+        }
+        let claim = Claim::new(
+            &pending.meta.caller,
+            &key,
+            pending.target_request.method.as_str(),
+            &pending.target_request.path.to_string(),
+            &pending.target_request.body,
+        );
+        match self.home(&pending.meta.caller, &claim, pending.hops) {
+            Home::Here => {
+                pending.claim = Some(claim);
+                self.pending.insert(request, pending);
+                self.on_once(OnceEvent::Submitted { request, claim });
+            }
+            Home::Entry(entry) => {
+                pending.is_started = true;
+                self.pending.insert(request, pending);
+                self.forward(request, &entry, ForwardKind::Home);
+            }
+            Home::Unreachable => pending.origin.reply(End::unknown(Refusal::HomeUnreachable)),
+        }
+    }
+
+    fn start_request(&mut self, request: RequestId, pending: Pending) {
+        let meta = pending.meta.clone();
+        self.pending.insert(request, pending);
+        self.on_requests(RequestsEvent::Submitted { request, meta });
+    }
+
+    /// Finds the entry host that decides whether a key may run.
+    fn home(&self, caller: &CallerId, claim: &Claim, hops: u8) -> Home {
+        let Some(view) = &self.view else { return Home::Unreachable };
+        let document = view.document();
+        let stated = document.callers.get(caller).and_then(|section| section.home.as_ref());
+        let home = stated.or_else(|| home_data_centre(caller, document.data_centres.keys()));
+        let Some(home) = home else { return Home::Unreachable };
+        if *home != self.settings.data_centre {
+            return match self.peers.gateway_of(home) {
+                Some(gateway) if hops < HOME_HOPS_MAX => Home::Entry(gateway.clone()),
+                _ => Home::Unreachable,
+            };
+        }
+        let seats = document.data_centres.get(home).map_or(1, |section| section.seats);
+        let seat = home_seat(claim, seats);
+        if self.peers.own_seat() == Some(seat) {
+            return Home::Here;
+        }
+        match self.peers.holder_of(seat) {
+            Some(holder) if hops < HOME_HOPS_MAX => Home::Entry(holder.clone()),
+            _ => Home::Unreachable,
+        }
+    }
+
+    /// Cancels a request whose caller went away.
+    ///
+    /// A claimed request that was started goes on, so that a repeat under its
+    /// key gets the first response.
+    fn on_caller_gone(&mut self, request: RequestId) {
+        let Some(pending) = self.pending.get(&request) else { return };
+        if pending.claim.is_none() || !pending.is_started {
+            self.on_requests(RequestsEvent::Cancelled { request });
+        }
+    }
+
+    pub(super) fn on_requests(&mut self, event: RequestsEvent) {
+        for action in self.requests.handle(self.now, event) {
+            self.apply_requests(action);
+        }
+    }
+
+    fn apply_requests(&mut self, action: RequestsAction) {
+        match action {
+            RequestsAction::Dispatch { request, attempt, target, timeout_ms } => {
+                self.dispatch(request, attempt, &target, timeout_ms);
+            }
+            RequestsAction::AbortAttempt { request, attempt } => {
+                let pending = self.pending.get_mut(&request);
+                if let Some(task) = pending.and_then(|pending| pending.attempts.remove(&attempt)) {
+                    task.abort();
+                }
+            }
+            RequestsAction::Forward { request, to, .. } => {
+                self.forward(request, &to, ForwardKind::Run);
+            }
+            RequestsAction::Answer { request, .. } => {
+                let response = self.pending.get_mut(&request).and_then(|p| p.response.take());
+                self.finish(
+                    request,
+                    match response {
+                        Some(response) => End::Answered(response),
+                        None => End::unknown(Refusal::ResponseLost),
+                    },
+                );
+            }
+            RequestsAction::NotRun { request, refusal, retry_after_ms } => {
+                self.finish(request, End::not_run(refusal, retry_after_ms));
+            }
+            RequestsAction::Unknown { request, refusal } => {
+                self.finish(request, End::unknown(refusal));
+            }
+            RequestsAction::Send { to, message } => {
+                self.send(&to, crate::protocol::peer::PeerMessage::Requests(message));
+            }
+        }
+    }
+
+    fn dispatch(&mut self, request: RequestId, attempt: u32, target: &TargetId, timeout_ms: u64) {
+        let address = self.fleet_state.address_of(target);
+        let Some(pending) = self.pending.get_mut(&request) else { return };
+        pending.is_started = true;
+        let ends = self.ends.clone();
+        let end = move |(result, response)| {
+            let _ = ends.send(TaskEnd::Attempt { request, attempt, result, response });
+        };
+        let Some(address) = address else {
+            return end((AttemptResult::NotSent, None));
+        };
+        let (targets, target_request) = (self.targets.clone(), pending.target_request.clone());
+        let time = Duration::from_millis(timeout_ms);
+        let task = tokio::task::spawn_local(async move {
+            end(targets.send(address, target_request, time).await);
+        });
+        pending.attempts.insert(attempt, task.abort_handle());
+    }
+
+    pub(super) fn on_attempt_end(
+        &mut self,
+        request: RequestId,
+        attempt: u32,
+        result: AttemptResult,
+        response: Option<TargetResponse>,
+    ) {
+        if let Some(pending) = self.pending.get_mut(&request) {
+            pending.attempts.remove(&attempt);
+            if response.is_some() {
+                pending.response = response;
+            }
+        }
+        self.on_requests(RequestsEvent::AttemptEnded { request, attempt, result });
+    }
+
+    /// Forwards a request and reports its end to the loop.
+    fn forward(&mut self, request: RequestId, to: &EntryId, kind: ForwardKind) {
+        let Some(pending) = self.pending.get_mut(&request) else { return };
+        pending.is_started = true;
+        let now_ms = self.now.monotonic_ms;
+        let message = pending.to_forward(kind, now_ms);
+        let time = Duration::from_millis(message.remaining_ms);
+        let exchange = self.peers.link(to).map(|link| link.forward(message, time));
+        let ends = self.ends.clone();
+        tokio::task::spawn_local(async move {
+            let result = match exchange {
+                Some(exchange) => exchange.await,
+                None => Err(ForwardFailure::NotSent),
+            };
+            let _ = ends.send(forward_end(request, result));
+        });
+    }
+
+    pub(super) fn on_forward_end(
+        &mut self,
+        request: RequestId,
+        result: ForwardResult,
+        retry_after_ms: Option<u64>,
+        response: Option<TargetResponse>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&request) else { return };
+        pending.response = response.or(pending.response.take());
+        let is_home_forward = !pending.meta.repeatable && pending.claim.is_none();
+        if !is_home_forward || pending.key.is_none() || pending.meta.forwarded {
+            return self.on_requests(RequestsEvent::ForwardEnded { request, result });
+        }
+        let response = pending.response.take();
+        self.finish(
+            request,
+            match (result, response) {
+                (ForwardResult::Answered { .. }, Some(response)) => End::Answered(response),
+                (ForwardResult::NotRun(Refusal::HomeUnreachable), _) => {
+                    End::unknown(Refusal::HomeUnreachable)
+                }
+                (ForwardResult::NotRun(refusal), _) => End::not_run(refusal, retry_after_ms),
+                (ForwardResult::Unknown(refusal), _) => End::unknown(refusal),
+                (ForwardResult::Answered { .. }, None) => End::unknown(Refusal::ResponseLost),
+            },
+        );
+    }
+
+    /// Ends a request: tells the at-most-once engine and answers the caller.
+    pub(super) fn finish(&mut self, request: RequestId, end: End) {
+        let Some(pending) = self.pending.remove(&request) else { return };
+        self.count(&pending, &end);
+        if pending.claim.is_some() {
+            let result = match &end {
+                End::Answered(response) => {
+                    self.kept.insert(request, response.clone());
+                    RunResult::Answered { size_bytes: response.body.len() as u64 }
+                }
+                End::Refused { outcome: Outcome::NotRun, .. } => RunResult::NotRun,
+                End::Refused { .. } => RunResult::Unknown,
+            };
+            self.on_once(OnceEvent::RunEnded { request, result });
+        }
+        for task in pending.attempts.into_values() {
+            task.abort();
+        }
+        pending.origin.reply(end);
+    }
+
+    fn count(&mut self, pending: &Pending, end: &End) {
+        let outcome: &'static str = end.outcome().into();
+        let urgency: &'static str = pending.meta.urgency.into();
+        let service = pending.meta.service.to_string();
+        metrics::counter!(
+            "tamarack_requests_total",
+            "service" => service, "class" => urgency, "outcome" => outcome,
+        )
+        .increment(1);
+    }
+}
+
+fn new_pending(
+    origin: Origin,
+    meta: RequestMeta,
+    target_request: TargetRequest,
+    key: Option<Box<str>>,
+    hops: u8,
+) -> Pending {
+    Pending {
+        origin,
+        meta,
+        target_request,
+        key,
+        claim: None,
+        is_started: false,
+        hops,
+        attempts: HashMap::new(),
+        response: None,
+    }
+}
+
+/// Translates the reply of the other entry host.
+fn forward_end(request: RequestId, result: Result<ForwardResponse, ForwardFailure>) -> TaskEnd {
+    let (result, retry_after_ms, response) = match result {
+        Ok(response) => {
+            let refusal = response.refusal.clone().unwrap_or(Refusal::ResponseLost);
+            let retry_after_ms = response.retry_after_ms;
+            match response.outcome {
+                Outcome::NotRun => (ForwardResult::NotRun(refusal), retry_after_ms, None),
+                Outcome::Unknown => (ForwardResult::Unknown(refusal), None, None),
+                Outcome::Answered => match decode_answer(response) {
+                    Some(answer) => {
+                        let status = answer.status.as_u16();
+                        (ForwardResult::Answered { status }, None, Some(answer))
+                    }
+                    None => (ForwardResult::Unknown(Refusal::ResponseLost), None, None),
+                },
+            }
+        }
+        Err(ForwardFailure::NotSent) => {
+            (ForwardResult::NotRun(Refusal::HomeUnreachable), None, None)
+        }
+        Err(ForwardFailure::Lost) => (ForwardResult::Unknown(Refusal::ResponseLost), None, None),
+    };
+    TaskEnd::Forward { request, result, retry_after_ms, response }
+}
--- a/crates/tamarackproxy/src/protocol/peer.rs
+++ b/crates/tamarackproxy/src/protocol/peer.rs
@@ -13,7 +13,7 @@
     protocol::caller::{Outcome, Refusal},
     state::{
         document::Urgency,
-        ids::{CallerId, DataCentreId, EntryId, ServiceId},
+        ids::{CallerId, DataCentreId, EntryId, HostId, ServiceId},
     },
 };
 
@@ -46,6 +46,18 @@
     Configuration(ConfigurationMessage),
     /// For the fleet engine.
     Fleet(FleetMessage),
+    /// Asks an entry host of the host's data centre to check its health.
+    HealthQuery {
+        /// The host.
+        host: HostId,
+    },
+    /// Result of a health check.
+    HealthStatus {
+        /// The host.
+        host: HostId,
+        /// Whether all its instances answered their health check.
+        healthy: bool,
+    },
     /// Load of the sender's data centre.
     Load {
         /// Data centre that the load is of.
--- a/crates/tamarackproxy/src/state/records/mod.rs
+++ b/crates/tamarackproxy/src/state/records/mod.rs
@@ -3,9 +3,21 @@
 //! Every record is a JSON value under one key. Changing it is one
 //! compare-and-swap on the key's version.
 
+mod budget;
+mod control;
+mod document;
 mod host;
-
-pub use self::host::{HostPhase, HostRecord};
+mod tenure;
+mod wave;
+
+pub use self::{
+    budget::{BudgetRecord, Reservation, ReservationKind},
+    control::{ControlRecord, ControlTermRecord},
+    document::{HeadRecord, HistoryRecord, RevisionChange, SectionChange},
+    host::{HostPhase, HostRecord},
+    tenure::TenureRecord,
+    wave::{WaveFailure, WavePhase, WavePoolRecord, WaveRecord, WaveStop},
+};
 
 use std::collections::VecDeque;
 
