--- /dev/null
+++ b/crates/standins/src/bench/request_sim.rs
@@ -0,0 +1,676 @@
+//! Request engines of a whole deployment on virtual time.
+//!
+//! The network delays messages, targets run attempts for the time that the
+//! workload states, and a small event queue drives the real engines.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tamarackproxy::{
+    coordination::requests::{
+        AttemptResult, CallerLimits, ForwardResult, RequestEngine, RequestMeta, RequestsAction,
+        RequestsEvent, RequestsMessage, SeatShare, ServiceLimits, ServiceLoad, TargetState,
+    },
+    protocol::caller::Refusal,
+    state::{
+        clock::ClockReading,
+        document::Urgency,
+        ids::{CallerId, DataCentreId, EntryId, HostId, RequestId, ServiceId, TargetId},
+    },
+};
+
+/// Slots of each target.
+pub const SLOTS: u16 = 8;
+/// Connections of each target.
+const CONNECTIONS: u16 = 64;
+/// One-way delay inside a data centre, in microseconds.
+const LOCAL_DELAY_US: u64 = 100;
+/// One-way delay between data centres, in microseconds.
+const REMOTE_DELAY_US: u64 = 1_400;
+/// One-way delay between a client and its entry host, in microseconds.
+pub const CLIENT_DELAY_US: u64 = 1_000;
+/// Time between heartbeats, which carry the loads, in microseconds.
+const HEARTBEAT_US: u64 = 1_000_000;
+/// Added to the number of a request at the entry host that it is forwarded to.
+const FORWARDED_ID: u64 = 1 << 40;
+
+/// Entry hosts and targets of a deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Name in figures.
+    pub name: &'static str,
+    /// Number of data centres.
+    pub data_centres: usize,
+    /// Entry hosts of each data centre.
+    pub entries: usize,
+    /// Instances of each service, spread over the data centres in turn.
+    pub instances: Vec<usize>,
+    /// Requests that may wait for one service on one entry host.
+    pub queue_limit: u32,
+}
+
+/// A request of the workload.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When it reaches its entry host, in microseconds.
+    pub at_us: u64,
+    /// Data centre of the entry host.
+    pub data_centre: usize,
+    /// Entry host within the data centre.
+    pub entry: usize,
+    /// Index of the service.
+    pub service: usize,
+    /// Number of the caller.
+    pub caller: u32,
+    /// Its class.
+    pub urgency: Urgency,
+    /// Time from the arrival to the deadline, in milliseconds.
+    pub deadline_ms: u64,
+    /// Time that a target needs for it, in microseconds.
+    pub service_us: u64,
+    /// Whether it is part of the flood.
+    pub flood: bool,
+}
+
+/// What became of a request; times in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fate {
+    /// When a target started it first.
+    pub started_us: Option<u64>,
+    /// When its response left the entry host.
+    pub answered_us: Option<u64>,
+    /// When it was refused or given up.
+    pub refused_us: Option<u64>,
+}
+
+impl Fate {
+    /// Whether the response came before the deadline.
+    pub fn in_time(&self, arrival: &Arrival) -> bool {
+        let deadline_us = arrival.at_us + arrival.deadline_ms * 1_000;
+        self.answered_us.is_some_and(|answered| answered <= deadline_us)
+    }
+}
+
+/// Time spent in decisions, by what became of the request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DecisionCost {
+    /// In arrivals that were refused at once.
+    pub refused: Duration,
+    /// Number of them.
+    pub refusals: u64,
+    /// In other arrivals and in ends of attempts.
+    pub answered: Duration,
+    /// Number of answers.
+    pub answers: u64,
+}
+
+impl DecisionCost {
+    /// Cost of a refused request over that of an answered one.
+    pub fn ratio(&self) -> f64 {
+        let each = |time: Duration, count: u64| time.as_secs_f64() / count.max(1) as f64;
+        each(self.refused, self.refusals) / each(self.answered, self.answers)
+    }
+}
+
+/// A change from outside at a certain time.
+#[derive(Clone, Copy, Debug)]
+pub enum Disturbance {
+    /// The entry host is gone: it handles nothing more until it is replaced.
+    Dies { entry: usize },
+    /// A new process holds the seat of a dead entry host.
+    Replaced { entry: usize },
+    /// The seat is suspended (false) or confirmed again (true).
+    Seat { entry: usize, held: bool },
+}
+
+#[derive(Debug)]
+enum Happening {
+    Arrival(usize),
+    Tick(usize),
+    Event(usize, Box<RequestsEvent>),
+    ForwardArrives { from: usize, to: usize, number: usize },
+    TargetDone { target: usize },
+    Heartbeat,
+    Disturbance(Disturbance),
+    Sample,
+}
+
+struct Entry {
+    engine: RequestEngine,
+    name: EntryId,
+    data_centre: usize,
+    index: u16,
+    alive: bool,
+    held: bool,
+    tick_us: u64,
+    generation: u64,
+}
+
+struct Target {
+    id: TargetId,
+    running: u16,
+    most: u16,
+}
+
+/// Time-weighted counts of slots; times in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SlotUse {
+    /// Most attempts that ran at one target at once.
+    pub most_at_once: u16,
+    /// Samples in which a request waited.
+    pub waiting_samples: u64,
+    /// Slots in use in these samples.
+    pub used: u64,
+    /// Slots in all in these samples.
+    pub slots: u64,
+    /// Longest time in a row in which a request waited on one entry host while
+    /// a target of its service had an idle slot of a live, held seat.
+    pub longest_idle_us: u64,
+}
+
+/// The simulation of one run.
+pub struct RequestSim<'a> {
+    deployment: &'a Deployment,
+    arrivals: &'a [Arrival],
+    /// What became of each arrival.
+    pub fates: Vec<Fate>,
+    /// Time spent in decisions.
+    pub cost: DecisionCost,
+    /// Use of slots.
+    pub slot_use: SlotUse,
+    lending: bool,
+    loss: f64,
+    rng: ChaCha8Rng,
+    now_us: u64,
+    sequence: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    happenings: HashMap<u64, Happening>,
+    entries: Vec<Entry>,
+    targets: Vec<Target>,
+    target_index: HashMap<TargetId, usize>,
+    origins: HashMap<(usize, u64), usize>,
+    idle_since_us: HashMap<(usize, usize), u64>,
+    seed: u64,
+}
+
+/// Name of a service.
+pub fn service_id(index: usize) -> ServiceId {
+    ServiceId::new(format!("s{index}"))
+}
+
+fn entry_id(index: usize) -> EntryId {
+    EntryId::new(format!("e{index}"))
+}
+
+fn data_centre_id(index: usize) -> DataCentreId {
+    DataCentreId::new(format!("dc{index}"))
+}
+
+impl<'a> RequestSim<'a> {
+    /// Makes a deployment that is about to receive `arrivals`, in time order.
+    pub fn new(deployment: &'a Deployment, arrivals: &'a [Arrival], seed: u64) -> Self {
+        let mut sim = Self {
+            deployment,
+            arrivals,
+            fates: vec![Fate::default(); arrivals.len()],
+            cost: DecisionCost::default(),
+            slot_use: SlotUse::default(),
+            lending: true,
+            loss: 0.0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now_us: 0,
+            sequence: 0,
+            queue: BinaryHeap::new(),
+            happenings: HashMap::new(),
+            entries: Vec::new(),
+            targets: Vec::new(),
+            target_index: HashMap::new(),
+            origins: HashMap::new(),
+            idle_since_us: HashMap::new(),
+            seed,
+        };
+        sim.place_targets();
+        for index in 0..deployment.data_centres * deployment.entries {
+            let entry = sim.new_entry(index);
+            sim.entries.push(entry);
+        }
+        sim
+    }
+
+    /// Makes entry hosts that lend no slots: each has its base share only.
+    #[must_use]
+    pub fn without_lending(mut self) -> Self {
+        self.lending = false;
+        self
+    }
+
+    /// Loses messages between entry hosts with this probability.
+    #[must_use]
+    pub fn with_loss(mut self, probability: f64) -> Self {
+        self.loss = probability;
+        self
+    }
+
+    /// Adds changes from outside, by time in microseconds.
+    #[must_use]
+    pub fn with_disturbances(mut self, disturbances: &[(u64, Disturbance)]) -> Self {
+        for &(at_us, disturbance) in disturbances {
+            self.push(at_us, Happening::Disturbance(disturbance));
+        }
+        self
+    }
+
+    /// Samples the use of slots with this period, in microseconds.
+    #[must_use]
+    pub fn with_samples(mut self, period_us: u64, end_us: u64) -> Self {
+        for at_us in (period_us..end_us).step_by(period_us as usize) {
+            self.push(at_us, Happening::Sample);
+        }
+        self
+    }
+
+    fn place_targets(&mut self) {
+        let mut host = 0;
+        for (service, &instances) in self.deployment.instances.iter().enumerate() {
+            for _ in 0..instances {
+                let name = format!("dc{}-h{host}", host % self.deployment.data_centres);
+                let id = TargetId::new(service_id(service), HostId::new(name));
+                self.target_index.insert(id.clone(), self.targets.len());
+                self.targets.push(Target { id, running: 0, most: 0 });
+                host += 1;
+            }
+        }
+    }
+
+    fn new_entry(&self, index: usize) -> Entry {
+        let data_centre = index / self.deployment.entries;
+        let name = entry_id(index);
+        let seed = self.seed.wrapping_mul(1_000).wrapping_add(index as u64);
+        Entry {
+            engine: RequestEngine::new(name.clone(), data_centre_id(data_centre), seed),
+            name,
+            data_centre,
+            index: (index % self.deployment.entries) as u16,
+            alive: true,
+            held: false,
+            tick_us: u64::MAX,
+            generation: 0,
+        }
+    }
+
+    /// Tells an entry host the document, the targets, its peers and its seat.
+    fn start_entry(&mut self, index: usize) {
+        let services = (0..self.deployment.instances.len())
+            .map(|service| ServiceLimits {
+                service: service_id(service),
+                slots: SLOTS,
+                connections: CONNECTIONS,
+                queue_limit: self.deployment.queue_limit,
+            })
+            .collect();
+        let callers = Vec::<CallerLimits>::new();
+        self.handle(index, RequestsEvent::ServicesChanged { services, callers });
+        let data_centre = self.entries[index].data_centre;
+        let prefix = format!("dc{data_centre}-");
+        let targets = self
+            .targets
+            .iter()
+            .filter(|target| target.id.host.as_str().starts_with(&prefix))
+            .map(|target| TargetState {
+                target: target.id.clone(),
+                data_centre: data_centre_id(data_centre),
+                accepts_work: true,
+            })
+            .collect();
+        self.handle(index, RequestsEvent::TargetsChanged { targets });
+        self.set_seat(index, true);
+    }
+
+    fn set_seat(&mut self, index: usize, held: bool) {
+        let share =
+            SeatShare { index: self.entries[index].index, seats: self.deployment.entries as u16 };
+        self.entries[index].held = held;
+        self.handle(index, RequestsEvent::SeatChanged { seat: held.then_some(share) });
+    }
+
+    fn tell_peers(&mut self, data_centre: usize) {
+        let first = data_centre * self.deployment.entries;
+        let members: Vec<usize> = (first..first + self.deployment.entries).collect();
+        let alive: Vec<EntryId> = members
+            .iter()
+            .filter(|&&index| self.entries[index].alive)
+            .map(|&index| self.entries[index].name.clone())
+            .collect();
+        for index in members {
+            if self.entries[index].alive && self.lending {
+                self.handle(index, RequestsEvent::PeersChanged { peers: alive.clone() });
+            }
+        }
+    }
+
+    /// Runs until nothing more happens or `end_us` is reached.
+    pub fn run(&mut self, end_us: u64) {
+        for index in 0..self.entries.len() {
+            self.start_entry(index);
+        }
+        for data_centre in 0..self.deployment.data_centres {
+            self.tell_peers(data_centre);
+        }
+        self.push(HEARTBEAT_US, Happening::Heartbeat);
+        if let Some(first) = self.arrivals.first() {
+            self.push(first.at_us, Happening::Arrival(0));
+        }
+        while let Some(Reverse((at_us, number))) = self.queue.pop() {
+            if at_us > end_us {
+                break;
+            }
+            self.now_us = at_us;
+            if let Some(happening) = self.happenings.remove(&number) {
+                self.happen(happening);
+            }
+        }
+        let most = self.targets.iter().map(|target| target.most).max().unwrap_or(0);
+        self.slot_use.most_at_once = most;
+    }
+
+    fn push(&mut self, at_us: u64, happening: Happening) {
+        self.sequence += 1;
+        self.happenings.insert(self.sequence, happening);
+        self.queue.push(Reverse((at_us, self.sequence)));
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrival(number) => {
+                if let Some(next) = self.arrivals.get(number + 1) {
+                    self.push(next.at_us, Happening::Arrival(number + 1));
+                }
+                self.arrive(number);
+            }
+            Happening::Tick(index) => {
+                if self.entries[index].tick_us <= self.now_us {
+                    self.entries[index].tick_us = u64::MAX;
+                    self.handle(index, RequestsEvent::Tick);
+                }
+            }
+            Happening::Event(index, event) => self.handle(index, *event),
+            Happening::ForwardArrives { from, to, number } => {
+                self.forward_arrives(from, to, number);
+            }
+            Happening::TargetDone { target } => self.targets[target].running -= 1,
+            Happening::Heartbeat => self.heartbeat(),
+            Happening::Disturbance(disturbance) => self.disturb(disturbance),
+            Happening::Sample => self.sample(),
+        }
+    }
+
+    fn meta(&self, number: usize, forwarded: bool) -> RequestMeta {
+        let arrival = &self.arrivals[number];
+        RequestMeta {
+            service: service_id(arrival.service),
+            caller: CallerId::new(format!("c{}", arrival.caller)),
+            urgency: arrival.urgency,
+            deadline_at_ms: arrival.at_us / 1_000 + arrival.deadline_ms,
+            repeatable: true,
+            forwarded,
+        }
+    }
+
+    /// Submits an arrival; the load balancer passes over dead entry hosts.
+    fn arrive(&mut self, number: usize) {
+        let arrival = &self.arrivals[number];
+        let per_data_centre = self.deployment.entries;
+        let first = arrival.data_centre * per_data_centre;
+        let alive = (0..per_data_centre)
+            .map(|offset| first + (arrival.entry + offset) % per_data_centre)
+            .find(|&index| self.entries[index].alive && self.entries[index].held);
+        let Some(index) = alive else { return };
+        let meta = self.meta(number, false);
+        let request = RequestId(number as u64);
+        self.handle(index, RequestsEvent::Submitted { request, meta });
+    }
+
+    fn forward_arrives(&mut self, from: usize, to: usize, number: usize) {
+        let request = RequestId(number as u64 + FORWARDED_ID);
+        if !self.entries[to].alive {
+            return;
+        }
+        self.origins.insert((to, request.0), from);
+        let meta = self.meta(number, true);
+        self.handle(to, RequestsEvent::Submitted { request, meta });
+    }
+
+    fn handle(&mut self, index: usize, event: RequestsEvent) {
+        let entry = &mut self.entries[index];
+        if !entry.alive {
+            return;
+        }
+        let now = ClockReading::new(self.now_us / 1_000, self.now_us / 1_000);
+        let submitted = match event {
+            RequestsEvent::Submitted { request, .. } => Some(request),
+            _ => None,
+        };
+        let counts = submitted.is_some() || matches!(event, RequestsEvent::AttemptEnded { .. });
+        let start = Instant::now();
+        let actions = entry.engine.handle(now, event);
+        let took = start.elapsed();
+        let refused = matches!(
+            actions[..],
+            [RequestsAction::NotRun { request, .. }] if submitted == Some(request)
+        );
+        if refused {
+            self.cost.refused += took;
+            self.cost.refusals += 1;
+        } else if counts {
+            self.cost.answered += took;
+        }
+        if let Some(next_ms) = entry.engine.next_tick_ms() {
+            let at_us = (next_ms * 1_000).max(self.now_us);
+            if at_us < entry.tick_us {
+                entry.tick_us = at_us;
+                self.push(at_us, Happening::Tick(index));
+            }
+        }
+        for action in actions {
+            self.apply(index, action);
+        }
+    }
+
+    fn apply(&mut self, index: usize, action: RequestsAction) {
+        match action {
+            RequestsAction::Dispatch { request, attempt, target, timeout_ms } => {
+                self.dispatch(index, request, attempt, &target, timeout_ms);
+            }
+            RequestsAction::Forward { request, to, .. } => {
+                let to = self.index_of(&to);
+                let number = request.0 as usize;
+                let at_us = self.now_us + REMOTE_DELAY_US;
+                self.push(at_us, Happening::ForwardArrives { from: index, to, number });
+            }
+            RequestsAction::Answer { request, .. } => {
+                self.cost.answers += 1;
+                self.end(index, request, ForwardResult::Answered { status: 200 });
+            }
+            RequestsAction::NotRun { request, refusal, .. } => {
+                self.end(index, request, ForwardResult::NotRun(refusal));
+            }
+            RequestsAction::Unknown { request, refusal } => {
+                self.end(index, request, ForwardResult::Unknown(refusal));
+            }
+            RequestsAction::Send { to, message } => self.send(index, &to, message),
+            RequestsAction::AbortAttempt { .. } => {}
+        }
+    }
+
+    fn index_of(&self, entry: &EntryId) -> usize {
+        entry.as_str()[1..].parse().unwrap_or(0)
+    }
+
+    fn send(&mut self, from: usize, to: &EntryId, message: RequestsMessage) {
+        if self.loss > 0.0 && self.rng.random_bool(self.loss) {
+            return;
+        }
+        let from = self.entries[from].name.clone();
+        let event = RequestsEvent::Received { from, message };
+        let to = self.index_of(to);
+        self.push(self.now_us + LOCAL_DELAY_US, Happening::Event(to, Box::new(event)));
+    }
+
+    fn dispatch(
+        &mut self,
+        index: usize,
+        request: RequestId,
+        attempt: u32,
+        target: &TargetId,
+        timeout_ms: u64,
+    ) {
+        let number = (request.0 % FORWARDED_ID) as usize;
+        let target = self.target_index[target];
+        let state = &mut self.targets[target];
+        state.running += 1;
+        state.most = state.most.max(state.running);
+        let start_us = self.now_us + LOCAL_DELAY_US;
+        self.fates[number].started_us.get_or_insert(start_us);
+        let service_us = self.arrivals[number].service_us;
+        self.push(start_us + service_us, Happening::TargetDone { target });
+        let end_us = start_us + service_us + LOCAL_DELAY_US;
+        let limit_us = self.now_us + timeout_ms * 1_000;
+        let (at_us, result) = if end_us <= limit_us {
+            (end_us, AttemptResult::Answered { status: 200, leaving: false })
+        } else {
+            (limit_us, AttemptResult::TimedOut)
+        };
+        let event = RequestsEvent::AttemptEnded { request, attempt, result };
+        self.push(at_us, Happening::Event(index, Box::new(event)));
+    }
+
+    fn end(&mut self, index: usize, request: RequestId, result: ForwardResult) {
+        if let Some(origin) = self.origins.remove(&(index, request.0)) {
+            let request = RequestId(request.0 - FORWARDED_ID);
+            let event = RequestsEvent::ForwardEnded { request, result };
+            self.push(self.now_us + REMOTE_DELAY_US, Happening::Event(origin, Box::new(event)));
+            return;
+        }
+        let fate = &mut self.fates[request.0 as usize];
+        match result {
+            ForwardResult::Answered { .. } => fate.answered_us = Some(self.now_us),
+            ForwardResult::NotRun(Refusal::Cancelled) => {}
+            _ => fate.refused_us = Some(self.now_us),
+        }
+    }
+
+    /// Passes each data centre's load to the entry hosts of the others.
+    fn heartbeat(&mut self) {
+        self.push(self.now_us + HEARTBEAT_US, Happening::Heartbeat);
+        for data_centre in 0..self.deployment.data_centres {
+            let loads = self.loads(data_centre);
+            let first = data_centre * self.deployment.entries;
+            let gateways: Vec<EntryId> = self.entries[first..first + self.deployment.entries]
+                .iter()
+                .filter(|entry| entry.alive && entry.held)
+                .map(|entry| entry.name.clone())
+                .collect();
+            if gateways.is_empty() {
+                continue;
+            }
+            for index in 0..self.entries.len() {
+                if self.entries[index].data_centre != data_centre {
+                    let event = RequestsEvent::RemoteLoad {
+                        data_centre: data_centre_id(data_centre),
+                        gateway: gateways[index % gateways.len()].clone(),
+                        loads: loads.clone(),
+                    };
+                    let at_us = self.now_us + REMOTE_DELAY_US;
+                    self.push(at_us, Happening::Event(index, Box::new(event)));
+                }
+            }
+        }
+    }
+
+    fn loads(&self, data_centre: usize) -> Vec<ServiceLoad> {
+        let mut sum: Vec<ServiceLoad> = Vec::new();
+        for entry in self.entries.iter().filter(|e| e.alive && e.data_centre == data_centre) {
+            for load in entry.engine.loads() {
+                match sum.iter_mut().find(|other| other.service == load.service) {
+                    Some(other) => {
+                        other.idle_slots += load.idle_slots;
+                        other.queued += load.queued;
+                        other.in_flight += load.in_flight;
+                    }
+                    None => sum.push(load),
+                }
+            }
+        }
+        sum
+    }
+
+    fn disturb(&mut self, disturbance: Disturbance) {
+        match disturbance {
+            Disturbance::Dies { entry } => {
+                self.entries[entry].alive = false;
+                self.tell_peers(self.entries[entry].data_centre);
+            }
+            Disturbance::Replaced { entry } => {
+                let generation = self.entries[entry].generation + 1;
+                self.entries[entry] = self.new_entry(entry);
+                self.entries[entry].generation = generation;
+                self.start_entry(entry);
+                self.tell_peers(self.entries[entry].data_centre);
+            }
+            Disturbance::Seat { entry, held } => self.set_seat(entry, held),
+        }
+    }
+
+    /// Notes how many slots are in use where requests wait, and for how long a
+    /// request has waited beside an idle slot.
+    fn sample(&mut self) {
+        let all: Vec<Vec<ServiceLoad>> = self
+            .entries
+            .iter()
+            .map(|entry| match entry.alive && entry.held {
+                true => entry.engine.loads(),
+                false => Vec::new(),
+            })
+            .collect();
+        for data_centre in 0..self.deployment.data_centres {
+            let first = data_centre * self.deployment.entries;
+            let members = first..first + self.deployment.entries;
+            for service in 0..self.deployment.instances.len() {
+                let id = service_id(service);
+                let find = |index: usize| all[index].iter().find(|load| load.service == id);
+                let idle: u32 = members.clone().filter_map(find).map(|load| load.idle_slots).sum();
+                let waits = |index: usize| find(index).is_some_and(|load| load.queued > 0);
+                for index in members.clone() {
+                    if waits(index) && idle > 0 {
+                        let since =
+                            *self.idle_since_us.entry((index, service)).or_insert(self.now_us);
+                        let longest = &mut self.slot_use.longest_idle_us;
+                        *longest = (*longest).max(self.now_us - since);
+                    } else {
+                        self.idle_since_us.remove(&(index, service));
+                    }
+                }
+                if members.clone().any(waits) {
+                    self.sample_use(data_centre, &id);
+                }
+            }
+        }
+    }
+
+    fn sample_use(&mut self, data_centre: usize, service: &ServiceId) {
+        let prefix = format!("dc{data_centre}-");
+        let targets = self.targets.iter().filter(|target| {
+            target.id.service == *service && target.id.host.as_str().starts_with(&prefix)
+        });
+        self.slot_use.waiting_samples += 1;
+        for target in targets {
+            self.slot_use.used += u64::from(target.running);
+            self.slot_use.slots += u64::from(SLOTS);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bench/slots.rs
@@ -0,0 +1,1 @@
+//! `slots`: overruns and use of shared slots, against static shares.
