--- a/crates/tamarackproxy/src/coordination/requests/admission.rs
+++ b/crates/tamarackproxy/src/coordination/requests/admission.rs
@@ -12,6 +12,10 @@
 /// Shortest and longest time that a refused caller is asked to wait, in
 /// milliseconds.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (100, 30_000);
+/// Share of the time before the deadline that the expected wait may take. More
+/// urgent and less busy callers that arrive later lengthen the wait, and a
+/// request that is given up after its wait has used a place in vain.
+const WAIT_SHARE_MAX: f64 = 0.5;
 /// Time that a caller is asked to wait where nothing can be estimated, in
 /// milliseconds: about the time of a seat's takeover or a target's restart.
 const RETRY_AFTER_UNKNOWN_MS: u64 = 1_000;
@@ -45,9 +49,6 @@
         if meta.deadline_at_ms <= self.now_ms {
             return Err((Refusal::DeadlinePassed, None));
         }
-        if self.request_keys.contains_key(&id) {
-            return Err((Refusal::Malformed("the request id is in use".into()), None));
-        }
         let caller = self.caller_key(&meta.caller);
         if !meta.forwarded {
             let taken = self.callers[caller].take(self.now_ms);
@@ -55,6 +56,9 @@
         }
         let class = class_index(meta.urgency);
         self.check_deadline(service, caller, class, meta.deadline_at_ms)?;
+        if self.request_keys.contains_key(&id) {
+            return Err((Refusal::Malformed("the request id is in use".into()), None));
+        }
         if self.services[service].queue.len() >= queue_limit {
             self.make_room(service, caller, class, queue_limit)?;
         }
@@ -69,16 +73,20 @@
         class: usize,
         deadline_at_ms: u64,
     ) -> Result<(), (Refusal, Option<u64>)> {
-        let expected = self.services[key].expected_ms(class).unwrap_or(0.0);
         let wait_ms = self.expected_wait_ms(key, caller, class);
+        let service = &self.services[key];
+        let (expected, needed_ms) = match wait_ms > 0.0 {
+            true => (wait_ms / WAIT_SHARE_MAX, service.ample_ms(class)),
+            false => (0.0, service.expected_ms(class).unwrap_or(0.0)),
+        };
         let remaining_ms = (deadline_at_ms - self.now_ms) as f64;
-        if wait_ms + expected <= remaining_ms {
+        if expected + needed_ms <= remaining_ms {
             return Ok(());
         }
         if wait_ms.is_infinite() {
             return Err((Refusal::NoTarget, Some(RETRY_AFTER_UNKNOWN_MS)));
         }
-        let excess_ms = (wait_ms + expected - remaining_ms) as u64;
+        let excess_ms = (expected + needed_ms - remaining_ms) as u64;
         Err((Refusal::DeadlineUnreachable, Some(clamp(excess_ms))))
     }
 
--- a/crates/tamarackproxy/src/coordination/requests/attempts.rs
+++ b/crates/tamarackproxy/src/coordination/requests/attempts.rs
@@ -100,11 +100,11 @@
             _ => true,
         };
         if !failed {
-            service.slot_time_ms[attempt.class].add_service_time(took_ms);
-            service.latency_ms.add_service_time(took_ms);
+            service.class_time[attempt.class].add(took_ms);
+            service.service_time.add(took_ms);
         }
         service.errors.add(now_ms, failed);
-        let (errors, usual_ms) = (service.errors, service.latency_ms.get().unwrap_or(1.0).max(0.1));
+        let (errors, usual_ms) = (service.errors, service.usual_ms());
         let may_eject = self.may_eject(service_key);
         let health = &mut self.targets[target_key].health;
         let ejected_until = health.ejected_until_ms();
--- a/crates/tamarackproxy/src/coordination/requests/limits.rs
+++ b/crates/tamarackproxy/src/coordination/requests/limits.rs
@@ -7,6 +7,10 @@
 /// Weight of the newest sample in a running mean of service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
 
+/// Deviations above the mean that a request is given when others wait: about
+/// one in twenty requests takes longer.
+const DEVIATIONS_ALLOWED: f64 = 2.0;
+
 /// Running mean that starts with its first sample.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunningMean(Option<f64>);
@@ -17,17 +21,40 @@
         self.0 = Some(self.0.map_or(sample, |mean| mean + weight * (sample - mean)));
     }
 
-    /// Adds a sample of service time.
-    pub fn add_service_time(&mut self, sample_ms: f64) {
-        self.add(sample_ms, SERVICE_TIME_WEIGHT);
-    }
-
     /// Returns the mean, if there was a sample.
     pub fn get(self) -> Option<f64> {
         self.0
     }
 }
 
+/// Running mean and mean deviation of service time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ServiceTime {
+    mean_ms: RunningMean,
+    deviation_ms: RunningMean,
+}
+
+impl ServiceTime {
+    /// Adds a sample.
+    pub fn add(&mut self, sample_ms: f64) {
+        if let Some(mean_ms) = self.mean_ms.get() {
+            self.deviation_ms.add((sample_ms - mean_ms).abs(), SERVICE_TIME_WEIGHT);
+        }
+        self.mean_ms.add(sample_ms, SERVICE_TIME_WEIGHT);
+    }
+
+    /// Returns the mean, if there was a sample.
+    pub fn mean_ms(self) -> Option<f64> {
+        self.mean_ms.get()
+    }
+
+    /// Returns the time that most requests need; 0 if nothing is known.
+    pub fn ample_ms(self) -> f64 {
+        let deviation_ms = self.deviation_ms.get().unwrap_or(0.0);
+        self.mean_ms.get().unwrap_or(0.0) + DEVIATIONS_ALLOWED * deviation_ms
+    }
+}
+
 /// A caller as the document describes it, with the state of its rate limit.
 #[derive(Debug)]
 pub(super) struct Caller {
--- a/crates/tamarackproxy/src/coordination/requests/report.rs
+++ b/crates/tamarackproxy/src/coordination/requests/report.rs
@@ -1,7 +1,5 @@
 //! Read access for status, metrics and explanations.
 
-use std::collections::BTreeMap;
-
 use serde::Serialize;
 
 use super::{RequestEngine, ServiceLoad, keys::TargetKey, state::Stage};
@@ -29,18 +27,27 @@
     /// Ejections of targets.
     pub ejections: u64,
     /// Requests refused as not run, by the name of the refusal.
-    pub refused: BTreeMap<&'static str, u64>,
+    pub refused: Vec<(&'static str, u64)>,
     /// Requests that ended with an unknown outcome, by cause.
-    pub unknown: BTreeMap<&'static str, u64>,
+    pub unknown: Vec<(&'static str, u64)>,
+}
+
+/// Counts by name in a short list, which costs less than a map.
+fn count(counts: &mut Vec<(&'static str, u64)>, refusal: &Refusal) {
+    let name: &'static str = refusal.into();
+    match counts.iter_mut().find(|(other, _)| *other == name) {
+        Some((_, count)) => *count += 1,
+        None => counts.push((name, 1)),
+    }
 }
 
 impl RequestCounters {
     pub(super) fn count_refusal(&mut self, refusal: &Refusal) {
-        *self.refused.entry(refusal.into()).or_default() += 1;
+        count(&mut self.refused, refusal);
     }
 
     pub(super) fn count_unknown(&mut self, refusal: &Refusal) {
-        *self.unknown.entry(refusal.into()).or_default() += 1;
+        count(&mut self.unknown, refusal);
     }
 }
 
--- a/crates/tamarackproxy/src/coordination/requests/routing.rs
+++ b/crates/tamarackproxy/src/coordination/requests/routing.rs
@@ -62,11 +62,16 @@
         self.borrow(key);
     }
 
-    /// Whether the deadline leaves less than the expected slot time.
+    /// Whether the deadline leaves too little time. While others wait for the
+    /// slot, a request that would probably use it in vain is given up.
     fn is_too_late(&self, key: RequestKey) -> bool {
         let request = &self.requests[key];
-        let expected = self.services[request.service].expected_ms(request.class).unwrap_or(0.0);
-        (request.meta.deadline_at_ms as f64) < self.now_ms as f64 + expected.max(1.0)
+        let service = &self.services[request.service];
+        let needed_ms = match service.queue.len() > 1 {
+            true => service.ample_ms(request.class),
+            false => service.expected_ms(request.class).unwrap_or(0.0),
+        };
+        (request.meta.deadline_at_ms as f64) < self.now_ms as f64 + needed_ms.max(1.0)
     }
 
     fn route(&mut self, key: ServiceKey, request: RequestKey) -> Option<Route> {
@@ -80,7 +85,7 @@
     fn local_route(&mut self, key: ServiceKey, request_key: RequestKey) -> Option<Route> {
         let request = &self.requests[request_key];
         let service = &self.services[key];
-        let usual_ms = service.latency_ms.get().unwrap_or(1.0).max(0.1);
+        let usual_ms = service.usual_ms();
         let expected_ms = service.expected_ms(request.class).unwrap_or(0.0);
         let wanted_ms = request.meta.deadline_at_ms.saturating_sub(self.now_ms).min(ATTEMPT_MAX_MS);
         let least_ms = (LOAN_ATTEMPT_MIN_MS.max((LOAN_ATTEMPT_SLOT_TIMES * expected_ms) as u64))
--- a/crates/tamarackproxy/src/coordination/requests/state.rs
+++ b/crates/tamarackproxy/src/coordination/requests/state.rs
@@ -6,7 +6,7 @@
     RequestMeta, ServiceLimits, ServiceLoad,
     health::{ErrorShare, TargetHealth},
     keys::{AttemptKey, CallerKey, EntryKey, RequestKey, ServiceKey, TargetKey},
-    limits::RunningMean,
+    limits::ServiceTime,
     queue::ServiceQueue,
     retry::RetryBudget,
     slots::{SlotSource, TargetSlots},
@@ -30,10 +30,10 @@
     pub queue: ServiceQueue,
     pub retries: RetryBudget,
     pub errors: ErrorShare,
-    /// Mean latency of answers by class.
-    pub slot_time_ms: [RunningMean; 3],
-    /// Mean latency of all answers.
-    pub latency_ms: RunningMean,
+    /// Time from dispatch to answer by class.
+    pub class_time: [ServiceTime; 3],
+    /// Time from dispatch to answer of all classes.
+    pub service_time: ServiceTime,
     /// Requests in flight, forwarded ones not included.
     pub in_flight: u32,
     /// Slots that this entry host may use, counted now and then.
@@ -57,8 +57,8 @@
             queue: ServiceQueue::default(),
             retries: RetryBudget::new(),
             errors: ErrorShare::default(),
-            slot_time_ms: [RunningMean::default(); 3],
-            latency_ms: RunningMean::default(),
+            class_time: [ServiceTime::default(); 3],
+            service_time: ServiceTime::default(),
             in_flight: 0,
             capacity: Capacity::default(),
             remotes: Vec::new(),
@@ -71,7 +71,18 @@
 
     /// Expected slot time of a class, in milliseconds, if any answer is known.
     pub fn expected_ms(&self, class: usize) -> Option<f64> {
-        self.slot_time_ms[class].get().or(self.latency_ms.get())
+        self.class_time[class].mean_ms().or(self.service_time.mean_ms())
+    }
+
+    /// Time that most requests of a class need, in milliseconds.
+    pub fn ample_ms(&self, class: usize) -> f64 {
+        let time = self.class_time[class];
+        if time.mean_ms().is_some() { time.ample_ms() } else { self.service_time.ample_ms() }
+    }
+
+    /// Usual latency of a target, in milliseconds, at least a tenth of one.
+    pub fn usual_ms(&self) -> f64 {
+        self.service_time.mean_ms().unwrap_or(1.0).max(0.1)
     }
 
     /// Expected slot time by class in microseconds, for fair queueing.
