Back off when peers lend no slots, and learn the number of seats

Rounds of asking that bring nothing are spaced out to 32 ms, which still finds an idle slot within 50 ms. SeatsConfigured tells the number of seats to entry hosts without a seat, so that a seat that is taken after a change holds back the slots that their former owners may still use.

--- a/crates/standins/src/bench/request_sim.rs
+++ b/crates/standins/src/bench/request_sim.rs
@@ -119,7 +119,8 @@
     pub refused: Duration,
     /// Number of them.
     pub refusals: u64,
-    /// In other arrivals and in ends of attempts.
+    /// In all other events: what is decided for a request that is answered is
+    /// decided when it arrives, when slots come free and when messages arrive.
     pub answered: Duration,
     /// Number of these events.
     pub answered_events: u64,
@@ -487,7 +488,6 @@
             RequestsEvent::Submitted { request, .. } => Some(request),
             _ => None,
         };
-        let counts = submitted.is_some() || matches!(event, RequestsEvent::AttemptEnded { .. });
         let start = Instant::now();
         let actions = entry.engine.handle(now, event);
         let took = start.elapsed();
@@ -498,7 +498,7 @@
         if refused {
             self.cost.refused += took;
             self.cost.refusals += 1;
-        } else if counts {
+        } else {
             self.cost.answered += took;
             self.cost.answered_events += 1;
         }
--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -1,7 +1,6 @@
 //! The request engine: state, events and timers.
 
-use std::collections::HashMap;
-
+use hashbrown::HashMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
@@ -46,8 +45,10 @@
     pub(super) rng: ChaCha8Rng,
     pub(super) now_ms: u64,
     pub(super) seat: Option<SeatShare>,
-    /// Number of seats at the last share, kept while there is none.
+    /// Number of seats that was heard last.
     pub(super) seats: Option<u16>,
+    /// Until when gained slots are held back, in monotonic milliseconds.
+    pub(super) settling_until_ms: u64,
     pub(super) peers: Vec<EntryId>,
     pub(super) stopping: bool,
     pub(super) services: SlotMap<ServiceKey, Service>,
@@ -79,6 +80,7 @@
             now_ms: 0,
             seat: None,
             seats: None,
+            settling_until_ms: 0,
             peers: Vec::new(),
             stopping: false,
             services: SlotMap::with_key(),
@@ -118,6 +120,7 @@
             RequestsEvent::TargetsChanged { targets } => self.targets_changed(targets),
             RequestsEvent::HostLeaving { host } => self.host_leaving(&host, true),
             RequestsEvent::SeatChanged { seat } => self.seat_changed(seat),
+            RequestsEvent::SeatsConfigured { seats } => self.seats_configured(seats),
             RequestsEvent::PeersChanged { peers } => {
                 self.peers = peers.into_iter().filter(|peer| *peer != self.entry).collect();
             }
@@ -188,7 +191,7 @@
             let key = self.caller_key(&limits.caller);
             self.callers[key].apply(limits);
         }
-        self.refresh_bases(false);
+        self.refresh_bases();
     }
 
     /// Returns the key of a service and adds it if it is new.
--- a/crates/tamarackproxy/src/coordination/requests/events.rs
+++ b/crates/tamarackproxy/src/coordination/requests/events.rs
@@ -118,6 +118,10 @@
     HostLeaving { host: HostId },
     /// Share of this entry host changed: seat `index` of `seats`, or none.
     SeatChanged { seat: Option<SeatShare> },
+    /// The number of seats of this data centre is known or has changed, whether
+    /// or not this entry host holds one. Slots that a change brings are held
+    /// back until their former owners have certainly stopped using them.
+    SeatsConfigured { seats: u16 },
     /// Live peers of this data centre, which may lend slots.
     PeersChanged { peers: Vec<EntryId> },
     /// Load of another data centre, with the entry host to forward to.
--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -10,13 +10,11 @@
 };
 use crate::state::ids::{EntryId, ServiceId, TargetId};
 
-/// Time between two rounds of asking peers, in milliseconds.
-const BORROW_INTERVAL_MS: u64 = 8;
-/// Rounds in which all peers are asked; with the interval this asks every
-/// peer within 32 ms, which leaves the rest of 50 ms for the messages.
-const BORROW_ROUNDS: usize = 4;
-/// Peers asked in one round at least.
-const BORROW_PEERS_MIN: usize = 3;
+/// Time between two rounds of asking peers, in milliseconds, while they lend.
+pub(super) const BORROW_INTERVAL_MS: u64 = 8;
+/// Longest time between two rounds, reached when rounds bring nothing: an idle
+/// slot is found within 50 ms, messages and the review of idle loans included.
+const BORROW_INTERVAL_MAX_MS: u64 = 32;
 /// Most slots asked for at once.
 const BORROW_MAX: u32 = 256;
 /// Time between two reviews of idle loans, in milliseconds.
@@ -32,25 +30,23 @@
         if service.borrow_timer || service.queue.is_empty() {
             return;
         }
-        let due = service.asked_at_ms.map_or(0, |asked| asked + BORROW_INTERVAL_MS);
-        service.borrow_timer = true;
-        self.timers.add(due.max(self.now_ms + BORROW_INTERVAL_MS), Timer::Borrow(key));
+        let due = service.asked_at_ms.map_or(0, |asked| asked + service.ask_interval_ms);
         if due > self.now_ms {
+            service.borrow_timer = true;
+            self.timers.add(due, Timer::Borrow(key));
             return;
         }
         service.asked_at_ms = Some(self.now_ms);
-        let count = self.peers.len().div_ceil(BORROW_ROUNDS).max(BORROW_PEERS_MIN);
-        let count = count.min(self.peers.len());
-        let wanted = service.queue.len().min(BORROW_MAX).div_ceil(count as u32) as u16;
+        service.ask_interval_ms = (2 * service.ask_interval_ms).min(BORROW_INTERVAL_MAX_MS);
+        service.borrow_timer = true;
+        self.timers.add(self.now_ms + service.ask_interval_ms, Timer::Borrow(key));
+        let wanted = service.queue.len().min(BORROW_MAX).div_ceil(self.peers.len() as u32);
         let message = RequestsMessage::Borrow {
             service: service.id.clone(),
-            wanted,
+            wanted: wanted as u16,
             asked_at_ms: self.now_ms,
         };
-        let first = service.next_peer;
-        service.next_peer = (first + count) % self.peers.len();
-        for offset in 0..count {
-            let peer = self.peers[(first + offset) % self.peers.len()].clone();
+        for peer in self.peers.clone() {
             self.send(&peer, message.clone());
         }
     }
@@ -131,7 +127,10 @@
                 && !target.health.is_leaving(self.now_ms)
                 && !self.services[target.service].queue.is_empty()
         });
-        let known = self.loans_in.values().any(|loan| loan.id == id && loan.lender == lender);
+        let known = key.is_some_and(|key| {
+            let loans = self.targets[key].slots.loans.iter();
+            loans.map(|&loan| &self.loans_in[loan]).any(|l| l.id == id && l.lender == lender)
+        });
         let (Some(key), true, false) = (key, wanted && ends_at_ms > self.now_ms, known) else {
             self.send(&lender, RequestsMessage::Return { loan: id, slots });
             return;
@@ -143,6 +142,7 @@
         target.slots.loans.push(loan);
         let service = target.service;
         self.services[service].capacity.counted_at_ms = None;
+        self.services[service].ask_interval_ms = BORROW_INTERVAL_MS;
         self.pump(service);
         self.schedule_review(service);
     }
--- a/crates/tamarackproxy/src/coordination/requests/mod.rs
+++ b/crates/tamarackproxy/src/coordination/requests/mod.rs
@@ -23,7 +23,7 @@
         AttemptResult, CallerLimits, ForwardResult, LoanId, RequestMeta, RequestsAction,
         RequestsEvent, RequestsMessage, SeatShare, ServiceLimits, ServiceLoad, TargetState,
     },
-    report::{Explanation, RequestCounters},
+    report::{Explanation, RefusalCounts, RequestCounters},
     slots::{ATTEMPT_GRACE_MS, ATTEMPT_MAX_MS, LOAN_DURATION_MS},
 };
 
--- a/crates/tamarackproxy/src/coordination/requests/report.rs
+++ b/crates/tamarackproxy/src/coordination/requests/report.rs
@@ -1,6 +1,8 @@
 //! Read access for status, metrics and explanations.
 
-use serde::Serialize;
+use std::mem::{Discriminant, discriminant};
+
+use serde::{Serialize, Serializer};
 
 use super::{RequestEngine, ServiceLoad, keys::TargetKey, state::Stage};
 use crate::{
@@ -27,27 +29,47 @@
     /// Ejections of targets.
     pub ejections: u64,
     /// Requests refused as not run, by the name of the refusal.
-    pub refused: Vec<(&'static str, u64)>,
+    pub refused: RefusalCounts,
     /// Requests that ended with an unknown outcome, by cause.
-    pub unknown: Vec<(&'static str, u64)>,
+    pub unknown: RefusalCounts,
+}
+
+/// Counts by kind of refusal, as a list that is searched by discriminant:
+/// refusals are counted in floods, and there are few kinds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RefusalCounts(Vec<(Discriminant<Refusal>, &'static str, u64)>);
+
+impl RefusalCounts {
+    fn add(&mut self, refusal: &Refusal) {
+        let kind = discriminant(refusal);
+        match self.0.iter_mut().find(|(other, ..)| *other == kind) {
+            Some((.., count)) => *count += 1,
+            None => self.0.push((kind, refusal.into(), 1)),
+        }
+    }
+
+    /// Returns the counts with the names of the refusals.
+    pub fn iter(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        self.0.iter().map(|&(_, name, count)| (name, count))
+    }
 }
 
-/// Counts by name in a short list, which costs less than a map.
-fn count(counts: &mut Vec<(&'static str, u64)>, refusal: &Refusal) {
-    let name: &'static str = refusal.into();
-    match counts.iter_mut().find(|(other, _)| *other == name) {
-        Some((_, count)) => *count += 1,
-        None => counts.push((name, 1)),
+impl Serialize for RefusalCounts {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.collect_map(self.iter())
     }
 }
 
 impl RequestCounters {
     pub(super) fn count_refusal(&mut self, refusal: &Refusal) {
-        count(&mut self.refused, refusal);
+        self.refused.add(refusal);
     }
 
     pub(super) fn count_unknown(&mut self, refusal: &Refusal) {
-        count(&mut self.unknown, refusal);
+        self.unknown.add(refusal);
     }
 }
 
--- a/crates/tamarackproxy/src/coordination/requests/slots.rs
+++ b/crates/tamarackproxy/src/coordination/requests/slots.rs
@@ -165,14 +165,11 @@
         }
     }
 
-    /// Applies a new base share. If the number of seats changed, gained slots
-    /// are held back until their former owners have finished.
-    pub fn set_base(&mut self, base: u16, seats_changed: bool) {
-        let settled = self.base - self.held_back.min(self.base);
-        self.held_back = match seats_changed || self.held_back > 0 {
-            true => base.saturating_sub(settled),
-            false => 0,
-        };
+    /// Applies a new base share. While a change of the number of seats settles,
+    /// gained slots are held back.
+    pub fn set_base(&mut self, base: u16, settling: bool) {
+        let usable = self.base.saturating_sub(self.held_back);
+        self.held_back = if settling { base.saturating_sub(usable) } else { 0 };
         self.base = base;
     }
 }
--- a/crates/tamarackproxy/src/coordination/requests/state.rs
+++ b/crates/tamarackproxy/src/coordination/requests/state.rs
@@ -1,12 +1,13 @@
 //! What the engine keeps of services, targets, requests and attempts.
 
-use std::collections::HashMap;
+use hashbrown::HashMap;
 
 use super::{
     RequestMeta, ServiceLimits, ServiceLoad,
     health::{ErrorShare, TargetHealth},
     keys::{AttemptKey, CallerKey, EntryKey, RequestKey, ServiceKey, TargetKey},
     limits::ServiceTime,
+    loans::BORROW_INTERVAL_MS,
     queue::ServiceQueue,
     retry::RetryBudget,
     slots::{SlotSource, TargetSlots},
@@ -44,8 +45,8 @@
     pub asked_at_ms: Option<u64>,
     pub borrow_timer: bool,
     pub review_timer: bool,
-    /// Position in the list of peers for the next round of asking.
-    pub next_peer: usize,
+    /// Time until peers are asked again, in milliseconds.
+    pub ask_interval_ms: u64,
 }
 
 impl Service {
@@ -65,7 +66,7 @@
             asked_at_ms: None,
             borrow_timer: false,
             review_timer: false,
-            next_peer: 0,
+            ask_interval_ms: BORROW_INTERVAL_MS,
         }
     }
 
--- a/crates/tamarackproxy/src/coordination/requests/targets.rs
+++ b/crates/tamarackproxy/src/coordination/requests/targets.rs
@@ -45,7 +45,7 @@
             self.services[service].targets.push(key);
         }
         self.forget_unlisted();
-        self.refresh_bases(false);
+        self.refresh_bases();
         for host in leaving {
             self.host_leaving(&host, true);
         }
@@ -99,23 +99,29 @@
     }
 
     pub(super) fn seat_changed(&mut self, seat: Option<SeatShare>) {
-        let seats = seat.map(|seat| seat.seats);
-        let resized = seats.is_some() && self.seats.is_some() && seats != self.seats;
-        self.seats = seats.or(self.seats);
-        self.seat = seat;
-        self.refresh_bases(resized);
-        if resized {
-            self.timers.add(self.now_ms + SEATS_SETTLE_MS, Timer::SeatsSettled);
+        if let Some(seat) = seat {
+            self.seats_configured(seat.seats);
         }
+        self.seat = seat;
+        self.refresh_bases();
         self.pump_all();
     }
 
+    pub(super) fn seats_configured(&mut self, seats: u16) {
+        if self.seats.is_some_and(|known| known != seats) {
+            self.settling_until_ms = self.now_ms + SEATS_SETTLE_MS;
+            self.timers.add(self.settling_until_ms, Timer::SeatsSettled);
+        }
+        self.seats = Some(seats);
+    }
+
     /// Computes the base shares again.
-    pub(super) fn refresh_bases(&mut self, resized: bool) {
+    pub(super) fn refresh_bases(&mut self) {
+        let settling = self.now_ms < self.settling_until_ms;
         for target in self.targets.values_mut() {
             let total = self.services[target.service].limits.as_ref().map_or(0, |l| l.slots);
             let base = self.seat.map_or(0, |seat| base_slots(total, &target.id, seat));
-            target.slots.set_base(base, resized);
+            target.slots.set_base(base, settling);
         }
         for service in self.services.values_mut() {
             service.capacity.counted_at_ms = None;
@@ -123,10 +129,10 @@
     }
 
     pub(super) fn seats_settled(&mut self) {
-        for target in self.targets.values_mut() {
-            target.slots.held_back = 0;
+        if self.now_ms >= self.settling_until_ms {
+            self.refresh_bases();
+            self.pump_all();
         }
-        self.pump_all();
     }
 
     /// Takes all targets of a host out of use for new work; `tell` passes the
