--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -3,6 +3,7 @@
 mod figure;
 mod flood;
 mod request_sim;
+mod slots;
 
 pub use self::figure::{Bound, Figure};
 
@@ -15,6 +16,8 @@
 pub enum BenchName {
     /// What the other work keeps during a flood.
     Flood,
+    /// Overruns and use of the slots that entry hosts share.
+    Slots,
 }
 
 /// Command line of `tamarack-bench`.
@@ -37,6 +40,7 @@
 pub fn run(name: BenchName, options: &BenchOptions) -> Vec<Figure> {
     match name {
         BenchName::Flood => flood::run(options),
+        BenchName::Slots => slots::run(options),
     }
 }
 
--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -10,7 +10,7 @@
     keys::{AttemptKey, CallerKey, LoanKey, RequestKey, ServiceKey, TargetKey},
     limits::Caller,
     report::RequestCounters,
-    slots::{LoanIn, LoanOut},
+    slots::{LoanIn, LoanOut, LoanTerms},
     state::{Abandoned, Attempt, Request, Service, Target},
     timers::{Timer, Timers},
 };
@@ -156,6 +156,7 @@
                     self.pump(service);
                 }
                 Timer::ReviewLoans(service) => self.review_loans(service),
+                Timer::TellHeld(service) => self.tell_held(service),
                 Timer::Probe(target) => {
                     if let Some(service) = self.targets.get(target).map(|t| t.service) {
                         self.pump(service);
@@ -172,9 +173,13 @@
                 self.lend(from, &service, wanted, asked_at_ms);
             }
             RequestsMessage::Lend { loan, target, slots, duration_ms, asked_at_ms } => {
-                self.loan_received(from, loan, &target, slots, asked_at_ms + duration_ms);
+                let terms = LoanTerms { loan, slots, asked_at_ms, duration_ms };
+                self.loan_received(from, &target, terms);
             }
-            RequestsMessage::Return { loan, slots } => self.loan_returned(&from, loan, slots),
+            RequestsMessage::Held { service, asked_before_ms, loans } => {
+                self.held_by(&from, &service, asked_before_ms, &loans);
+            }
+            RequestsMessage::Return { loan, kept } => self.loan_returned(&from, loan, kept),
             RequestsMessage::Leaving { host } => self.host_leaving(&host, false),
         }
     }
--- a/crates/tamarackproxy/src/coordination/requests/events.rs
+++ b/crates/tamarackproxy/src/coordination/requests/events.rs
@@ -94,8 +94,13 @@
     /// duration from `asked_at_ms` on its own clock, so that a delay of this
     /// message only shortens the loan.
     Lend { loan: LoanId, target: TargetId, slots: u16, duration_ms: u64, asked_at_ms: u64 },
-    /// Returns slots of a loan before its end.
-    Return { loan: LoanId, slots: u16 },
+    /// Lists the slots that the sender holds of the receiver's loans for a
+    /// service. The sender accepts no loan any more that it asked for before
+    /// `asked_before_ms`, so the receiver takes back what was lost on the way.
+    Held { service: ServiceId, asked_before_ms: u64, loans: Vec<(LoanId, u16)> },
+    /// Returns slots of a loan before its end; tells how many the sender keeps,
+    /// so that the order of such messages does not matter.
+    Return { loan: LoanId, kept: u16 },
     /// Tells that the host gives a sign of leaving.
     Leaving { host: HostId },
 }
--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -5,7 +5,7 @@
 use super::{
     LoanId, RequestEngine, RequestsMessage,
     keys::{LoanKey, ServiceKey, TargetKey},
-    slots::{DRIFT_PERCENT, LOAN_DURATION_MS, LoanIn, LoanOut},
+    slots::{ATTEMPT_GRACE_MS, DRIFT_PERCENT, LOAN_DURATION_MS, LoanIn, LoanOut, LoanTerms},
     timers::Timer,
 };
 use crate::state::ids::{EntryId, ServiceId, TargetId};
@@ -17,6 +17,12 @@
 const BORROW_INTERVAL_MAX_MS: u64 = 32;
 /// Most slots asked for at once.
 const BORROW_MAX: u32 = 256;
+/// Time between two lists of the loans held, in milliseconds. A message that
+/// is lost keeps its slots out of use for about this long.
+const HELD_INTERVAL_MS: u64 = 250;
+/// Age of a request for slots beyond which a loan is no longer accepted once
+/// the loans held were listed, in milliseconds: several rounds of messages.
+const LEND_DELAY_MAX_MS: u64 = 20;
 /// Time between two reviews of idle loans, in milliseconds.
 const REVIEW_INTERVAL_MS: u64 = 15;
 
@@ -37,6 +43,10 @@
             return;
         }
         service.asked_at_ms = Some(self.now_ms);
+        if !service.held_timer {
+            service.held_timer = true;
+            self.timers.add(self.now_ms + HELD_INTERVAL_MS, Timer::TellHeld(key));
+        }
         service.ask_interval_ms = (2 * service.ask_interval_ms).min(BORROW_INTERVAL_MAX_MS);
         service.borrow_timer = true;
         self.timers.add(self.now_ms + service.ask_interval_ms, Timer::Borrow(key));
@@ -103,40 +113,31 @@
         target.slots.lent += slots;
         let id = target.id.clone();
         let ends_at_ms = self.now_ms + LOAN_DURATION_MS * (100 + DRIFT_PERCENT) / 100;
-        let record = LoanOut { borrower: to.clone(), target: key, slots, ends_at_ms };
+        let record = LoanOut { borrower: to.clone(), target: key, slots, asked_at_ms, ends_at_ms };
         self.loans_out.insert(loan, record);
         self.timers.add(ends_at_ms, Timer::LoanOutOver(loan));
         let duration_ms = LOAN_DURATION_MS;
         self.send(to, RequestsMessage::Lend { loan, target: id, slots, duration_ms, asked_at_ms });
     }
 
-    pub(super) fn loan_received(
-        &mut self,
-        lender: EntryId,
-        id: LoanId,
-        target: &TargetId,
-        slots: u16,
-        ends_at_ms: u64,
-    ) {
+    pub(super) fn loan_received(&mut self, lender: EntryId, target: &TargetId, terms: LoanTerms) {
         let key = self.target_keys.get(target).copied();
-        let wanted = key.is_some_and(|key| {
-            let target = &self.targets[key];
-            self.seat.is_some()
-                && !self.stopping
-                && target.accepts_work
-                && !target.health.is_leaving(self.now_ms)
-                && !self.services[target.service].queue.is_empty()
-        });
-        let known = key.is_some_and(|key| {
-            let loans = self.targets[key].slots.loans.iter();
-            loans.map(|&loan| &self.loans_in[loan]).any(|l| l.id == id && l.lender == lender)
-        });
-        let (Some(key), true, false) = (key, wanted && ends_at_ms > self.now_ms, known) else {
-            self.send(&lender, RequestsMessage::Return { loan: id, slots });
+        let wanted = key.is_some_and(|key| self.wants_loan(key, &lender, terms));
+        let (Some(key), true) = (key, wanted) else {
+            let message = RequestsMessage::Return { loan: terms.loan, kept: 0 };
+            self.send(&lender, message);
             return;
         };
-        let loan = LoanIn { lender, id, target: key, slots, used: 0, ends_at_ms, recalled: false };
-        let loan = self.loans_in.insert(loan);
+        let ends_at_ms = terms.asked_at_ms + terms.duration_ms;
+        let loan = self.loans_in.insert(LoanIn {
+            lender,
+            id: terms.loan,
+            target: key,
+            slots: terms.slots,
+            used: 0,
+            ends_at_ms,
+            recalled: false,
+        });
         self.timers.add(ends_at_ms, Timer::LoanInOver(loan));
         let target = &mut self.targets[key];
         target.slots.loans.push(loan);
@@ -147,6 +148,74 @@
         self.schedule_review(service);
     }
 
+    /// Whether a loan that arrives is used.
+    fn wants_loan(&self, key: TargetKey, lender: &EntryId, terms: LoanTerms) -> bool {
+        let target = &self.targets[key];
+        let service = &self.services[target.service];
+        let mut loans = target.slots.loans.iter().filter_map(|&loan| self.loans_in.get(loan));
+        let duplicate = loans.any(|loan| loan.id == terms.loan && loan.lender == *lender);
+        let in_time = terms.asked_at_ms >= service.accepted_from_ms
+            && terms.asked_at_ms + terms.duration_ms > self.now_ms;
+        let usable = target.accepts_work && !target.health.is_leaving(self.now_ms);
+        let able = self.seat.is_some() && !self.stopping;
+        able && usable && in_time && !duplicate && !service.queue.is_empty()
+    }
+
+    /// Lists to every peer the loans that are held from it, as long as loans
+    /// that were asked for may exist.
+    pub(super) fn tell_held(&mut self, key: ServiceKey) {
+        let asked_before_ms = self.now_ms.saturating_sub(LEND_DELAY_MAX_MS);
+        let service = &mut self.services[key];
+        service.accepted_from_ms = asked_before_ms;
+        let last_loan_ends_ms = service.asked_at_ms.map_or(0, |asked| asked + LOAN_DURATION_MS);
+        service.held_timer = self.now_ms < last_loan_ends_ms;
+        if service.held_timer {
+            self.timers.add(self.now_ms + HELD_INTERVAL_MS, Timer::TellHeld(key));
+        }
+        let id = service.id.clone();
+        let held: Vec<&LoanIn> =
+            self.loans_of(key).into_iter().filter_map(|loan| self.loans_in.get(loan)).collect();
+        let messages: Vec<(EntryId, RequestsMessage)> = self
+            .peers
+            .iter()
+            .map(|peer| {
+                let loans = held.iter().filter(|loan| loan.lender == *peer);
+                let loans = loans.map(|loan| (loan.id, loan.slots)).collect();
+                let service = id.clone();
+                (peer.clone(), RequestsMessage::Held { service, asked_before_ms, loans })
+            })
+            .collect();
+        for (peer, message) in messages {
+            self.send(&peer, message);
+        }
+    }
+
+    /// Takes back what a borrower does not hold and will not accept.
+    pub(super) fn held_by(
+        &mut self,
+        borrower: &EntryId,
+        service: &ServiceId,
+        asked_before_ms: u64,
+        held: &[(LoanId, u16)],
+    ) {
+        let concerned = |loan: &LoanOut| {
+            loan.borrower == *borrower
+                && loan.asked_at_ms < asked_before_ms
+                && self.targets.get(loan.target).is_some_and(|t| t.id.service == *service)
+        };
+        let kept =
+            |id: LoanId| held.iter().find(|(other, _)| *other == id).map_or(0, |&(_, slots)| slots);
+        let missing: Vec<(LoanId, u16)> = self
+            .loans_out
+            .iter()
+            .filter(|(id, loan)| concerned(loan) && kept(**id) < loan.slots)
+            .map(|(&id, _)| (id, kept(id)))
+            .collect();
+        for (id, kept) in missing {
+            self.loan_returned(borrower, id, kept);
+        }
+    }
+
     fn schedule_review(&mut self, key: ServiceKey) {
         let service = &mut self.services[key];
         if !service.review_timer {
@@ -178,12 +247,16 @@
         targets.flat_map(|&target| self.targets[target].slots.loans.iter().copied()).collect()
     }
 
-    /// Whether nothing more starts on a loan: it was recalled or its target
-    /// leaves.
+    /// Whether nothing more starts on a loan: it was recalled, its target
+    /// leaves, or it ends too soon.
     fn loan_is_useless(&self, key: LoanKey) -> bool {
         let Some(loan) = self.loans_in.get(key) else { return true };
         let target = &self.targets[loan.target];
-        loan.recalled || !target.accepts_work || target.health.is_leaving(self.now_ms)
+        let least_ms = self.services[target.service].least_attempt_ms() + ATTEMPT_GRACE_MS;
+        loan.ends_at_ms < self.now_ms + least_ms
+            || loan.recalled
+            || !target.accepts_work
+            || target.health.is_leaving(self.now_ms)
     }
 
     /// Gives a peer back what it needs itself: idle slots now and the others
@@ -204,7 +277,7 @@
         loan.slots = loan.used;
         let (lender, id, used) = (loan.lender.clone(), loan.id, loan.used);
         if idle > 0 {
-            self.send(&lender, RequestsMessage::Return { loan: id, slots: idle });
+            self.send(&lender, RequestsMessage::Return { loan: id, kept: used });
         }
         if used == 0 {
             self.drop_loan_in(key);
@@ -231,12 +304,12 @@
         self.drop_loan_in(key);
     }
 
-    pub(super) fn loan_returned(&mut self, from: &EntryId, id: LoanId, slots: u16) {
+    pub(super) fn loan_returned(&mut self, from: &EntryId, id: LoanId, kept: u16) {
         let Some(loan) = self.loans_out.get_mut(&id) else { return };
         if loan.borrower != *from {
             return;
         }
-        let returned = slots.min(loan.slots);
+        let returned = loan.slots.saturating_sub(kept);
         loan.slots -= returned;
         let (key, over) = (loan.target, loan.slots == 0);
         if over {
--- a/crates/tamarackproxy/src/coordination/requests/routing.rs
+++ b/crates/tamarackproxy/src/coordination/requests/routing.rs
@@ -22,11 +22,6 @@
 /// Time that a request waits for slots of peers before it is forwarded, in
 /// milliseconds: more than a round of messages in the data centre takes.
 const FORWARD_PATIENCE_MS: u64 = 3;
-/// Shortest time that an attempt on a loan is given, in milliseconds, unless
-/// the request's deadline is sooner.
-const LOAN_ATTEMPT_MIN_MS: u64 = 1_000;
-/// Same, in expected slot times.
-const LOAN_ATTEMPT_SLOT_TIMES: f64 = 8.0;
 /// Time after which the usable slots are counted again, in milliseconds.
 const CAPACITY_MAX_AGE_MS: u64 = 10;
 
@@ -86,18 +81,13 @@
         let request = &self.requests[request_key];
         let service = &self.services[key];
         let usual_ms = service.usual_ms();
-        let expected_ms = service.expected_ms(request.class).unwrap_or(0.0);
         let wanted_ms = request.meta.deadline_at_ms.saturating_sub(self.now_ms).min(ATTEMPT_MAX_MS);
-        let least_ms = (LOAN_ATTEMPT_MIN_MS.max((LOAN_ATTEMPT_SLOT_TIMES * expected_ms) as u64))
-            .min(wanted_ms);
-        let connections = service.limits.as_ref().map_or(0, |limits| limits.connections)
-            / self.seat.map_or(1, |seat| seat.seats.max(1));
+        let least_ms = service.least_attempt_ms().min(wanted_ms);
         let mut best: Option<(f64, TargetKey, SlotSource)> = None;
         for &target_key in &service.targets {
             let target = &self.targets[target_key];
             let in_flight = target.slots.in_flight;
             if !target.accepts_work
-                || in_flight >= connections.max(1)
                 || !target.health.accepts(self.now_ms, in_flight, request.meta.repeatable)
             {
                 continue;
--- a/crates/tamarackproxy/src/coordination/requests/slots.rs
+++ b/crates/tamarackproxy/src/coordination/requests/slots.rs
@@ -3,7 +3,10 @@
 use sha2::{Digest, Sha256};
 use slotmap::SlotMap;
 
-use super::{LoanId, SeatShare, keys::LoanKey, keys::TargetKey};
+use super::{
+    LoanId, SeatShare, ServiceLimits,
+    keys::{LoanKey, TargetKey},
+};
 use crate::state::ids::{EntryId, TargetId};
 
 /// Longest time that one attempt may take, in milliseconds.
@@ -23,19 +26,23 @@
 /// Time that a lender adds to a loan for the drift of clocks, in percent.
 pub const DRIFT_PERCENT: u64 = 10;
 
-/// Part of `total` that a seat owns of one target's slots.
+/// Part of a target's slots that a seat owns.
 ///
 /// The remainder of an even split goes to the seats that rank first by
-/// rendezvous hashing of the target, so that all parts add up to `total`.
-pub(super) fn base_slots(total: u16, target: &TargetId, share: SeatShare) -> u16 {
+/// rendezvous hashing of the target, so that all parts add up to the slots.
+/// Every request in flight uses one connection, so a seat owns at most as many
+/// slots as its even part of the connections; a slot that is lent takes its
+/// connection along.
+pub(super) fn base_slots(limits: &ServiceLimits, target: &TargetId, share: SeatShare) -> u16 {
     let seats = share.seats.max(1);
     if share.index >= seats {
         return 0;
     }
-    let (even, remainder) = (total / seats, total % seats);
+    let (even, remainder) = (limits.slots / seats, limits.slots % seats);
     let own = (rank_hash(target, share.index), share.index);
     let before = (0..seats).filter(|&seat| (rank_hash(target, seat), seat) < own).count();
-    even + u16::from(before < usize::from(remainder))
+    let slots = even + u16::from(before < usize::from(remainder));
+    slots.min(limits.connections / seats)
 }
 
 fn rank_hash(target: &TargetId, seat: u16) -> [u8; 8] {
@@ -51,6 +58,19 @@
     hash
 }
 
+/// What a lender offers, as its message tells.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoanTerms {
+    /// Id given by the lender.
+    pub loan: LoanId,
+    /// Slots that are lent.
+    pub slots: u16,
+    /// When the loan was asked for, on the borrower's clock.
+    pub asked_at_ms: u64,
+    /// Duration from then on, in milliseconds.
+    pub duration_ms: u64,
+}
+
 /// A loan that this entry host received.
 #[derive(Clone, Debug)]
 pub(super) struct LoanIn {
@@ -79,6 +99,8 @@
     pub target: TargetKey,
     /// Slots that have not been returned.
     pub slots: u16,
+    /// When the borrower asked for it, on the borrower's clock.
+    pub asked_at_ms: u64,
     /// When the loan has certainly ended, on the own clock.
     pub ends_at_ms: u64,
 }
--- a/crates/tamarackproxy/src/coordination/requests/state.rs
+++ b/crates/tamarackproxy/src/coordination/requests/state.rs
@@ -10,7 +10,7 @@
     loans::BORROW_INTERVAL_MS,
     queue::ServiceQueue,
     retry::RetryBudget,
-    slots::{SlotSource, TargetSlots},
+    slots::{ATTEMPT_MAX_MS, SlotSource, TargetSlots},
 };
 use crate::{
     protocol::caller::Refusal,
@@ -20,6 +20,11 @@
 /// Slot time that is assumed before the first answer, in milliseconds.
 const SLOT_TIME_UNKNOWN_MS: f64 = 20.0;
 
+/// Shortest time that an attempt on a loan is given, in milliseconds.
+const LOAN_ATTEMPT_MIN_MS: u64 = 1_000;
+/// Same, in mean slot times.
+const LOAN_ATTEMPT_SLOT_TIMES: f64 = 8.0;
+
 /// One service.
 #[derive(Debug)]
 pub(super) struct Service {
@@ -44,6 +49,9 @@
     /// When peers were last asked for slots.
     pub asked_at_ms: Option<u64>,
     pub borrow_timer: bool,
+    /// Loans that were asked for before this are no longer accepted.
+    pub accepted_from_ms: u64,
+    pub held_timer: bool,
     pub review_timer: bool,
     /// Time until peers are asked again, in milliseconds.
     pub ask_interval_ms: u64,
@@ -65,6 +73,8 @@
             remotes: Vec::new(),
             asked_at_ms: None,
             borrow_timer: false,
+            accepted_from_ms: 0,
+            held_timer: false,
             review_timer: false,
             ask_interval_ms: BORROW_INTERVAL_MS,
         }
@@ -81,6 +91,13 @@
         if time.mean_ms().is_some() { time.ample_ms() } else { self.service_time.ample_ms() }
     }
 
+    /// Shortest time that an attempt on a loan is given, in milliseconds,
+    /// unless the request's deadline is sooner.
+    pub fn least_attempt_ms(&self) -> u64 {
+        let slot_times_ms = LOAN_ATTEMPT_SLOT_TIMES * self.service_time.mean_ms().unwrap_or(0.0);
+        LOAN_ATTEMPT_MIN_MS.max(slot_times_ms as u64).min(ATTEMPT_MAX_MS)
+    }
+
     /// Usual latency of a target, in milliseconds, at least a tenth of one.
     pub fn usual_ms(&self) -> f64 {
         self.service_time.mean_ms().unwrap_or(1.0).max(0.1)
--- a/crates/tamarackproxy/src/coordination/requests/targets.rs
+++ b/crates/tamarackproxy/src/coordination/requests/targets.rs
@@ -119,8 +119,11 @@
     pub(super) fn refresh_bases(&mut self) {
         let settling = self.now_ms < self.settling_until_ms;
         for target in self.targets.values_mut() {
-            let total = self.services[target.service].limits.as_ref().map_or(0, |l| l.slots);
-            let base = self.seat.map_or(0, |seat| base_slots(total, &target.id, seat));
+            let limits = self.services[target.service].limits.as_ref();
+            let base = match (limits, self.seat) {
+                (Some(limits), Some(seat)) => base_slots(limits, &target.id, seat),
+                _ => 0,
+            };
             target.slots.set_base(base, settling);
         }
         for service in self.services.values_mut() {
--- a/crates/tamarackproxy/src/coordination/requests/timers.rs
+++ b/crates/tamarackproxy/src/coordination/requests/timers.rs
@@ -23,6 +23,8 @@
     Borrow(ServiceKey),
     /// Idle loans of the service are returned.
     ReviewLoans(ServiceKey),
+    /// Lenders are told which loans of the service are held.
+    TellHeld(ServiceKey),
     /// An ejected target may be probed.
     Probe(TargetKey),
     /// Slots gained by a change of the number of seats are free.
