--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -14,7 +14,7 @@
 pub(super) const BORROW_INTERVAL_MS: u64 = 8;
 /// Longest time between two rounds, reached when rounds bring nothing: an idle
 /// slot is found within 50 ms, messages and the review of idle loans included.
-const BORROW_INTERVAL_MAX_MS: u64 = 32;
+const BORROW_INTERVAL_MAX_MS: u64 = 24;
 /// Most slots asked for at once.
 const BORROW_MAX: u32 = 256;
 /// Time between two lists of the loans held, in milliseconds. A message that
@@ -24,7 +24,7 @@
 /// the loans held were listed, in milliseconds: several rounds of messages.
 const LEND_DELAY_MAX_MS: u64 = 20;
 /// Time between two reviews of idle loans, in milliseconds.
-const REVIEW_INTERVAL_MS: u64 = 15;
+const REVIEW_INTERVAL_MS: u64 = 10;
 
 impl RequestEngine {
     /// Asks some peers for slots, if requests wait and it is time.
@@ -142,8 +142,12 @@
         let target = &mut self.targets[key];
         target.slots.loans.push(loan);
         let service = target.service;
-        self.services[service].capacity.counted_at_ms = None;
-        self.services[service].ask_interval_ms = BORROW_INTERVAL_MS;
+        let state = &mut self.services[service];
+        state.capacity.counted_at_ms = None;
+        // Peers lend, so they are asked again soon, and not when the timer that
+        // is set says.
+        state.ask_interval_ms = BORROW_INTERVAL_MS;
+        state.borrow_timer = false;
         self.pump(service);
         self.schedule_review(service);
     }
