--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,6 +1,9 @@
 //! Measurements: each drives the library's decision code and returns figures.
 
 mod figure;
+mod flood;
+mod request_sim;
+mod slots;
 
 pub use self::figure::{Bound, Figure};
 
@@ -10,7 +13,12 @@
 /// Names of the measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString, VariantNames)]
 #[strum(serialize_all = "kebab-case")]
-pub enum BenchName {}
+pub enum BenchName {
+    /// What the other work keeps during a flood.
+    Flood,
+    /// Overruns and use of the slots that entry hosts share.
+    Slots,
+}
 
 /// Command line of `tamarack-bench`.
 #[derive(Clone, Debug, Options)]
@@ -29,8 +37,11 @@
 }
 
 /// Runs one measurement.
-pub fn run(name: BenchName, _options: &BenchOptions) -> Vec<Figure> {
-    match name {}
+pub fn run(name: BenchName, options: &BenchOptions) -> Vec<Figure> {
+    match name {
+        BenchName::Flood => flood::run(options),
+        BenchName::Slots => slots::run(options),
+    }
 }
 
 /// Returns the measurements that a name selects; all if there is no name.
--- a/crates/tamarackproxy/src/coordination/requests/events.rs
+++ b/crates/tamarackproxy/src/coordination/requests/events.rs
@@ -94,8 +94,13 @@
     /// duration from `asked_at_ms` on its own clock, so that a delay of this
     /// message only shortens the loan.
     Lend { loan: LoanId, target: TargetId, slots: u16, duration_ms: u64, asked_at_ms: u64 },
-    /// Returns slots of a loan before its end.
-    Return { loan: LoanId, slots: u16 },
+    /// Lists the slots that the sender holds of the receiver's loans for a
+    /// service. The sender accepts no loan any more that it asked for before
+    /// `asked_before_ms`, so the receiver takes back what was lost on the way.
+    Held { service: ServiceId, asked_before_ms: u64, loans: Vec<(LoanId, u16)> },
+    /// Returns slots of a loan before its end; tells how many the sender keeps,
+    /// so that the order of such messages does not matter.
+    Return { loan: LoanId, kept: u16 },
     /// Tells that the host gives a sign of leaving.
     Leaving { host: HostId },
 }
@@ -118,6 +123,10 @@
     HostLeaving { host: HostId },
     /// Share of this entry host changed: seat `index` of `seats`, or none.
     SeatChanged { seat: Option<SeatShare> },
+    /// The number of seats of this data centre is known or has changed, whether
+    /// or not this entry host holds one. Slots that a change brings are held
+    /// back until their former owners have certainly stopped using them.
+    SeatsConfigured { seats: u16 },
     /// Live peers of this data centre, which may lend slots.
     PeersChanged { peers: Vec<EntryId> },
     /// Load of another data centre, with the entry host to forward to.
--- a/crates/tamarackproxy/src/coordination/requests/report.rs
+++ b/crates/tamarackproxy/src/coordination/requests/report.rs
@@ -1,8 +1,8 @@
 //! Read access for status, metrics and explanations.
 
-use std::collections::BTreeMap;
+use std::mem::{Discriminant, discriminant};
 
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 use super::{RequestEngine, ServiceLoad, keys::TargetKey, state::Stage};
 use crate::{
@@ -29,18 +29,47 @@
     /// Ejections of targets.
     pub ejections: u64,
     /// Requests refused as not run, by the name of the refusal.
-    pub refused: BTreeMap<&'static str, u64>,
+    pub refused: RefusalCounts,
     /// Requests that ended with an unknown outcome, by cause.
-    pub unknown: BTreeMap<&'static str, u64>,
+    pub unknown: RefusalCounts,
+}
+
+/// Counts by kind of refusal, as a list that is searched by discriminant:
+/// refusals are counted in floods, and there are few kinds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RefusalCounts(Vec<(Discriminant<Refusal>, &'static str, u64)>);
+
+impl RefusalCounts {
+    fn add(&mut self, refusal: &Refusal) {
+        let kind = discriminant(refusal);
+        match self.0.iter_mut().find(|(other, ..)| *other == kind) {
+            Some((.., count)) => *count += 1,
+            None => self.0.push((kind, refusal.into(), 1)),
+        }
+    }
+
+    /// Returns the counts with the names of the refusals.
+    pub fn iter(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        self.0.iter().map(|&(_, name, count)| (name, count))
+    }
+}
+
+impl Serialize for RefusalCounts {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.collect_map(self.iter())
+    }
 }
 
 impl RequestCounters {
     pub(super) fn count_refusal(&mut self, refusal: &Refusal) {
-        *self.refused.entry(refusal.into()).or_default() += 1;
+        self.refused.add(refusal);
     }
 
     pub(super) fn count_unknown(&mut self, refusal: &Refusal) {
-        *self.unknown.entry(refusal.into()).or_default() += 1;
+        self.unknown.add(refusal);
     }
 }
 
