Add deployments on virtual time and tests of seats, control and puts

The simulation drives the seat and configuration engines of many entry hosts with latency, lost replies and messages, pauses, deaths, outages and restores. A seat whose term was raised by a holder that then failed to acquire it stayed vacant while that holder lived; a live holder that reports another seat no longer blocks it.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,3 +4,4 @@
 //! Stand-ins record what happened and inject faults; they decide nothing.
 
 pub mod bench;
+pub mod sim;
--- /dev/null
+++ b/crates/standins/src/sim/mod.rs
@@ -0,0 +1,18 @@
+//! Deployments of the library's engines on virtual time, with injected faults.
+
+mod cluster;
+mod documents;
+mod event;
+mod faults;
+mod node;
+mod observations;
+mod store;
+
+pub use self::{
+    cluster::{Cluster, ClusterOptions, NodeIndex},
+    documents::{ADMIN, MEMBER_A, MEMBER_B, document_text, service_edit},
+    faults::Faults,
+    node::NodeState,
+    observations::{Observations, PutOutcome},
+    store::{StoreSnapshot, VirtualStore, WatchRecord},
+};
--- a/crates/tamarackproxy/src/coordination/seats/candidates.rs
+++ b/crates/tamarackproxy/src/coordination/seats/candidates.rs
@@ -84,7 +84,7 @@
             let term = self.terms.get(&index);
             let version = term.map_or(RecordVersion(0), |(version, _)| *version);
             let last = term.map(|(_, record)| record.clone());
-            match takeover_wait_ms(now_ms, me, last.as_ref(), peers) {
+            match takeover_wait_ms(now_ms, me, index, last.as_ref(), peers) {
                 Ok(rank) => {
                     best.entry(rank).or_default().push(Candidate { index, version, last });
                 }
@@ -107,6 +107,7 @@
 fn takeover_wait_ms(
     now_ms: u64,
     me: &EntryId,
+    index: u16,
     last: Option<&TenureRecord>,
     peers: &Peers,
 ) -> Result<u8, u64> {
@@ -117,7 +118,9 @@
     if last.released {
         return Ok(1);
     }
-    if peers.is_refused(&last.holder) {
+    // A live holder that reports another seat, or none, failed to acquire this
+    // one after it had raised the term.
+    if peers.is_refused(&last.holder) || peers.uses_other_seat(now_ms, &last.holder, index) {
         return Ok(2);
     }
     let silence_ms = peers.silence_ms(now_ms, &last.holder);
--- a/crates/tamarackproxy/src/coordination/seats/peers.rs
+++ b/crates/tamarackproxy/src/coordination/seats/peers.rs
@@ -112,6 +112,13 @@
         }
     }
 
+    /// Tells whether a live entry host reports that it does not hold a seat.
+    pub(super) fn uses_other_seat(&self, now_ms: u64, entry: &EntryId, index: u16) -> bool {
+        self.heard.get(entry).is_some_and(|peer| {
+            peer.is_live(now_ms) && peer.seat.is_none_or(|(held, _)| held != index)
+        })
+    }
+
     /// Returns how long there was no contact with an entry host, at most as
     /// long as this process runs.
     pub(super) fn silence_ms(&self, now_ms: u64, entry: &EntryId) -> u64 {
