--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,4 +4,5 @@
 //! Stand-ins record what happened and inject faults; they decide nothing.
 
 pub mod bench;
+pub mod fleet;
 pub mod sim;
--- a/crates/standins/src/sim/cluster/mod.rs
+++ b/crates/standins/src/sim/cluster/mod.rs
@@ -3,7 +3,10 @@
 mod traffic;
 mod wiring;
 
-use std::collections::{BTreeMap, BinaryHeap};
+use std::{
+    collections::{BTreeMap, BinaryHeap},
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use rand::{Rng, SeedableRng};
@@ -17,7 +20,7 @@
     state::{
         document::DocumentText,
         ids::{DataCentreId, EntryId, Revision, TeamId, Term},
-        records::{HeadRecord, RevisionChange},
+        records::{HeadRecord, HostRecord, RevisionChange},
     },
 };
 
@@ -132,6 +135,28 @@
         self.publish();
     }
 
+    /// Removes a key.
+    pub fn remove_record(&mut self, key: &str) {
+        let read = self.store.apply(self.now_us / 1_000, &StoreRequest::Get { key: key.into() });
+        if let StoreReply::Value(Some(found)) = read {
+            let expected = found.version;
+            let request = StoreRequest::CompareAndDelete { key: key.into(), expected };
+            self.store.apply(self.now_us / 1_000, &request);
+        }
+        self.publish();
+    }
+
+    /// Host records that a node reported last.
+    pub fn records(&self, node: NodeIndex) -> Arc<Vec<(u64, HostRecord)>> {
+        self.nodes[node].records.clone()
+    }
+
+    /// Number of watches that the store serves.
+    pub fn watches(&self) -> usize {
+        let alive = self.nodes.iter().filter(|node| node.is_alive());
+        alive.map(|node| node.watches.len()).sum()
+    }
+
     /// Virtual time in microseconds.
     pub fn now_us(&self) -> u64 {
         self.now_us
--- a/crates/standins/src/sim/cluster/wiring.rs
+++ b/crates/standins/src/sim/cluster/wiring.rs
@@ -86,7 +86,8 @@
                 }
                 self.give_seats(node, self.nodes[node].state_changed());
             }
-            ConfigurationAction::FleetChanged { .. } => {
+            ConfigurationAction::FleetChanged { records, .. } => {
+                self.nodes[node].records = records;
                 self.give_seats(node, self.nodes[node].state_changed());
             }
             ConfigurationAction::Ready { ready } => self.nodes[node].ready = ready,
--- a/crates/standins/src/sim/node.rs
+++ b/crates/standins/src/sim/node.rs
@@ -1,6 +1,6 @@
 //! One process: the engines of an entry host and what connects them.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use tamarackproxy::{
     coordination::{
@@ -10,6 +10,7 @@
     state::{
         clock::ClockReading,
         ids::{DataCentreId, EntryId},
+        records::HostRecord,
     },
 };
 
@@ -38,6 +39,7 @@
     pub(super) configured_seats: Option<u16>,
     pub(super) ready: bool,
     pub(super) in_force: Position,
+    pub(super) records: Arc<Vec<(u64, HostRecord)>>,
     /// Watches by prefix, with the version of the next change to report.
     pub(super) watches: BTreeMap<Box<str>, u64>,
     pub(super) next_tick_us: Option<u64>,
@@ -65,6 +67,7 @@
             configured_seats: None,
             ready: false,
             in_force: Position::default(),
+            records: Arc::default(),
             watches: BTreeMap::new(),
             next_tick_us: None,
             sent_bytes: 0,
--- a/crates/standins/tests/control.rs
+++ b/crates/standins/tests/control.rs
@@ -63,10 +63,10 @@
                 None => self.leases[n].tick(now),
             };
             self.waiting[n] = next;
-            if let Some(term) = self.leases[n].held() {
-                if self.terms.last() != Some(&(term, n)) {
-                    self.terms.push((term, n));
-                }
+            if let Some(term) = self.leases[n].held()
+                && self.terms.last() != Some(&(term, n))
+            {
+                self.terms.push((term, n));
             }
         }
     }
--- a/crates/tamarackproxy/src/bin/tamarackctl.rs
+++ b/crates/tamarackproxy/src/bin/tamarackctl.rs
@@ -1,2 +1,20 @@
-//! Program.
-fn main() {}
+//! The operators' command.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use tamarackproxy::ctl::{Arguments, run};
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match run(arguments) {
+        Ok(output) => {
+            print!("{output}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("tamarackctl: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/tamarackproxy/src/coordination/configuration/engine/distribution.rs
+++ b/crates/tamarackproxy/src/coordination/configuration/engine/distribution.rs
@@ -12,9 +12,10 @@
     },
 };
 
-/// Time after which an unanswered pull is tried again at the next heartbeat, in
-/// milliseconds.
-const PULL_LIMIT_MS: u64 = 900;
+/// Time after which an unanswered pull is tried again at the next heartbeat of
+/// any peer, in milliseconds. Six peers send one each second, so a node that
+/// loses an answer asks again well within that second.
+const PULL_LIMIT_MS: u64 = 300;
 /// Time for which changes of host records are gathered before they are pushed
 /// and reported, in milliseconds.
 const HOSTS_BATCH_MS: u64 = 50;
--- /dev/null
+++ b/crates/tamarackproxy/src/ctl/mod.rs
@@ -0,0 +1,14 @@
+//! The operators' command: reads and changes through the administration API.
+
+mod arguments;
+mod check;
+mod client;
+mod document;
+mod error;
+mod run;
+mod table;
+
+pub use self::{arguments::Arguments, error::ControlError, run::run, table::Table};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tamarackproxy/src/ctl/run.rs
@@ -0,0 +1,193 @@
+//! Runs one command and returns what it prints.
+
+use std::{
+    env, fs,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use serde::Serialize;
+use serde_json::Value;
+
+use super::{
+    Arguments, ControlError,
+    arguments::{Command, DocumentArguments, DocumentCommand, ExplainArguments, InitArguments},
+    check::{check, read},
+    client::AdminClient,
+    document,
+    table::Table,
+};
+use crate::{
+    coordination::configuration::HEAD_KEY,
+    protocol::{
+        admin::Status,
+        store::{StoreReply, StoreRequest},
+    },
+    state::{
+        document::DocumentText,
+        ids::{OperationId, RecordVersion, TeamId},
+        records::HeadRecord,
+    },
+    transport::store_client::StoreClient,
+};
+
+/// Environment variable with the team's bearer token.
+const TOKEN_VARIABLE: &str = "TAMARACK_TOKEN";
+/// Author of the first revision in the history.
+const INIT_AUTHOR: &str = "init";
+/// Time that a call to the store may take.
+const STORE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Runs a command and returns the text for standard output.
+///
+/// # Errors
+///
+/// Returns [`ControlError`], whose message names the remedy.
+pub fn run(arguments: Arguments) -> Result<String, ControlError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| ControlError::Malformed(error.to_string().into()))?;
+    tokio::task::LocalSet::new().block_on(&runtime, dispatch(arguments))
+}
+
+async fn dispatch(arguments: Arguments) -> Result<String, ControlError> {
+    let json = arguments.json;
+    match arguments.command {
+        None => Err(ControlError::NoCommand),
+        Some(Command::Check(file)) => check(&file.file),
+        Some(Command::Document(DocumentArguments {
+            command: Some(DocumentCommand::Init(arguments)),
+            ..
+        })) => init(arguments).await,
+        Some(command) => {
+            let client = AdminClient::new(arguments.address, token(&arguments.token_file)?);
+            remote(&client, command, json).await
+        }
+    }
+}
+
+fn token(file: &Option<std::path::PathBuf>) -> Result<Box<str>, ControlError> {
+    match file {
+        Some(path) => fs::read_to_string(path).map(|text| text.trim().into()).map_err(|error| {
+            ControlError::File {
+                path: path.display().to_string().into(),
+                message: error.to_string().into(),
+            }
+        }),
+        None => env::var(TOKEN_VARIABLE).map(Into::into).map_err(|_| ControlError::NoToken),
+    }
+}
+
+async fn remote(
+    client: &AdminClient,
+    command: Command,
+    json: bool,
+) -> Result<String, ControlError> {
+    let (path, columns): (&str, &[&str]) = match command {
+        Command::Status(_) => return status(client, json).await,
+        Command::Explain(arguments) => return explain(client, arguments, json).await,
+        Command::Document(arguments) => {
+            let command = arguments.command.ok_or(ControlError::NoCommand)?;
+            return document::run(client, command, json).await;
+        }
+        Command::Check(file) => return check(&file.file),
+        Command::Pools(_) => ("pools", &["pool", "size", "hosts", "active", "spare"]),
+        Command::Hosts(_) => ("hosts", &["host", "data_centre", "rack", "pool", "phase"]),
+        Command::Services(_) => (
+            "services",
+            &["service", "pool", "available", "min_available", "load/queued", "load/in_flight"],
+        ),
+        Command::Budgets(_) => ("budgets", &["key", "record/reservations"]),
+        Command::Waves(_) => ("waves", &["key", "record"]),
+    };
+    let rows = client.rows(path).await?;
+    if json {
+        return to_json(&rows);
+    }
+    Ok(Table::new(columns).with_rows(&rows).to_string())
+}
+
+async fn status(client: &AdminClient, json: bool) -> Result<String, ControlError> {
+    let status: Status = client.get("status").await?;
+    if json {
+        return to_json(&status);
+    }
+    let mut lines = vec![
+        format!("entry host    {} in {}", status.entry, status.data_centre),
+        format!("deployment    {}", status.deployment.as_deref().unwrap_or("-")),
+        format!(
+            "in force      epoch {} revision {}",
+            status.in_force.epoch, status.in_force.revision
+        ),
+        format!("ready         {}", if status.ready { "yes" } else { "no" }),
+        match status.seat {
+            Some((index, term)) => format!("seat          {index} (term {term})"),
+            None => "seat          none".to_owned(),
+        },
+        format!("open requests {}", status.open_requests),
+    ];
+    let peers = status.peers.iter().map(|(entry, seat)| match seat {
+        Some(seat) => format!("peer          {entry} (seat {seat})"),
+        None => format!("peer          {entry}"),
+    });
+    lines.extend(peers);
+    let gateways = status.gateways.iter();
+    lines.extend(gateways.map(|(name, entry)| format!("gateway       {entry} in {name}")));
+    if let Some((in_force, found)) = status.store_restored {
+        lines.push(format!(
+            "alert         the store shows revision {}, in force is {}; raise the epoch",
+            found.revision, in_force.revision
+        ));
+    }
+    lines.extend(status.reports.iter().map(|(_, report)| format!("report        {report}")));
+    Ok(lines.join("\n") + "\n")
+}
+
+async fn explain(
+    client: &AdminClient,
+    arguments: ExplainArguments,
+    json: bool,
+) -> Result<String, ControlError> {
+    let path = format!("explain/{}/{}", arguments.kind, arguments.name);
+    let body: Value = client.get(&path).await?;
+    if json {
+        return to_json(&body);
+    }
+    Ok(format!("{}\n", body["explanation"].as_str().unwrap_or("-")))
+}
+
+/// Writes the first document into an empty store.
+pub(super) async fn init(arguments: InitArguments) -> Result<String, ControlError> {
+    let text = read(&arguments.file)?;
+    check(&arguments.file)?;
+    let address = arguments.store.ok_or(ControlError::NoCommand)?;
+    let text = DocumentText::parse(&text)
+        .map_err(|errors| ControlError::Invalid(errors.to_string().into()))?;
+    let operation = OperationId(rand::random());
+    let at_unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let head = HeadRecord::first(&text, TeamId::new(INIT_AUTHOR), at_unix_ms as u64, operation);
+    let value = serde_json::to_vec(&head)
+        .map_err(|error| ControlError::Malformed(error.to_string().into()))?;
+    let request = StoreRequest::CompareAndSwap {
+        key: HEAD_KEY.into(),
+        expected: RecordVersion(0),
+        value: value.into(),
+        lease: None,
+    };
+    match StoreClient::new(address, STORE_TIMEOUT).call(&request).await {
+        Ok(StoreReply::Swapped(_)) => Ok("the document is in the store\n".to_owned()),
+        Ok(StoreReply::Conflict(_)) => Err(ControlError::DocumentExists),
+        Ok(_) => Err(ControlError::Malformed("unexpected reply of the store".into())),
+        Err(error) => Err(ControlError::Refused(error.to_string().into())),
+    }
+}
+
+/// Formats a value as JSON with a final line break.
+pub(super) fn to_json<V>(value: &V) -> Result<String, ControlError>
+where
+    V: Serialize,
+{
+    serde_json::to_string_pretty(value)
+        .map(|text| text + "\n")
+        .map_err(|error| ControlError::Malformed(error.to_string().into()))
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/node/fleet.rs
@@ -0,0 +1,228 @@
+//! The fleet engine, host records, the platform's list and health checks.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{
+    event_loop::EventLoop,
+    input::{Engine, TaskEnd},
+};
+use crate::{
+    coordination::{
+        fleet::{FleetAction, FleetEvent, FleetMessage, FleetReport},
+        requests::{RequestsEvent, TargetState},
+        seats::SeatsEvent,
+    },
+    protocol::{
+        peer::PeerMessage,
+        platform::{ListedHost, ListedState},
+    },
+    state::{
+        document::Document,
+        ids::{EntryId, HostId, TargetId},
+        records::HostRecord,
+    },
+};
+
+/// Time that a health check may take.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Reports that are kept for operators; the oldest is dropped beyond.
+const REPORTS_MAX: usize = 256;
+
+/// Host records and what follows from them.
+#[derive(Default)]
+pub(super) struct FleetState {
+    pub(super) version: u64,
+    pub(super) records: Arc<Vec<(u64, HostRecord)>>,
+    addresses: HashMap<TargetId, SocketAddr>,
+    by_host: BTreeMap<HostId, usize>,
+    next_list_ms: u64,
+    leaving: Vec<HostId>,
+    pub(super) reports: Vec<(u64, FleetReport)>,
+}
+
+impl FleetState {
+    pub(super) fn address_of(&self, target: &TargetId) -> Option<SocketAddr> {
+        self.addresses.get(target).copied()
+    }
+
+    pub(super) fn record(&self, host: &HostId) -> Option<&(u64, HostRecord)> {
+        self.records.get(*self.by_host.get(host)?)
+    }
+}
+
+/// Returns the instances on a host, with their addresses.
+fn instances<'a>(
+    document: &'a Document,
+    record: &'a HostRecord,
+) -> impl Iterator<Item = (TargetId, SocketAddr)> + 'a {
+    let services = document.services.iter().filter(|(_, service)| service.pool == record.pool);
+    services.filter_map(|(name, service)| {
+        let address = SocketAddr::new(record.address.parse().ok()?, service.port);
+        Some((TargetId::new(name.clone(), record.host.clone()), address))
+    })
+}
+
+impl EventLoop {
+    pub(super) fn on_fleet(&mut self, event: FleetEvent) {
+        let mut actions = Vec::new();
+        self.fleet.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.apply_fleet(action);
+        }
+    }
+
+    fn apply_fleet(&mut self, action: FleetAction) {
+        match action {
+            FleetAction::Send { to, message } => self.send(&to, PeerMessage::Fleet(message)),
+            FleetAction::Reboot { host, operation } => {
+                let (platform, ends) = (Rc::clone(&self.platform), self.ends.clone());
+                tokio::task::spawn_local(async move {
+                    let accepted = platform.reboot(&host, operation).await;
+                    let _ = ends.send(TaskEnd::Reboot { host, accepted });
+                });
+            }
+            FleetAction::CheckHealth { host } => self.ask_health(host),
+            FleetAction::Store { call, request } => self.call_store(Engine::Fleet, call, request),
+            FleetAction::Report { report } => {
+                log::warn!("{report}");
+                if self.fleet_state.reports.len() == REPORTS_MAX {
+                    self.fleet_state.reports.remove(0);
+                }
+                self.fleet_state.reports.push((self.now.unix_ms, report));
+            }
+        }
+    }
+
+    /// Takes new host records: targets and addresses follow from them.
+    pub(super) fn on_fleet_changed(&mut self, version: u64, records: Arc<Vec<(u64, HostRecord)>>) {
+        self.fleet_state.version = version;
+        self.fleet_state.by_host = records
+            .iter()
+            .enumerate()
+            .map(|(index, (_, record))| (record.host.clone(), index))
+            .collect();
+        self.fleet_state.records = Arc::clone(&records);
+        self.publish_targets();
+        self.on_fleet(FleetEvent::FleetChanged { records });
+        self.publish_in_force();
+    }
+
+    /// Tells the seat engine what its heartbeats report.
+    pub(super) fn publish_in_force(&mut self) {
+        let in_force = (self.position.epoch, self.position.revision);
+        let fleet_version = self.fleet_state.version;
+        self.on_seats(SeatsEvent::StateChanged { in_force, fleet_version });
+    }
+
+    /// Derives this data centre's targets from document and host records.
+    pub(super) fn publish_targets(&mut self) {
+        let Some(view) = &self.view else { return };
+        let document = Arc::clone(view.document());
+        let records = Arc::clone(&self.fleet_state.records);
+        let own = &self.settings.data_centre;
+        let local = records.iter().filter(|(_, record)| record.data_centre == *own);
+        let mut addresses = HashMap::new();
+        let mut targets = Vec::new();
+        for (_, record) in local {
+            for (target, address) in instances(&document, record) {
+                addresses.insert(target.clone(), address);
+                targets.push(TargetState {
+                    target,
+                    data_centre: own.clone(),
+                    accepts_work: record.phase.accepts_work(),
+                });
+            }
+        }
+        let is_known = |address: &SocketAddr| addresses.values().any(|known| known == address);
+        self.targets.retain(is_known);
+        self.fleet_state.addresses = addresses;
+        self.on_requests(RequestsEvent::TargetsChanged { targets });
+        for host in self.fleet_state.leaving.clone() {
+            self.on_requests(RequestsEvent::HostLeaving { host });
+        }
+    }
+
+    /// Answers a controller that drains a host.
+    pub(super) fn on_drain_query(&mut self, from: &EntryId, host: HostId, version: u64) {
+        let seen = self.fleet_state.record(&host).map_or(0, |(seen, _)| *seen);
+        if seen < version {
+            return;
+        }
+        let in_flight = self.requests.in_flight_on(&host);
+        let status = FleetMessage::DrainStatus { host, version, in_flight };
+        self.send(from, PeerMessage::Fleet(status));
+    }
+
+    /// Reads the platform's list when it is due.
+    pub(super) fn poll_host_list(&mut self) {
+        if self.now.monotonic_ms < self.fleet_state.next_list_ms {
+            return;
+        }
+        let interval_ms = self.settings.platform.list_interval.as_ms();
+        self.fleet_state.next_list_ms = self.now.monotonic_ms + interval_ms;
+        let (platform, ends) = (Rc::clone(&self.platform), self.ends.clone());
+        tokio::task::spawn_local(async move {
+            let hosts = platform.list_hosts().await;
+            let _ = ends.send(TaskEnd::Listed { hosts });
+        });
+    }
+
+    /// Takes the platform's list; the request engine passes signs of leaving
+    /// on to the peers of the data centre.
+    pub(super) fn on_listed(&mut self, hosts: Option<Vec<ListedHost>>) {
+        let Some(hosts) = hosts else { return };
+        let own = &self.settings.data_centre;
+        let leaving = hosts
+            .iter()
+            .filter(|host| host.state == ListedState::Leaving && host.data_centre == *own)
+            .map(|host| host.host.clone());
+        let leaving: Vec<HostId> = leaving.collect();
+        for host in &leaving {
+            self.on_requests(RequestsEvent::HostLeaving { host: host.clone() });
+        }
+        self.fleet_state.leaving = leaving;
+        self.on_fleet(FleetEvent::HostsListed { hosts });
+    }
+
+    /// Checks a host, or asks the gateway of its data centre to do it.
+    fn ask_health(&mut self, host: HostId) {
+        let Some((_, record)) = self.fleet_state.record(&host) else { return };
+        if record.data_centre == self.settings.data_centre {
+            return self.check_health(host, None);
+        }
+        if let Some(gateway) = self.peers.gateway_of(&record.data_centre).cloned() {
+            self.send(&gateway, PeerMessage::HealthQuery { host });
+        }
+    }
+
+    /// Asks every instance on the host for its health.
+    pub(super) fn check_health(&mut self, host: HostId, asked_by: Option<EntryId>) {
+        let (Some(view), Some((_, record))) = (&self.view, self.fleet_state.record(&host)) else {
+            return;
+        };
+        let instances = instances(view.document(), record).map(|(_, address)| address);
+        let addresses: Vec<SocketAddr> = instances.collect();
+        let (targets, ends) = (self.targets.clone(), self.ends.clone());
+        tokio::task::spawn_local(async move {
+            let mut healthy = true;
+            for address in addresses {
+                healthy &= targets.is_healthy(address, HEALTH_TIMEOUT).await;
+            }
+            let _ = ends.send(TaskEnd::Health { host, healthy, asked_by });
+        });
+    }
+
+    pub(super) fn on_health(&mut self, host: HostId, healthy: bool, asked_by: Option<EntryId>) {
+        match asked_by {
+            Some(peer) => self.send(&peer, PeerMessage::HealthStatus { host, healthy }),
+            None => self.on_fleet(FleetEvent::HealthChecked { host, healthy }),
+        }
+    }
+}
--- a/crates/tamarackproxy/src/protocol/caller.rs
+++ b/crates/tamarackproxy/src/protocol/caller.rs
@@ -1,9 +1,13 @@
 //! Outcomes and refusals towards callers.
 
 use displaydoc::Display as DisplayDoc;
+use http::StatusCode;
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
+use crate::state::document::Urgency;
+
 /// Header that states the outcome of a request.
 pub const OUTCOME_HEADER: &str = "tamarack-outcome";
 /// Header that carries a relative deadline in milliseconds.
@@ -45,7 +49,7 @@
 
 /// Why a request was refused or has no response; the message is the detail
 /// of the problem document.
-#[derive(Clone, Debug, DisplayDoc, PartialEq, Eq, Serialize, Deserialize, IntoStaticStr)]
+#[derive(Clone, Debug, DisplayDoc, PartialEq, Eq, Hash, Serialize, Deserialize, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Refusal {
     /// the request is malformed: {0}
@@ -95,3 +99,60 @@
     /// the caller cancelled the request
     Cancelled,
 }
+
+impl Refusal {
+    /// Returns the HTTP status of the refusal.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Refusal::Malformed(_) | Refusal::KeyMissing | Refusal::KeyUnusable => {
+                StatusCode::BAD_REQUEST
+            }
+            Refusal::Unauthenticated => StatusCode::UNAUTHORIZED,
+            Refusal::Forbidden => StatusCode::FORBIDDEN,
+            Refusal::UnknownService => StatusCode::NOT_FOUND,
+            Refusal::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
+            Refusal::ResponseForgotten | Refusal::OutcomeLost | Refusal::KeyInProgress => {
+                StatusCode::CONFLICT
+            }
+            Refusal::ShareExceeded => StatusCode::TOO_MANY_REQUESTS,
+            Refusal::DeadlinePassed | Refusal::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::ResponseLost => StatusCode::BAD_GATEWAY,
+            Refusal::QueueFull
+            | Refusal::DeadlineUnreachable
+            | Refusal::NoTarget
+            | Refusal::HomeUnreachable
+            | Refusal::ClaimUnavailable
+            | Refusal::Stopping
+            | Refusal::NotReady
+            | Refusal::Cancelled => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Returns the problem document (RFC 9457) for a request that ended with
+    /// this outcome.
+    pub fn problem(&self, outcome: Outcome) -> Value {
+        let name: &'static str = self.into();
+        json!({
+            "type": format!("urn:tamarackproxy:problem:{name}"),
+            "title": name.replace('-', " "),
+            "status": self.status().as_u16(),
+            "detail": self.to_string(),
+            "outcome": outcome,
+        })
+    }
+}
+
+impl Urgency {
+    /// Reads the urgency of a `Priority` header (RFC 9218); unknown
+    /// parameters are ignored and a missing or unreadable urgency is 3.
+    pub fn from_priority(header: &str) -> Self {
+        let parameters = header.split(',').map(str::trim);
+        let urgency = parameters.filter_map(|parameter| parameter.strip_prefix("u=")).next_back();
+        match urgency.and_then(|urgency| urgency.trim().parse::<u8>().ok()) {
+            Some(0..=1) => Urgency::Urgent,
+            Some(5..=7) => Urgency::Bulk,
+            _ => Urgency::Normal,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/transport/target_client.rs
@@ -0,0 +1,209 @@
+//! Client of targets: one request at a time on each connection.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::timeout};
+
+use crate::{
+    coordination::requests::AttemptResult,
+    protocol::caller::{OUTCOME_HEADER, Outcome, RESPONSE_BODY_MAX_BYTES},
+};
+
+/// Idle connections kept for one target; a seat's share of its slots.
+const IDLE_CONNECTIONS: usize = 8;
+
+/// Request as a target receives it.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetRequest {
+    pub(crate) method: Method,
+    pub(crate) path: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Whether a lost connection may be answered by another attempt. Requests
+    /// that may not be repeated get a new connection: a target that closes an
+    /// idle one just as the request is written would leave the outcome unknown.
+    pub(crate) repeatable: bool,
+}
+
+/// Whole response of a target.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetResponse {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+type Connection = SendRequest<Full<Bytes>>;
+
+/// Client with a few idle connections to each target.
+///
+/// A connection is kept only after a whole response was read from it, so a
+/// late response never meets the next request.
+#[derive(Clone, Default)]
+pub(crate) struct TargetClient {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
+}
+
+enum SendFailure {
+    NotSent,
+    Lost,
+}
+
+impl TargetClient {
+    /// Sends a request and reads the whole response within the time.
+    ///
+    /// Dropping the future closes its connection.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        request: TargetRequest,
+        time: Duration,
+    ) -> (AttemptResult, Option<TargetResponse>) {
+        let mut may_be_sent = false;
+        let attempt = timeout(time, self.attempt(address, request, &mut may_be_sent)).await;
+        match attempt {
+            Ok(Ok(response)) => classify(response),
+            Ok(Err(SendFailure::NotSent)) => (AttemptResult::NotSent, None),
+            Ok(Err(SendFailure::Lost)) => (AttemptResult::Lost, None),
+            Err(_) if may_be_sent => (AttemptResult::TimedOut, None),
+            Err(_) => (AttemptResult::NotSent, None),
+        }
+    }
+
+    async fn attempt(
+        &self,
+        address: SocketAddr,
+        request: TargetRequest,
+        may_be_sent: &mut bool,
+    ) -> Result<TargetResponse, SendFailure> {
+        let mut connection = self.connection(address, request.repeatable).await?;
+        let request = build(address, request)?;
+        *may_be_sent = true;
+        let response = connection.try_send_request(request).await.map_err(|mut error| {
+            // The request comes back only if no byte of it was written.
+            match error.take_message() {
+                Some(_) => SendFailure::NotSent,
+                None => SendFailure::Lost,
+            }
+        })?;
+        let closes = closes_connection(response.headers());
+        let response = read_whole(response).await?;
+        if !closes {
+            self.keep(address, connection);
+        }
+        Ok(response)
+    }
+
+    async fn connection(
+        &self,
+        address: SocketAddr,
+        may_be_idle: bool,
+    ) -> Result<Connection, SendFailure> {
+        let idle = if may_be_idle { self.idle_connection(address).await } else { None };
+        match idle {
+            Some(idle) => Ok(idle),
+            None => connect(address).await,
+        }
+    }
+
+    async fn idle_connection(&self, address: SocketAddr) -> Option<Connection> {
+        loop {
+            let mut idle = self.idle.borrow_mut().get_mut(&address)?.pop()?;
+            if !idle.is_closed() && idle.ready().await.is_ok() {
+                return Some(idle);
+            }
+        }
+    }
+
+    fn keep(&self, address: SocketAddr, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < IDLE_CONNECTIONS {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes idle connections to targets that are not in the list.
+    pub(crate) fn retain<F>(&self, keep: F)
+    where
+        F: Fn(&SocketAddr) -> bool,
+    {
+        self.idle.borrow_mut().retain(|address, _| keep(address));
+    }
+
+    /// Checks the health of an instance.
+    pub(crate) async fn is_healthy(&self, address: SocketAddr, time: Duration) -> bool {
+        let request = TargetRequest {
+            method: Method::GET,
+            path: Uri::from_static("/healthz"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            repeatable: true,
+        };
+        let (_, response) = self.send(address, request, time).await;
+        response.is_some_and(|response| response.status.is_success())
+    }
+}
+
+fn closes_connection(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values.filter_map(|value| value.to_str().ok()).any(|value| value.eq_ignore_ascii_case("close"))
+}
+
+fn classify(response: TargetResponse) -> (AttemptResult, Option<TargetResponse>) {
+    let leaving = closes_connection(&response.headers);
+    let outcome = response.headers.get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
+    let refused = outcome.and_then(|value| value.parse().ok()) == Some(Outcome::NotRun);
+    if response.status == StatusCode::SERVICE_UNAVAILABLE && refused {
+        return (AttemptResult::RefusedBeforeStart { leaving }, None);
+    }
+    let status = response.status.as_u16();
+    (AttemptResult::Answered { status, leaving }, Some(response))
+}
+
+fn build(address: SocketAddr, request: TargetRequest) -> Result<Request<Full<Bytes>>, SendFailure> {
+    let mut built = Request::new(Full::from(request.body));
+    *built.method_mut() = request.method;
+    *built.uri_mut() = request.path;
+    *built.headers_mut() = request.headers;
+    let host = address.to_string().parse().map_err(|_| SendFailure::NotSent)?;
+    built.headers_mut().insert(header::HOST, host);
+    Ok(built)
+}
+
+/// Tells whether a truncated body can be told from a whole one.
+fn has_declared_end(status: StatusCode, headers: &HeaderMap) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// Reads the body to its declared end; hyper reports a body that ends before
+/// its `Content-Length` or its last chunk as an error.
+async fn read_whole(response: Response<Incoming>) -> Result<TargetResponse, SendFailure> {
+    let (parts, body) = response.into_parts();
+    if !has_declared_end(parts.status, &parts.headers) {
+        return Err(SendFailure::Lost);
+    }
+    let body = Limited::new(body, RESPONSE_BODY_MAX_BYTES);
+    let body = body.collect().await.map_err(|_| SendFailure::Lost)?.to_bytes();
+    Ok(TargetResponse { status: parts.status, headers: parts.headers, body })
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, SendFailure> {
+    let stream = TcpStream::connect(address).await.map_err(|_| SendFailure::NotSent)?;
+    stream.set_nodelay(true).map_err(|_| SendFailure::NotSent)?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendFailure::NotSent)?;
+    tokio::task::spawn_local(connection);
+    Ok(sender)
+}
