--- a/crates/tamarackproxy/src/coordination/configuration/engine/distribution.rs
+++ b/crates/tamarackproxy/src/coordination/configuration/engine/distribution.rs
@@ -12,14 +12,30 @@
     },
 };
 
-/// Time after which an unanswered pull is tried again at the next heartbeat of
-/// any peer, in milliseconds. Six peers send one each second, so a node that
-/// loses an answer asks again well within that second.
+/// Time after which an unanswered pull is repeated, in milliseconds, times the
+/// number of the attempt; answers arrive within milliseconds unless they are
+/// lost.
 const PULL_LIMIT_MS: u64 = 300;
+/// Attempts of one pull; later heartbeats start another.
+const PULL_ATTEMPTS: u64 = 3;
 /// Time for which changes of host records are gathered before they are pushed
 /// and reported, in milliseconds.
 const HOSTS_BATCH_MS: u64 = 50;
 
+/// A question for newer state that was not answered yet.
+#[derive(Clone, Debug)]
+pub(super) struct Pull {
+    to: EntryId,
+    attempts: u64,
+    retry_ms: u64,
+}
+
+impl Pull {
+    pub(super) fn retry_ms(&self) -> u64 {
+        self.retry_ms
+    }
+}
+
 impl ConfigurationEngine {
     /// Applies the head of the store, or reports that the store was restored.
     pub(super) fn apply_head(
@@ -141,10 +157,30 @@
         to: EntryId,
         actions: &mut Vec<ConfigurationAction>,
     ) {
-        if self.pull.as_ref().is_some_and(|(_, sent_ms)| now_ms < sent_ms + PULL_LIMIT_MS) {
+        if self.pull.as_ref().is_some_and(|pull| now_ms < pull.retry_ms) {
             return;
         }
-        self.pull = Some((to.clone(), now_ms));
+        self.pull_from(now_ms, to, 1, actions);
+    }
+
+    /// Repeats a pull that was not answered.
+    pub(super) fn repeat_pull(&mut self, now_ms: u64, actions: &mut Vec<ConfigurationAction>) {
+        if let Some(Pull { to, attempts, .. }) = self.pull.take_if(|pull| now_ms >= pull.retry_ms)
+            && attempts < PULL_ATTEMPTS
+        {
+            self.pull_from(now_ms, to, attempts + 1, actions);
+        }
+    }
+
+    fn pull_from(
+        &mut self,
+        now_ms: u64,
+        to: EntryId,
+        attempts: u64,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        let retry_ms = now_ms + PULL_LIMIT_MS * attempts;
+        self.pull = Some(Pull { to: to.clone(), attempts, retry_ms });
         let (position, fleet_version) = (self.position(), self.hosts.version());
         let message = ConfigurationMessage::Pull { position, fleet_version };
         actions.push(ConfigurationAction::Send { to, message });
@@ -190,7 +226,7 @@
     }
 
     fn on_answer(&mut self, from: &EntryId) {
-        self.pull.take_if(|(peer, _)| peer == from);
+        self.pull.take_if(|pull| pull.to == *from);
         self.start.has_answer = true;
     }
 
--- a/crates/tamarackproxy/src/coordination/configuration/engine/mod.rs
+++ b/crates/tamarackproxy/src/coordination/configuration/engine/mod.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use self::{puts::Puts, start::Start, watch::Watcher};
+use self::{distribution::Pull, puts::Puts, start::Start, watch::Watcher};
 use super::{
     ConfigurationAction, ConfigurationEvent, OperatorCall, Position, hosts::HostTable,
     in_force::InForce,
@@ -49,9 +49,7 @@
     puts: Puts,
     watcher: Watcher,
     start: Start,
-    /// Peer that was asked for newer state, and when, in monotonic
-    /// milliseconds.
-    pull: Option<(EntryId, u64)>,
+    pull: Option<Pull>,
     /// Peer whose sequence of all host records is being received.
     whole_from: Option<EntryId>,
     /// Version of host records that the data centre's peers were told of, while
@@ -113,7 +111,7 @@
         let waits = self.waits.iter().map(|wait| wait.until_ms).min();
         [self.puts.next_tick_ms(), self.watcher.next_tick_ms(), self.start.next_tick_ms()]
             .into_iter()
-            .chain([waits, self.hosts_due_ms])
+            .chain([waits, self.hosts_due_ms, self.pull.as_ref().map(Pull::retry_ms)])
             .flatten()
             .min()
     }
@@ -161,6 +159,7 @@
 
     fn advance(&mut self, now: ClockReading, actions: &mut Vec<ConfigurationAction>) {
         let now_ms = now.monotonic_ms;
+        self.repeat_pull(now_ms, actions);
         self.advance_puts(now, actions);
         self.advance_watcher(now, actions);
         self.report_hosts(now_ms, actions);
