--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod fleet;
 pub mod net;
 pub mod store;
+pub mod sim;
