--- a/crates/standins/src/bench/once/setup.rs
+++ b/crates/standins/src/bench/once/setup.rs
@@ -47,6 +47,18 @@
         }
     }
 
+    /// Faults that mostly do not overlap.
+    pub fn single() -> Self {
+        Self {
+            kill_every_ms: 120_000,
+            pause_every_ms: 120_000,
+            outage_every_ms: 240_000,
+            cut_off_every_ms: 240_000,
+            partition_every_ms: 120_000,
+            ..Self::all()
+        }
+    }
+
     /// Every kind of fault, far more often than the failure model states.
     pub fn all() -> Self {
         Self {
--- a/crates/tamarackproxy/src/coordination/once/engine.rs
+++ b/crates/tamarackproxy/src/coordination/once/engine.rs
@@ -95,6 +95,8 @@
     pub(super) data_centre: DataCentreId,
     pub(super) pace_ms: u64,
     pub(super) seats: Option<u16>,
+    /// When the number of seats became known, in milliseconds since the epoch.
+    pub(super) configured_unix_ms: u64,
     pub(super) tenure: Option<SeatTenure>,
     pub(super) suspended: bool,
     pub(super) stopping: bool,
@@ -151,6 +153,7 @@
             data_centre,
             pace_ms: share_ms.max(PACE_MIN_MS),
             seats: None,
+            configured_unix_ms: 0,
             tenure: None,
             suspended: false,
             stopping: false,
@@ -436,6 +439,7 @@
         if before == Some(seats) {
             return;
         }
+        self.configured_unix_ms = now.unix_ms;
         if before.is_some() {
             // Keys move between seats, and their former homes may have run them.
             self.raise_gap(now.unix_ms + CLOCK_TOLERANCE_MS + LAYOUT_SPREAD_MS);
@@ -450,7 +454,8 @@
         let Some(seats) = self.seats else { return };
         self.calls.retain(|_, purpose| *purpose != Purpose::Layout);
         self.layout_retry_ms = None;
-        let mut layout = LayoutSync::new(layout_key(&self.data_centre), seats);
+        let key = layout_key(&self.data_centre);
+        let mut layout = LayoutSync::new(key, seats, self.configured_unix_ms);
         let request = layout.start();
         self.layout = Some(layout);
         self.call(Purpose::Layout, request, actions);
--- a/crates/tamarackproxy/src/coordination/once/layout.rs
+++ b/crates/tamarackproxy/src/coordination/once/layout.rs
@@ -3,7 +3,7 @@
 use super::batch::Layout;
 use crate::{
     protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest},
-    state::{clock::ClockReading, ids::RecordVersion},
+    state::ids::RecordVersion,
 };
 
 /// What the owner does next.
@@ -22,12 +22,15 @@
 pub(super) struct LayoutSync {
     key: Box<str>,
     seats: u16,
+    /// When this entry host learnt the number, in milliseconds since the Unix
+    /// epoch.
+    configured_unix_ms: u64,
     written: Option<Layout>,
 }
 
 impl LayoutSync {
-    pub fn new(key: Box<str>, seats: u16) -> Self {
-        Self { key, seats, written: None }
+    pub fn new(key: Box<str>, seats: u16, configured_unix_ms: u64) -> Self {
+        Self { key, seats, configured_unix_ms, written: None }
     }
 
     pub fn start(&mut self) -> StoreRequest {
@@ -35,23 +38,17 @@
         StoreRequest::Get { key: self.key.clone() }
     }
 
-    pub fn on_result(
-        &mut self,
-        now: ClockReading,
-        result: Result<StoreReply, StoreError>,
-    ) -> LayoutStep {
+    pub fn on_result(&mut self, result: Result<StoreReply, StoreError>) -> LayoutStep {
         match (result, self.written) {
             (Ok(StoreReply::Swapped(_)), Some(layout)) => LayoutStep::Done(layout),
-            (Ok(StoreReply::Value(value) | StoreReply::Conflict(value)), _) => {
-                self.decide(now, value)
-            }
+            (Ok(StoreReply::Value(value) | StoreReply::Conflict(value)), _) => self.decide(value),
             // A lost reply needs no operation id: reading the record again
             // shows whether it names the wanted number.
             _ => LayoutStep::Retry,
         }
     }
 
-    fn decide(&mut self, now: ClockReading, value: Option<KeyValue>) -> LayoutStep {
+    fn decide(&mut self, value: Option<KeyValue>) -> LayoutStep {
         let present: Option<Layout> =
             value.as_ref().and_then(|stored| serde_json::from_slice(&stored.value).ok());
         if let Some(layout) = present
@@ -59,7 +56,12 @@
         {
             return LayoutStep::Done(layout);
         }
-        let changed_unix_ms = if value.is_none() { 0 } else { now.unix_ms };
+        // A late entry host must not move the time of the last change back.
+        let changed_unix_ms = match (&value, present) {
+            (None, _) => 0,
+            (Some(_), None) => self.configured_unix_ms,
+            (Some(_), Some(layout)) => layout.changed_unix_ms.max(self.configured_unix_ms),
+        };
         let layout = Layout { seats: self.seats, changed_unix_ms };
         let Ok(encoded) = serde_json::to_vec(&layout) else { return LayoutStep::Retry };
         self.written = Some(layout);
--- a/crates/tamarackproxy/src/coordination/once/opening.rs
+++ b/crates/tamarackproxy/src/coordination/once/opening.rs
@@ -23,13 +23,16 @@
 /// Time for which peers may send their copies, in milliseconds; far above the
 /// millisecond between hosts of a data centre.
 const COPIES_WAIT_MS: u64 = 1_000;
+/// Time after which a peer without reply is asked again, in milliseconds. A
+/// lost message would otherwise leave all keys unknown for minutes.
+const COPIES_ASK_MS: u64 = 200;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
     WaitForSeats,
     Layout,
     List,
-    Copies { until_ms: u64 },
+    Copies { until_ms: u64, ask_ms: u64 },
     Create,
 }
 
@@ -116,7 +119,7 @@
     pub(super) fn opening_due_ms(&self) -> Option<u64> {
         match &self.phase {
             Phase::Opening(opening) => match opening.step {
-                Step::Copies { until_ms } => Some(until_ms),
+                Step::Copies { until_ms, ask_ms } => Some(until_ms.min(ask_ms)),
                 _ => opening.retry_ms,
             },
             _ => None,
@@ -132,12 +135,20 @@
                 let Some(seats) = self.seats else { return };
                 opening.step = Step::Layout;
                 opening.layout_seats = seats;
-                opening.layout = Some(LayoutSync::new(layout_key(&self.data_centre), seats));
+                let key = layout_key(&self.data_centre);
+                opening.layout = Some(LayoutSync::new(key, seats, self.configured_unix_ms));
                 self.send_opening_call(actions);
             }
-            Step::Copies { until_ms } => {
-                if opening.waiting.is_empty() || now.monotonic_ms >= until_ms {
-                    self.create_opening(now, actions);
+            Step::Copies { until_ms, .. }
+                if opening.waiting.is_empty() || now.monotonic_ms >= until_ms =>
+            {
+                self.create_opening(now, actions);
+            }
+            Step::Copies { until_ms, ask_ms } => {
+                if now.monotonic_ms >= ask_ms {
+                    let ask_ms = now.monotonic_ms + COPIES_ASK_MS;
+                    opening.step = Step::Copies { until_ms, ask_ms };
+                    self.ask_for_copies(actions);
                 }
             }
             Step::Layout | Step::List => {
@@ -189,7 +200,7 @@
             _ => self.layout.as_mut(),
         };
         let Some(sync) = sync else { return };
-        match sync.on_result(now, result) {
+        match sync.on_result(result) {
             LayoutStep::Send(request) => self.call(Purpose::Layout, request, actions),
             LayoutStep::Done(layout) => self.on_layout_known(layout, actions),
             LayoutStep::Retry if matches!(self.phase, Phase::Opening(_)) => self.retry_opening(now),
@@ -279,8 +290,15 @@
         opening.copies = claims;
         opening.count_witness(witness, false);
         opening.waiting = self.peers.iter().cloned().collect();
-        opening.step = Step::Copies { until_ms: now.monotonic_ms + COPIES_WAIT_MS };
-        for peer in &self.peers {
+        let until_ms = now.monotonic_ms + COPIES_WAIT_MS;
+        opening.step = Step::Copies { until_ms, ask_ms: now.monotonic_ms };
+        self.continue_opening(now, actions);
+    }
+
+    fn ask_for_copies(&self, actions: &mut Vec<OnceAction>) {
+        let (Phase::Opening(opening), Some(tenure)) = (&self.phase, self.tenure) else { return };
+        let SeatTenure { index: seat, term } = tenure;
+        for peer in &opening.waiting {
             let message = OnceMessage::FetchCopies { seat, term };
             actions.push(OnceAction::Send { to: peer.clone(), message });
         }
