--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -2,8 +2,11 @@
 
 mod figure;
 mod flood;
+pub mod key_values;
+pub mod once;
 mod request_sim;
 mod slots;
+pub mod virtual_time;
 
 pub use self::figure::{Bound, Figure};
 
@@ -18,6 +21,8 @@
     Flood,
     /// Overruns and use of the slots that entry hosts share.
     Slots,
+    /// Charges under faults against the at-most-once engine.
+    Once,
 }
 
 /// Command line of `tamarack-bench`.
@@ -41,6 +46,7 @@
     match name {
         BenchName::Flood => flood::run(options),
         BenchName::Slots => slots::run(options),
+        BenchName::Once => once::run(options.seed, options.seeds),
     }
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,5 +8,5 @@
 pub mod bench;
 pub mod fleet;
 pub mod net;
-pub mod store;
 pub mod sim;
+pub mod store;
