Keep due ticks from starving the event loop's inputs

Cause: an engine whose next tick lay in the past made the loop tick without end, so replies of the store were never read and both seats were suspended after 5 s. The fleet engine of an entry host that is no gateway was asked for its next tick but never ticked. Links to entry hosts from the settings were not opened before the first seat was known. Change: at least 1 ms between ticks, the fleet engine counts only on a gateway, links from settings open at the start, and a missing lease (404) is a reply.

--- a/crates/tamarackproxy/src/node/event_loop.rs
+++ b/crates/tamarackproxy/src/node/event_loop.rs
@@ -46,6 +46,9 @@
 /// Longest time between two ticks of an engine, so that a pause of the loop
 /// is noticed.
 const TICK_MAX_MS: u64 = 200;
+/// Shortest time between two ticks, so that an engine that is due again at
+/// once does not keep the loop from its inputs.
+const TICK_MIN_MS: u64 = 1;
 /// Connections of operators and health checks.
 const ADMIN_CONNECTIONS: u32 = 256;
 
@@ -228,6 +231,7 @@
     /// Runs until the node was stopped or killed.
     pub(super) async fn run(mut self) {
         log::info!(entry = self.settings.entry.as_str(); "node started");
+        self.peers.connect(Vec::new(), &self.ends);
         self.tick();
         while !self.has_ended() {
             let tick_at = self.origin + Duration::from_millis(self.next_tick_ms());
@@ -259,11 +263,12 @@
             self.once.next_tick_ms(),
             self.seats.next_tick_ms(),
             self.configuration.next_tick_ms(),
-            self.fleet.next_tick_ms(),
+            self.fleet.next_tick_ms().filter(|_| self.peers.is_gateway()),
             self.burn.next_tick_ms(),
         ];
+        let earliest = self.now.monotonic_ms + TICK_MIN_MS;
         let latest = self.now.monotonic_ms + TICK_MAX_MS;
-        engines.into_iter().flatten().min().unwrap_or(latest).min(latest)
+        engines.into_iter().flatten().min().unwrap_or(latest).clamp(earliest, latest)
     }
 
     /// Passes a tick to every engine, the seat engine first: it notices a
@@ -330,6 +335,9 @@
         let (store, ends) = (self.store.clone(), self.ends.clone());
         tokio::task::spawn_local(async move {
             let result = store.call(&request).await;
+            if let Err(error) = &result {
+                log::debug!(engine:? = engine; "call to the store failed: {error}; {request:?}");
+            }
             let _ = ends.send(TaskEnd::Store { engine, call, result });
         });
     }
--- a/crates/tamarackproxy/src/transport/store_client.rs
+++ b/crates/tamarackproxy/src/transport/store_client.rs
@@ -40,17 +40,24 @@
     pub(crate) async fn call(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
         let call = gateway::encode(request);
         let deadline = timeout(self.timeout, self.exchange(&call));
-        let body = deadline.await.map_err(|_| StoreError::Unknown)??;
+        let Some(body) = deadline.await.map_err(|_| StoreError::Unknown)?? else {
+            return Ok(StoreReply::LeaseLost);
+        };
         let body = serde_json::from_slice(&body)
             .map_err(|error| StoreError::Malformed(error.to_string().into()))?;
         gateway::decode(request, &body)
     }
 
-    async fn exchange(&self, call: &GatewayCall) -> Result<Bytes, StoreError> {
+    /// Sends a call and reads its reply; nothing if the call names a lease that
+    /// the store does not have.
+    async fn exchange(&self, call: &GatewayCall) -> Result<Option<Bytes>, StoreError> {
         let mut connection = self.connection().await?;
         let response = connection.send_request(self.request(call)?).await.map_err(|error| {
             if error.is_canceled() { StoreError::NotSent } else { StoreError::Unknown }
         })?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
         check_status(response.status())?;
         let body = Limited::new(response.into_body(), REPLY_MAX_BYTES);
         let body = body.collect().await.map_err(|_| StoreError::Unknown)?.to_bytes();
@@ -58,7 +65,7 @@
         if idle.len() < IDLE_CONNECTIONS {
             idle.push(connection);
         }
-        Ok(body)
+        Ok(Some(body))
     }
 
     fn request(&self, call: &GatewayCall) -> Result<Request<Full<Bytes>>, StoreError> {
