--- a/crates/tamarackproxy/src/ctl/client.rs
+++ b/crates/tamarackproxy/src/ctl/client.rs
@@ -9,8 +9,8 @@
 
 use super::ControlError;
 use crate::{
-    protocol::admin::AdminProblem,
-    transport::target_client::{TargetClient, TargetRequest},
+    protocol::{admin::AdminProblem, http::TargetRequest},
+    transport::target_client::TargetClient,
 };
 
 /// Time that a call may take: a read waits up to 6 s for a revision.
--- a/crates/tamarackproxy/src/node/admin.rs
+++ b/crates/tamarackproxy/src/node/admin.rs
@@ -1,21 +1,24 @@
 //! Requests of operators.
 
-use std::{collections::HashMap, sync::Arc};
+use std::collections::HashMap;
 
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
 
-use super::{configuration::RunningWatch, event_loop::EventLoop};
+use super::{core::Input, event_loop::EventLoop};
 use crate::{
-    coordination::configuration::{ConfigurationEvent, OperatorCall, Position, PutError},
+    coordination::{
+        burn::{BURN_PREFIX, BurnLedger, BurnReport},
+        configuration::{OperatorCall, Position, PutError},
+    },
     protocol::{
-        admin::{DocumentBody, HostRow, PoolRow, PutRequest, ServiceRow, Status},
+        admin::PutRequest,
         store::{KeyValue, StoreReply, StoreRequest},
     },
     state::{
-        ids::{HostId, RequestId, Revision, TeamId},
-        records::HostRecord,
+        document::Document,
+        ids::{Revision, TeamId},
     },
     transport::{
         admin_server::{AdminInput, AdminRequest, AdminResponse},
@@ -23,23 +26,17 @@
     },
 };
 
-/// Time that a read waits for a revision, in milliseconds; a change is in
-/// force everywhere within 6 s.
-const READ_WAIT_MS: u64 = 6_000;
 /// Records that one page of a listing holds.
 const LIST_LIMIT: u32 = 1_000;
+/// Ledgers read in one call; one has up to some 350 kB at 26 services.
+const LEDGERS_PER_PAGE: u32 = 4;
 
-/// Operators' calls in progress and what only operators see.
+/// Operators' calls in progress.
 #[derive(Default)]
 pub(super) struct AdminState {
     next_call: u64,
     puts: HashMap<OperatorCall, oneshot::Sender<AdminResponse>>,
     waits: HashMap<OperatorCall, (Box<AdminRequest>, oneshot::Sender<AdminResponse>)>,
-    pub(super) text: Option<Arc<str>>,
-    pub(super) restored: Option<(Position, Position)>,
-    pub(super) watches: Vec<RunningWatch>,
-    pub(super) watch_generation: u64,
-    pub(super) is_release_asked: bool,
 }
 
 impl AdminState {
@@ -68,11 +65,7 @@
 }
 
 /// Reads all records with a prefix; nothing if the store does not answer.
-pub(super) async fn list_all(
-    store: &StoreClient,
-    prefix: &str,
-    limit: u32,
-) -> Option<Vec<KeyValue>> {
+async fn list_all(store: &StoreClient, prefix: &str, limit: u32) -> Option<Vec<KeyValue>> {
     let mut records = Vec::new();
     let mut after = None;
     loop {
@@ -88,7 +81,7 @@
     }
 }
 
-pub(super) fn store_unavailable() -> AdminResponse {
+fn store_unavailable() -> AdminResponse {
     let detail = "the platform's store does not answer; repeat the request later";
     AdminResponse::problem(StatusCode::SERVICE_UNAVAILABLE, "store-unavailable", detail)
 }
@@ -109,16 +102,15 @@
     pub(super) fn on_admin(&mut self, input: AdminInput) {
         match input {
             AdminInput::Readiness { reply } => {
-                let ready = self.is_ready && !self.is_stopping && self.peers.own_seat().is_some();
-                let _ = reply.send(ready);
+                let _ = reply.send(self.core.is_serving());
             }
             AdminInput::Request { request, reply } => self.on_operator(request, reply),
         }
     }
 
     fn on_operator(&mut self, request: Box<AdminRequest>, reply: oneshot::Sender<AdminResponse>) {
-        let team = self.view.as_ref().and_then(|view| view.authenticate_team(&request.headers));
-        let Some(team) = team.cloned() else {
+        let team = self.core.authenticate_team(&request.headers);
+        let Some(team) = team else {
             let detail = "the bearer token is missing or unknown; send your team's token";
             let refused =
                 AdminResponse::problem(StatusCode::UNAUTHORIZED, "unauthenticated", detail);
@@ -147,7 +139,7 @@
         {
             let call = self.admin.next_call();
             self.admin.puts.insert(call, reply);
-            return self.on_configuration(ConfigurationEvent::Revert { call, team, revision });
+            return self.input(Input::Revert { call, team, revision });
         }
         if path == "report" {
             return self.answer_report(reply);
@@ -166,11 +158,14 @@
             return;
         }
         let response = match path {
-            "status" => AdminResponse::json(&self.status()),
-            "pools" => AdminResponse::json(&self.pool_rows()),
-            "hosts" => AdminResponse::json(&self.host_rows()),
-            "services" => AdminResponse::json(&self.service_rows()),
-            "document" => self.document_body(),
+            "status" => AdminResponse::json(&self.core.status()),
+            "pools" => AdminResponse::json(&self.core.pool_rows()),
+            "hosts" => AdminResponse::json(&self.core.host_rows()),
+            "services" => AdminResponse::json(&self.core.service_rows()),
+            "document" => match self.core.document_body() {
+                Some(body) => AdminResponse::json(&body),
+                None => not_found(path),
+            },
             _ => self.explain(path),
         };
         let _ = reply.send(response);
@@ -194,16 +189,13 @@
         let call = self.admin.next_call();
         self.admin.puts.insert(call, reply);
         let (edits, raise_epoch) = (put.edits, put.raise_epoch);
-        self.on_configuration(ConfigurationEvent::Put { call, team, edits, raise_epoch });
+        self.input(Input::Put { call, team, edits, raise_epoch });
     }
 
     pub(super) fn on_put_ended(&mut self, call: OperatorCall, result: Result<Position, PutError>) {
         let Some(reply) = self.admin.puts.remove(&call) else { return };
         let response = match result {
-            Ok(position) => {
-                self.admin.restored = None;
-                AdminResponse::json(&position)
-            }
+            Ok(position) => AdminResponse::json(&position),
             Err(error) => {
                 AdminResponse::problem(put_status(&error), "put-refused", &error.to_string())
             }
@@ -218,15 +210,14 @@
         reply: oneshot::Sender<AdminResponse>,
     ) {
         let call = self.admin.next_call();
-        let until_ms = self.now.monotonic_ms + READ_WAIT_MS;
         self.admin.waits.insert(call, (request, reply));
-        self.on_configuration(ConfigurationEvent::WaitFor { call, revision, until_ms });
+        self.input(Input::WaitFor { call, revision });
     }
 
     pub(super) fn on_wait_ended(&mut self, call: OperatorCall, reached: bool) {
         let Some((request, reply)) = self.admin.waits.remove(&call) else { return };
-        let team = self.view.as_ref().and_then(|view| view.authenticate_team(&request.headers));
-        match team.cloned() {
+        let team = self.core.authenticate_team(&request.headers);
+        match team {
             Some(team) if reached => self.answer_operator(team, &request, reply),
             _ => {
                 let detail = "the revision is not in force here in time; repeat the request";
@@ -236,113 +227,54 @@
         }
     }
 
-    fn status(&self) -> Status {
-        let peers = self.peers.live.iter().map(|peer| (peer.entry.clone(), peer.seat));
-        Status {
-            entry: self.settings.entry.clone(),
-            data_centre: self.settings.data_centre.clone(),
-            deployment: self.view.as_ref().map(|view| view.document().deployment.clone()),
-            in_force: self.position,
-            ready: self.is_ready,
-            stopping: self.is_stopping,
-            seat: self.peers.seat,
-            peers: peers.collect(),
-            gateways: self.peers.gateways.clone(),
-            open_requests: self.pending.len() as u64,
-            reports: self.fleet_state.reports.clone(),
-            store_restored: self.admin.restored,
-        }
-    }
-
-    fn records(&self) -> impl Iterator<Item = &HostRecord> {
-        self.fleet_state.records.iter().map(|(_, record)| record)
-    }
-
-    fn pool_rows(&self) -> Vec<PoolRow> {
-        let Some(view) = &self.view else { return Vec::new() };
-        let pools = view.document().pools.iter();
-        let row = |(pool, section): (&crate::state::ids::PoolId, _)| {
-            let section: &crate::state::document::PoolSection = section;
-            let members = || self.records().filter(|record| record.pool == *pool);
-            PoolRow {
-                pool: pool.clone(),
-                size: section.size.values().sum(),
-                hosts: members().count() as u32,
-                active: members().filter(|record| record.phase.accepts_work()).count() as u32,
-                spare: section.spare,
+    /// Explains why a host or a request waits.
+    fn explain(&self, path: &str) -> AdminResponse {
+        let mut segments = path.split('/');
+        let body = match (segments.next(), segments.next(), segments.next()) {
+            (Some("explain"), Some("host"), Some(host)) => {
+                host.parse().ok().map(|host| self.core.explain_host(&host))
+            }
+            (Some("explain"), Some("request"), Some(request)) => {
+                request.parse().ok().and_then(|request| self.core.explain_request(request))
             }
+            _ => None,
         };
-        pools.map(row).collect()
+        body.map_or_else(|| not_found(path), |body| AdminResponse::json(&body))
     }
 
-    fn host_rows(&self) -> Vec<HostRow> {
-        let row = |(version, record): &(u64, HostRecord)| HostRow {
-            host: record.host.clone(),
-            data_centre: record.data_centre.clone(),
-            rack: record.rack.clone(),
-            pool: record.pool.clone(),
-            phase: record.phase,
-            phase_since_unix_ms: record.phase_since_unix_ms,
-            version: *version,
+    /// Answers with the report over all seats; this seat's counts are taken
+    /// from memory, which is newer than the store.
+    fn answer_report(&self, reply: oneshot::Sender<AdminResponse>) {
+        let Some(document) = self.core.document().cloned() else {
+            return;
         };
-        self.fleet_state.records.iter().map(row).collect()
-    }
-
-    fn service_rows(&self) -> Vec<ServiceRow> {
-        let Some(view) = &self.view else { return Vec::new() };
-        let document = view.document();
-        let loads = self.requests.loads();
-        let rows = document.services.iter().map(|(service, section)| {
-            let available = self
-                .records()
-                .filter(|record| record.pool == section.pool && record.phase.accepts_work());
-            ServiceRow {
-                service: service.clone(),
-                pool: section.pool.clone(),
-                available: available.count() as u32,
-                min_available: document.budgets.get(service).map_or(0, |b| b.min_available),
-                load: loads.iter().find(|load| load.service == *service).cloned(),
-            }
+        let (own_key, own) = (self.core.burn.key(), self.core.burn.ledger().clone());
+        let (store, now_unix_ms) = (self.store.clone(), self.core.now().unix_ms);
+        tokio::task::spawn_local(async move {
+            let response = match list_all(&store, BURN_PREFIX, LEDGERS_PER_PAGE).await {
+                Some(records) => {
+                    let ledger = sum_ledgers(own_key.as_deref(), own, &records);
+                    report(&ledger, &document, now_unix_ms)
+                }
+                None => store_unavailable(),
+            };
+            let _ = reply.send(response);
         });
-        rows.collect()
     }
+}
 
-    fn document_body(&self) -> AdminResponse {
-        match &self.admin.text {
-            Some(text) => {
-                let (position, text) = (self.position, Box::from(&**text));
-                AdminResponse::json(&DocumentBody { position, text })
-            }
-            None => not_found("document"),
+fn sum_ledgers(own_key: Option<&str>, own: BurnLedger, records: &[KeyValue]) -> BurnLedger {
+    let mut sum = own;
+    let others = records.iter().filter(|record| Some(&*record.key) != own_key);
+    for record in others {
+        match serde_json::from_slice(&record.value) {
+            Ok(ledger) => sum.merge(&ledger),
+            Err(error) => log::warn!(key = &*record.key; "ledger cannot be read: {error}"),
         }
     }
+    sum
+}
 
-    /// Explains why a host or a request waits.
-    fn explain(&self, path: &str) -> AdminResponse {
-        let mut segments = path.split('/');
-        match (segments.next(), segments.next(), segments.next()) {
-            (Some("explain"), Some("host"), Some(host)) => match host.parse::<HostId>() {
-                Ok(host) => {
-                    let record = self.fleet_state.record(&host).map(|(_, record)| record);
-                    let text = self.fleet.explain_host(&host);
-                    let in_flight = self.requests.in_flight_on(&host);
-                    let body = json!({
-                        "host": host, "record": record, "in_flight": in_flight, "explanation": text,
-                    });
-                    AdminResponse::json(&body)
-                }
-                Err(_) => not_found(path),
-            },
-            (Some("explain"), Some("request"), Some(request)) => {
-                let request = request.parse::<RequestId>().ok();
-                match request.and_then(|request| self.requests.explain(request)) {
-                    Some(explanation) => {
-                        AdminResponse::json(&json!({ "explanation": format!("{explanation:?}") }))
-                    }
-                    None => not_found(path),
-                }
-            }
-            _ => not_found(path),
-        }
-    }
+fn report(ledger: &BurnLedger, document: &Document, now_unix_ms: u64) -> AdminResponse {
+    AdminResponse::json(&BurnReport::new(ledger, document, now_unix_ms))
 }
--- a/crates/tamarackproxy/src/node/configuration.rs
+++ b/crates/tamarackproxy/src/node/core/configuration.rs
@@ -2,13 +2,7 @@
 
 use std::sync::Arc;
 
-use tokio::sync::mpsc;
-
-use super::{
-    event_loop::EventLoop,
-    input::{Engine, TaskEnd},
-    view::View,
-};
+use super::{Effect, Engine, NodeCore, view::View};
 use crate::{
     coordination::{
         configuration::{ConfigurationAction, ConfigurationEvent, Position},
@@ -21,14 +15,7 @@
     state::document::Document,
 };
 
-/// A running watch; a new watch on the same prefix gets a new generation.
-pub(super) struct RunningWatch {
-    pub(super) prefix: Box<str>,
-    generation: u64,
-    task: tokio::task::JoinHandle<()>,
-}
-
-impl EventLoop {
+impl NodeCore {
     pub(super) fn on_configuration(&mut self, event: ConfigurationEvent) {
         let mut actions = Vec::new();
         self.configuration.handle(self.now, event, &mut actions);
@@ -61,14 +48,21 @@
                     "the store shows an older document than the one in force; \
                      an admin must raise the epoch"
                 );
-                self.admin.restored = Some((in_force, found));
+                self.restored = Some((in_force, found));
+            }
+            ConfigurationAction::PutEnded { call, result } => {
+                if result.is_ok() {
+                    self.restored = None;
+                }
+                self.effects.push(Effect::PutEnded { call, result });
+            }
+            ConfigurationAction::WaitEnded { call, reached } => {
+                self.effects.push(Effect::WaitEnded { call, reached });
             }
-            ConfigurationAction::PutEnded { call, result } => self.on_put_ended(call, result),
-            ConfigurationAction::WaitEnded { call, reached } => self.on_wait_ended(call, reached),
             ConfigurationAction::Watch { prefix, from_version } => {
                 self.start_watch(prefix, from_version);
             }
-            ConfigurationAction::Unwatch { prefix } => self.end_watch(&prefix),
+            ConfigurationAction::Unwatch { prefix } => self.end_watch(prefix),
             ConfigurationAction::Send { to, message } => {
                 self.send(&to, PeerMessage::Configuration(message));
             }
@@ -87,7 +81,7 @@
         let (services, callers) = (view.service_limits(), view.caller_limits());
         self.view = Some(view);
         self.position = position;
-        self.admin.text = Some(text);
+        self.text = Some(text);
         self.on_requests(RequestsEvent::ServicesChanged { services, callers });
         if let Some(seats) = self.configured_seats() {
             self.on_once(OnceEvent::SeatsConfigured { seats });
@@ -100,39 +94,22 @@
     }
 
     fn start_watch(&mut self, prefix: Box<str>, from_version: u64) {
-        self.end_watch(&prefix);
-        self.admin.watch_generation += 1;
-        let generation = self.admin.watch_generation;
-        let (store, ends, watched) = (self.store.clone(), self.ends.clone(), prefix.clone());
-        let task = tokio::task::spawn_local(async move {
-            let (events, mut received) = mpsc::unbounded_channel();
-            let forward = async {
-                while let Some(event) = received.recv().await {
-                    let prefix = watched.clone();
-                    let _ = ends.send(TaskEnd::Watched { prefix, generation, event });
-                }
-            };
-            tokio::join!(store.watch(&watched, from_version, events), forward);
-        });
-        self.admin.watches.push(RunningWatch { prefix, generation, task });
+        self.watch_generation += 1;
+        let generation = self.watch_generation;
+        self.watches.insert(prefix.clone(), generation);
+        self.effects.push(Effect::Watch { prefix, from_version, generation });
     }
 
-    fn end_watch(&mut self, prefix: &str) {
-        self.admin.watches.retain(|watch| {
-            let is_other = &*watch.prefix != prefix;
-            if !is_other {
-                watch.task.abort();
-            }
-            is_other
-        });
+    fn end_watch(&mut self, prefix: Box<str>) {
+        self.watches.remove(&prefix);
+        self.effects.push(Effect::Unwatch { prefix });
     }
 
-    pub(super) fn on_watched(&mut self, prefix: &str, generation: u64, event: WatchEvent) {
-        let mut watches = self.admin.watches.iter();
-        let is_current =
-            watches.any(|watch| &*watch.prefix == prefix && watch.generation == generation);
-        if is_current {
-            self.on_configuration(ConfigurationEvent::Watched { prefix: prefix.into(), event });
+    /// Takes an event of a watch; one of an earlier watch on the prefix is
+    /// ignored.
+    pub(super) fn on_watched(&mut self, prefix: Box<str>, generation: u64, event: WatchEvent) {
+        if self.watches.get(&prefix) == Some(&generation) {
+            self.on_configuration(ConfigurationEvent::Watched { prefix, event });
         }
     }
 }
--- a/crates/tamarackproxy/src/node/fleet.rs
+++ b/crates/tamarackproxy/src/node/core/fleet.rs
@@ -3,15 +3,10 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
-    rc::Rc,
     sync::Arc,
-    time::Duration,
 };
 
-use super::{
-    event_loop::EventLoop,
-    input::{Engine, TaskEnd},
-};
+use super::{Effect, Engine, NodeCore};
 use crate::{
     coordination::{
         fleet::{FleetAction, FleetEvent, FleetMessage, FleetReport},
@@ -29,9 +24,6 @@
     },
 };
 
-/// Time that a health check may take.
-const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Reports that are kept for operators; the oldest is dropped beyond.
 const REPORTS_MAX: usize = 256;
 
@@ -69,7 +61,7 @@
     })
 }
 
-impl EventLoop {
+impl NodeCore {
     pub(super) fn on_fleet(&mut self, event: FleetEvent) {
         let mut actions = Vec::new();
         self.fleet.handle(self.now, event, &mut actions);
@@ -82,11 +74,7 @@
         match action {
             FleetAction::Send { to, message } => self.send(&to, PeerMessage::Fleet(message)),
             FleetAction::Reboot { host, operation } => {
-                let (platform, ends) = (Rc::clone(&self.platform), self.ends.clone());
-                tokio::task::spawn_local(async move {
-                    let accepted = platform.reboot(&host, operation).await;
-                    let _ = ends.send(TaskEnd::Reboot { host, accepted });
-                });
+                self.effects.push(Effect::Reboot { host, operation });
             }
             FleetAction::CheckHealth { host } => self.ask_health(host),
             FleetAction::Store { call, request } => self.call_store(Engine::Fleet, call, request),
@@ -126,7 +114,7 @@
         let Some(view) = &self.view else { return };
         let document = Arc::clone(view.document());
         let records = Arc::clone(&self.fleet_state.records);
-        let own = &self.settings.data_centre;
+        let own = &self.data_centre;
         let local = records.iter().filter(|(_, record)| record.data_centre == *own);
         let mut addresses = HashMap::new();
         let mut targets = Vec::new();
@@ -140,8 +128,8 @@
                 });
             }
         }
-        let is_known = |address: &SocketAddr| addresses.values().any(|known| known == address);
-        self.targets.retain(is_known);
+        let known = addresses.values().copied().collect();
+        self.effects.push(Effect::TargetsKnown { addresses: known });
         self.fleet_state.addresses = addresses;
         self.on_requests(RequestsEvent::TargetsChanged { targets });
         for host in self.fleet_state.leaving.clone() {
@@ -165,20 +153,16 @@
         if self.now.monotonic_ms < self.fleet_state.next_list_ms {
             return;
         }
-        let interval_ms = self.settings.platform.list_interval.as_ms();
+        let interval_ms = self.list_interval_ms;
         self.fleet_state.next_list_ms = self.now.monotonic_ms + interval_ms;
-        let (platform, ends) = (Rc::clone(&self.platform), self.ends.clone());
-        tokio::task::spawn_local(async move {
-            let hosts = platform.list_hosts().await;
-            let _ = ends.send(TaskEnd::Listed { hosts });
-        });
+        self.effects.push(Effect::ListHosts);
     }
 
     /// Takes the platform's list; the request engine passes signs of leaving
     /// on to the peers of the data centre.
     pub(super) fn on_listed(&mut self, hosts: Option<Vec<ListedHost>>) {
         let Some(hosts) = hosts else { return };
-        let own = &self.settings.data_centre;
+        let own = &self.data_centre;
         let leaving = hosts
             .iter()
             .filter(|host| host.state == ListedState::Leaving && host.data_centre == *own)
@@ -194,7 +178,7 @@
     /// Checks a host, or asks the gateway of its data centre to do it.
     fn ask_health(&mut self, host: HostId) {
         let Some((_, record)) = self.fleet_state.record(&host) else { return };
-        if record.data_centre == self.settings.data_centre {
+        if record.data_centre == self.data_centre {
             return self.check_health(host, None);
         }
         if let Some(gateway) = self.peers.gateway_of(&record.data_centre).cloned() {
@@ -209,14 +193,7 @@
         };
         let instances = instances(view.document(), record).map(|(_, address)| address);
         let addresses: Vec<SocketAddr> = instances.collect();
-        let (targets, ends) = (self.targets.clone(), self.ends.clone());
-        tokio::task::spawn_local(async move {
-            let mut healthy = true;
-            for address in addresses {
-                healthy &= targets.is_healthy(address, HEALTH_TIMEOUT).await;
-            }
-            let _ = ends.send(TaskEnd::Health { host, healthy, asked_by });
-        });
+        self.effects.push(Effect::CheckHealth { host, addresses, asked_by });
     }
 
     pub(super) fn on_health(&mut self, host: HostId, healthy: bool, asked_by: Option<EntryId>) {
--- a/crates/tamarackproxy/src/node/once.rs
+++ b/crates/tamarackproxy/src/node/core/once.rs
@@ -2,15 +2,14 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use super::{event_loop::EventLoop, input::Engine, pending::End};
+use super::{End, Engine, NodeCore};
 use crate::{
     coordination::{
         once::{OnceAction, OnceEvent},
         requests::RequestsEvent,
     },
-    protocol::{caller::Refusal, peer::PeerMessage},
+    protocol::{caller::Refusal, http::TargetResponse, peer::PeerMessage},
     state::ids::RequestId,
-    transport::target_client::TargetResponse,
 };
 
 /// First responses to idempotency keys, bounded in bytes; the oldest is
@@ -48,7 +47,7 @@
     }
 }
 
-impl EventLoop {
+impl NodeCore {
     pub(super) fn on_once(&mut self, event: OnceEvent) {
         let mut actions = Vec::new();
         self.once.handle(self.now, event, &mut actions);
--- a/crates/tamarackproxy/src/node/peers.rs
+++ b/crates/tamarackproxy/src/node/core/peers.rs
@@ -1,24 +1,18 @@
 //! Other entry hosts: links, seats, gateways and exchanged load.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
-use tokio::sync::mpsc;
-
-use super::{event_loop::EventLoop, input::TaskEnd};
+use super::{Effect, NodeCore};
 use crate::{
     coordination::{
         configuration::ConfigurationEvent,
         fleet::{FleetEvent, FleetMessage, ServiceDemand},
         once::OnceEvent,
         requests::{RequestsEvent, RequestsMessage, ServiceLoad},
-        seats::{EntryAddress, LivePeer, SeatsEvent},
+        seats::{LivePeer, SeatsEvent},
     },
     protocol::peer::{Hello, PeerMessage},
-    state::{
-        ids::{DataCentreId, EntryId, ServiceId, Term},
-        settings::Settings,
-    },
-    transport::{peer_client::PeerLink, peer_server::PeerInput},
+    state::ids::{DataCentreId, EntryId, ServiceId, Term},
 };
 
 /// Interval at which load is sent to peers and gateways, in milliseconds.
@@ -29,9 +23,6 @@
 /// What this entry host knows of the others.
 pub(super) struct Peers {
     hello: Hello,
-    /// Addresses from settings, which go before those from the store.
-    settled: HashMap<EntryId, EntryAddress>,
-    links: HashMap<EntryId, PeerLink>,
     pub(super) live: Vec<LivePeer>,
     pub(super) gateways: Vec<(DataCentreId, EntryId)>,
     pub(super) seat: Option<(u16, Term)>,
@@ -42,22 +33,9 @@
 }
 
 impl Peers {
-    pub(super) fn new(settings: &Settings) -> Self {
-        let settled = settings.peers.iter().map(|peer| {
-            let address = EntryAddress {
-                entry: peer.entry.clone(),
-                data_centre: peer.data_centre.clone(),
-                peer_address: peer.address.to_string().into(),
-            };
-            (peer.entry.clone(), address)
-        });
+    pub(super) fn new(hello: Hello) -> Self {
         Self {
-            hello: Hello {
-                entry: settings.entry.clone(),
-                data_centre: settings.data_centre.clone(),
-            },
-            settled: settled.collect(),
-            links: HashMap::new(),
+            hello,
             live: Vec::new(),
             gateways: Vec::new(),
             seat: None,
@@ -67,38 +45,6 @@
         }
     }
 
-    pub(super) fn link(&self, entry: &EntryId) -> Option<&PeerLink> {
-        self.links.get(entry)
-    }
-
-    /// Opens links to new addresses and closes those to forgotten ones.
-    pub(super) fn connect(
-        &mut self,
-        entries: Vec<EntryAddress>,
-        ends: &mpsc::UnboundedSender<TaskEnd>,
-    ) {
-        let mut wanted: HashMap<EntryId, EntryAddress> =
-            entries.into_iter().map(|entry| (entry.entry.clone(), entry)).collect();
-        wanted.extend(self.settled.clone());
-        wanted.remove(&self.hello.entry);
-        self.links.retain(|entry, link| {
-            let address = wanted.get(entry).map(|entry| &*entry.peer_address);
-            address.is_some_and(|address| *address == link.address().to_string())
-        });
-        for (entry, address) in wanted {
-            let Ok(socket_address) = address.peer_address.parse() else { continue };
-            if self.links.contains_key(&entry) {
-                continue;
-            }
-            let (ends, peer) = (ends.clone(), entry.clone());
-            let refused = move || {
-                let _ = ends.send(TaskEnd::PeerRefused { peer: peer.clone() });
-            };
-            let link = PeerLink::open(socket_address, self.hello.clone(), refused);
-            self.links.insert(entry, link);
-        }
-    }
-
     /// Returns the seat of this entry host while it may be used.
     pub(super) fn own_seat(&self) -> Option<u16> {
         self.seat.filter(|_| !self.is_suspended).map(|(index, _)| index)
@@ -146,27 +92,17 @@
     sums.into_values().collect()
 }
 
-impl EventLoop {
+impl NodeCore {
     /// Sends a control message; one to this entry host itself is taken at once.
     pub(super) fn send(&mut self, to: &EntryId, message: PeerMessage) {
-        if *to == self.settings.entry {
+        if *to == self.peers.hello.entry {
             let hello = self.peers.hello.clone();
             return self.on_message(&hello, message);
         }
-        match self.peers.link(to) {
-            Some(link) => link.send(message),
-            None => log::debug!(peer = to.as_str(); "no link to the peer; message dropped"),
-        }
-    }
-
-    pub(super) fn on_peer(&mut self, input: PeerInput) {
-        match input {
-            PeerInput::Message { hello, message } => self.on_message(&hello, message),
-            PeerInput::Forward { request, reply } => self.submit_forwarded(request, reply),
-        }
+        self.effects.push(Effect::SendPeer { to: to.clone(), message });
     }
 
-    fn on_message(&mut self, hello: &Hello, message: PeerMessage) {
+    pub(super) fn on_message(&mut self, hello: &Hello, message: PeerMessage) {
         let from = hello.entry.clone();
         match message {
             PeerMessage::Hello(_) => {}
@@ -192,7 +128,7 @@
     }
 
     fn on_load(&mut self, from: EntryId, data_centre: DataCentreId, loads: Vec<ServiceLoad>) {
-        if data_centre == self.settings.data_centre {
+        if data_centre == self.data_centre {
             self.peers.loads.insert(from, (self.now.monotonic_ms, loads));
             return;
         }
@@ -232,7 +168,7 @@
         }
         self.peers.next_load_ms = now_ms + LOAD_INTERVAL_MS;
         let own = self.requests.loads();
-        let data_centre = self.settings.data_centre.clone();
+        let data_centre = self.data_centre.clone();
         for peer in self.peers.live_entries() {
             let loads = own.clone();
             self.send(&peer, PeerMessage::Load { data_centre: data_centre.clone(), loads });
--- a/crates/tamarackproxy/src/node/pending.rs
+++ b/crates/tamarackproxy/src/node/core/pending.rs
@@ -1,47 +1,38 @@
 //! Requests that have no response yet.
 
-use std::collections::HashMap;
-
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
-use tokio::{sync::oneshot, task::AbortHandle};
+use std::collections::HashSet;
 
 use crate::{
     coordination::{once::Claim, requests::RequestMeta},
     protocol::{
         caller::{Outcome, Refusal},
-        peer::{ForwardRequest, ForwardResponse},
-    },
-    transport::{
-        caller_server::CallerResponse,
-        target_client::{TargetRequest, TargetResponse},
+        http::{TargetRequest, TargetResponse},
+        peer::{ForwardKind, ForwardRequest, ForwardResponse},
     },
 };
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 
-/// Where the response goes.
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Origin {
-    Caller(oneshot::Sender<CallerResponse>),
-    Peer(oneshot::Sender<ForwardResponse>),
-}
-
-impl Origin {
-    /// Sends the response; a receiver that went away needs none.
-    pub(super) fn reply(self, end: End) {
-        match self {
-            Origin::Caller(reply) => {
-                let _ = reply.send(end.into_caller_response());
-            }
-            Origin::Peer(reply) => {
-                let _ = reply.send(end.into_forward_response());
-            }
-        }
-    }
+    Caller,
+    Peer,
 }
 
 /// How a request ended.
 #[derive(Clone, Debug)]
-pub(super) enum End {
+pub enum End {
+    /// The target's whole response.
     Answered(TargetResponse),
-    Refused { outcome: Outcome, refusal: Refusal, retry_after_ms: Option<u64> },
+    /// No response, and why.
+    Refused {
+        /// What the caller may conclude.
+        outcome: Outcome,
+        /// Why there is no response.
+        refusal: Refusal,
+        /// Time after which a repeat may help, in milliseconds.
+        retry_after_ms: Option<u64>,
+    },
 }
 
 impl End {
@@ -53,28 +44,28 @@
         Self::Refused { outcome: Outcome::Unknown, refusal, retry_after_ms: None }
     }
 
-    pub(super) fn outcome(&self) -> Outcome {
+    /// Returns what the caller may conclude.
+    pub fn outcome(&self) -> Outcome {
         match self {
             End::Answered(_) => Outcome::Answered,
             End::Refused { outcome, .. } => *outcome,
         }
     }
 
-    fn into_caller_response(self) -> CallerResponse {
+    /// Makes the answer for a caller; nothing if there is none.
+    pub(crate) fn into_answer(self) -> Result<TargetResponse, (Outcome, Refusal, Option<u64>)> {
         match self {
-            End::Answered(response) => CallerResponse {
-                outcome: Outcome::Answered,
-                status: response.status,
-                headers: end_to_end(response.headers),
-                body: response.body,
-            },
+            End::Answered(response) => {
+                Ok(TargetResponse { headers: end_to_end(response.headers), ..response })
+            }
             End::Refused { outcome, refusal, retry_after_ms } => {
-                CallerResponse::refused(&refusal, outcome, retry_after_ms)
+                Err((outcome, refusal, retry_after_ms))
             }
         }
     }
 
-    fn into_forward_response(self) -> ForwardResponse {
+    /// Makes the reply to the entry host that forwarded the request.
+    pub fn into_forward_response(self) -> ForwardResponse {
         match self {
             End::Answered(response) => ForwardResponse {
                 outcome: Outcome::Answered,
@@ -110,18 +101,14 @@
     /// Whether an attempt or a forward has begun.
     pub(super) is_started: bool,
     pub(super) hops: u8,
-    pub(super) attempts: HashMap<u32, AbortHandle>,
+    pub(super) attempts: HashSet<u32>,
     /// Whole response of the attempt that ended last with one.
     pub(super) response: Option<TargetResponse>,
 }
 
 impl Pending {
     /// Makes the message that forwards the request to another entry host.
-    pub(super) fn to_forward(
-        &self,
-        kind: crate::protocol::peer::ForwardKind,
-        now_ms: u64,
-    ) -> ForwardRequest {
+    pub(super) fn to_forward(&self, kind: ForwardKind, now_ms: u64) -> ForwardRequest {
         ForwardRequest {
             kind,
             hops: self.hops + 1,
--- a/crates/tamarackproxy/src/node/requests.rs
+++ b/crates/tamarackproxy/src/node/core/requests.rs
@@ -1,14 +1,10 @@
 //! Requests of callers and of other entry hosts.
 
-use std::{collections::HashMap, sync::atomic::Ordering, time::Duration};
-
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
-use tokio::sync::oneshot;
+use std::collections::HashSet;
 
 use super::{
-    event_loop::EventLoop,
-    input::TaskEnd,
-    pending::{End, Origin, Pending, decode_answer, decode_headers, end_to_end},
+    Effect, End, NodeCore,
+    pending::{Origin, Pending, decode_answer, decode_headers, end_to_end},
     view::View,
 };
 use crate::{
@@ -21,18 +17,15 @@
             DEADLINE_HEADER, DEADLINE_MAX_MS, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, Outcome,
             Refusal,
         },
-        peer::{ForwardKind, ForwardRequest, ForwardResponse},
+        http::{CallerRequest, TargetRequest, TargetResponse},
+        peer::{ForwardFailure, ForwardKind, ForwardRequest, ForwardResponse, PeerMessage},
     },
     state::{
         document::{CallerSection, KeyRule, ServiceSection, Urgency},
         ids::{CallerId, EntryId, RequestId, ServiceId, TargetId},
     },
-    transport::{
-        caller_server::{CallerInput, CallerRequest},
-        peer_client::ForwardFailure,
-        target_client::{TargetRequest, TargetResponse},
-    },
 };
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
 
 /// Header by which targets learn the authenticated caller.
 const CALLER_HEADER: HeaderName = HeaderName::from_static("tamarack-caller");
@@ -112,27 +105,13 @@
     Unreachable,
 }
 
-impl EventLoop {
-    pub(super) fn on_caller(&mut self, input: CallerInput) {
-        match input {
-            CallerInput::Request { request, received, reply } => {
-                self.submit_caller_request(request, *received, Origin::Caller(reply));
-            }
-            CallerInput::Gone { request } => self.on_caller_gone(request),
-        }
-    }
-
-    fn submit_caller_request(
-        &mut self,
-        request: RequestId,
-        received: CallerRequest,
-        origin: Origin,
-    ) {
+impl NodeCore {
+    pub(super) fn submit_caller_request(&mut self, request: RequestId, received: CallerRequest) {
         let Some(view) = self.view.as_ref().filter(|_| self.is_ready) else {
-            return origin.reply(End::not_run(Refusal::NotReady, Some(NOT_READY_RETRY_MS)));
+            return self.reply(request, End::not_run(Refusal::NotReady, Some(NOT_READY_RETRY_MS)));
         };
         if self.is_stopping {
-            return origin.reply(End::not_run(Refusal::Stopping, Some(NOT_READY_RETRY_MS)));
+            return self.reply(request, End::not_run(Refusal::Stopping, Some(NOT_READY_RETRY_MS)));
         }
         let admitted = admit(view, &received).and_then(|admitted| {
             let path = received.path.parse::<Uri>().map_err(|_| {
@@ -142,7 +121,7 @@
         });
         let ((caller, service, urgency, deadline_ms, repeatable), path) = match admitted {
             Ok(admitted) => admitted,
-            Err(refusal) => return origin.reply(End::not_run(refusal, None)),
+            Err(refusal) => return self.reply(request, End::not_run(refusal, None)),
         };
         let key = text(&received.headers, IDEMPOTENCY_KEY_HEADER).map(Box::from);
         let headers = target_headers(received.headers, &caller);
@@ -162,24 +141,18 @@
             repeatable,
         };
         let now_ms = self.now.monotonic_ms;
-        self.submit(request, new_pending(origin, meta, target_request, key, 0, now_ms));
+        self.submit(request, new_pending(Origin::Caller, meta, target_request, key, 0, now_ms));
     }
 
     /// Takes a request that another entry host forwarded.
-    pub(super) fn submit_forwarded(
-        &mut self,
-        forwarded: ForwardRequest,
-        reply: oneshot::Sender<ForwardResponse>,
-    ) {
-        let origin = Origin::Peer(reply);
-        let request = RequestId(self.next_request.fetch_add(1, Ordering::Relaxed));
+    pub(super) fn submit_forwarded(&mut self, request: RequestId, forwarded: ForwardRequest) {
         let rule = self.view.as_ref().and_then(|view| {
             view.service(&forwarded.service.to_string()).ok().map(|(_, s)| s.idempotency_key)
         });
         let method = forwarded.method.parse::<Method>();
         let path = forwarded.path.parse::<Uri>();
         let (Some(rule), Ok(method), Ok(path)) = (rule, method, path) else {
-            return origin.reply(End::not_run(Refusal::NotReady, Some(NOT_READY_RETRY_MS)));
+            return self.reply(request, End::not_run(Refusal::NotReady, Some(NOT_READY_RETRY_MS)));
         };
         let repeatable = is_repeatable(&method, rule);
         let meta = RequestMeta {
@@ -198,7 +171,7 @@
             repeatable,
         };
         let (key, hops, now_ms) = (forwarded.key, forwarded.hops, self.now.monotonic_ms);
-        let pending = new_pending(origin, meta, target_request, key, hops, now_ms);
+        let pending = new_pending(Origin::Peer, meta, target_request, key, hops, now_ms);
         self.submit(request, pending);
     }
 
@@ -209,11 +182,11 @@
             return self.start_request(request, pending);
         };
         let Ok(key) = key.parse::<IdempotencyKey>() else {
-            return pending.origin.reply(End::not_run(Refusal::KeyUnusable, None));
+            return self.reply(request, End::not_run(Refusal::KeyUnusable, None));
         };
         if key.check(self.now).is_err() {
             // A key outside the accepted time may stand for an earlier run.
-            return pending.origin.reply(End::unknown(Refusal::KeyUnusable));
+            return self.reply(request, End::unknown(Refusal::KeyUnusable));
         }
         let claim = Claim::new(
             &pending.meta.caller,
@@ -233,7 +206,7 @@
                 self.pending.insert(request, pending);
                 self.forward(request, &entry, ForwardKind::Home);
             }
-            Home::Unreachable => pending.origin.reply(End::unknown(Refusal::HomeUnreachable)),
+            Home::Unreachable => self.reply(request, End::unknown(Refusal::HomeUnreachable)),
         }
     }
 
@@ -250,7 +223,7 @@
         let stated = document.callers.get(caller).and_then(|section| section.home.as_ref());
         let home = stated.or_else(|| home_data_centre(caller, document.data_centres.keys()));
         let Some(home) = home else { return Home::Unreachable };
-        if *home != self.settings.data_centre {
+        if *home != self.data_centre {
             return match self.peers.gateway_of(home) {
                 Some(gateway) if hops < HOME_HOPS_MAX => Home::Entry(gateway.clone()),
                 _ => Home::Unreachable,
@@ -271,7 +244,7 @@
     ///
     /// A claimed request that was started goes on, so that a repeat under its
     /// key gets the first response.
-    fn on_caller_gone(&mut self, request: RequestId) {
+    pub(super) fn on_caller_gone(&mut self, request: RequestId) {
         let Some(pending) = self.pending.get(&request) else { return };
         if pending.claim.is_none() || !pending.is_started {
             self.on_requests(RequestsEvent::Cancelled { request });
@@ -290,10 +263,10 @@
                 self.dispatch(request, attempt, &target, timeout_ms);
             }
             RequestsAction::AbortAttempt { request, attempt } => {
-                let pending = self.pending.get_mut(&request);
-                if let Some(task) = pending.and_then(|pending| pending.attempts.remove(&attempt)) {
-                    task.abort();
+                if let Some(pending) = self.pending.get_mut(&request) {
+                    pending.attempts.remove(&attempt);
                 }
+                self.effects.push(Effect::Abort { request, attempt });
             }
             RequestsAction::Forward { request, to, .. } => {
                 self.forward(request, &to, ForwardKind::Run);
@@ -315,7 +288,7 @@
                 self.finish(request, End::unknown(refusal));
             }
             RequestsAction::Send { to, message } => {
-                self.send(&to, crate::protocol::peer::PeerMessage::Requests(message));
+                self.send(&to, PeerMessage::Requests(message));
             }
         }
     }
@@ -324,19 +297,20 @@
         let address = self.fleet_state.address_of(target);
         let Some(pending) = self.pending.get_mut(&request) else { return };
         pending.is_started = true;
-        let ends = self.ends.clone();
-        let end = move |(result, response)| {
-            let _ = ends.send(TaskEnd::Attempt { request, attempt, result, response });
-        };
         let Some(address) = address else {
-            return end((AttemptResult::NotSent, None));
+            return self.late_ends.push((request, attempt));
         };
-        let (targets, target_request) = (self.targets.clone(), pending.target_request.clone());
-        let time = Duration::from_millis(timeout_ms);
-        let task = tokio::task::spawn_local(async move {
-            end(targets.send(address, target_request, time).await);
+        pending.attempts.insert(attempt);
+        let target_request = pending.target_request.clone();
+        let (target, time_ms) = (target.clone(), timeout_ms);
+        self.effects.push(Effect::Dispatch {
+            request,
+            attempt,
+            target,
+            address,
+            target_request,
+            time_ms,
         });
-        pending.attempts.insert(attempt, task.abort_handle());
     }
 
     pub(super) fn on_attempt_end(
@@ -359,27 +333,17 @@
     fn forward(&mut self, request: RequestId, to: &EntryId, kind: ForwardKind) {
         let Some(pending) = self.pending.get_mut(&request) else { return };
         pending.is_started = true;
-        let now_ms = self.now.monotonic_ms;
-        let message = pending.to_forward(kind, now_ms);
-        let time = Duration::from_millis(message.remaining_ms);
-        let exchange = self.peers.link(to).map(|link| link.forward(message, time));
-        let ends = self.ends.clone();
-        tokio::task::spawn_local(async move {
-            let result = match exchange {
-                Some(exchange) => exchange.await,
-                None => Err(ForwardFailure::NotSent),
-            };
-            let _ = ends.send(forward_end(request, result));
-        });
+        let message = pending.to_forward(kind, self.now.monotonic_ms);
+        let time_ms = message.remaining_ms;
+        self.effects.push(Effect::Forward { request, to: to.clone(), message, time_ms });
     }
 
     pub(super) fn on_forward_end(
         &mut self,
         request: RequestId,
-        result: ForwardResult,
-        retry_after_ms: Option<u64>,
-        response: Option<TargetResponse>,
+        reply: Result<ForwardResponse, ForwardFailure>,
     ) {
+        let (result, retry_after_ms, response) = forward_end(reply);
         let Some(pending) = self.pending.get_mut(&request) else { return };
         pending.response = response.or(pending.response.take());
         let is_home_forward = !pending.meta.repeatable && pending.claim.is_none();
@@ -406,7 +370,7 @@
         let Some(pending) = self.pending.remove(&request) else { return };
         self.count(&pending, &end);
         // A forwarded request is counted where its caller sent it.
-        if matches!(pending.origin, Origin::Caller(_)) {
+        if pending.origin == Origin::Caller {
             self.count_burn(&pending, &end);
         }
         if pending.claim.is_some() {
@@ -420,10 +384,13 @@
             };
             self.on_once(OnceEvent::RunEnded { request, result });
         }
-        for task in pending.attempts.into_values() {
-            task.abort();
-        }
-        pending.origin.reply(end);
+        let aborts = pending.attempts.into_iter();
+        self.effects.extend(aborts.map(|attempt| Effect::Abort { request, attempt }));
+        self.reply(request, end);
+    }
+
+    fn reply(&mut self, request: RequestId, end: End) {
+        self.effects.push(Effect::Reply { request, end });
     }
 
     fn count(&self, pending: &Pending, end: &End) {
@@ -455,33 +422,34 @@
         received_at_ms: now_ms,
         is_started: false,
         hops,
-        attempts: HashMap::new(),
+        attempts: HashSet::new(),
         response: None,
     }
 }
 
 /// Translates the reply of the other entry host.
-fn forward_end(request: RequestId, result: Result<ForwardResponse, ForwardFailure>) -> TaskEnd {
-    let (result, retry_after_ms, response) = match result {
-        Ok(response) => {
-            let refusal = response.refusal.clone().unwrap_or(Refusal::ResponseLost);
-            let retry_after_ms = response.retry_after_ms;
-            match response.outcome {
-                Outcome::NotRun => (ForwardResult::NotRun(refusal), retry_after_ms, None),
-                Outcome::Unknown => (ForwardResult::Unknown(refusal), None, None),
-                Outcome::Answered => match decode_answer(response) {
-                    Some(answer) => {
-                        let status = answer.status.as_u16();
-                        (ForwardResult::Answered { status }, None, Some(answer))
-                    }
-                    None => (ForwardResult::Unknown(Refusal::ResponseLost), None, None),
-                },
-            }
-        }
+fn forward_end(
+    reply: Result<ForwardResponse, ForwardFailure>,
+) -> (ForwardResult, Option<u64>, Option<TargetResponse>) {
+    let response = match reply {
+        Ok(response) => response,
         Err(ForwardFailure::NotSent) => {
-            (ForwardResult::NotRun(Refusal::HomeUnreachable), None, None)
+            return (ForwardResult::NotRun(Refusal::HomeUnreachable), None, None);
+        }
+        Err(ForwardFailure::Lost) => {
+            return (ForwardResult::Unknown(Refusal::ResponseLost), None, None);
         }
-        Err(ForwardFailure::Lost) => (ForwardResult::Unknown(Refusal::ResponseLost), None, None),
     };
-    TaskEnd::Forward { request, result, retry_after_ms, response }
+    let refusal = response.refusal.clone().unwrap_or(Refusal::ResponseLost);
+    let retry_after_ms = response.retry_after_ms;
+    match response.outcome {
+        Outcome::NotRun => (ForwardResult::NotRun(refusal), retry_after_ms, None),
+        Outcome::Unknown => (ForwardResult::Unknown(refusal), None, None),
+        Outcome::Answered => match decode_answer(response) {
+            Some(answer) => {
+                (ForwardResult::Answered { status: answer.status.as_u16() }, None, Some(answer))
+            }
+            None => (ForwardResult::Unknown(Refusal::ResponseLost), None, None),
+        },
+    }
 }
--- a/crates/tamarackproxy/src/node/seats.rs
+++ b/crates/tamarackproxy/src/node/core/seats.rs
@@ -1,6 +1,6 @@
 //! The seat engine and what depends on the seat.
 
-use super::{event_loop::EventLoop, input::Engine};
+use super::{Effect, Engine, NodeCore};
 use crate::{
     coordination::{
         configuration::{ConfigurationEvent, Position},
@@ -13,7 +13,7 @@
     state::ids::Term,
 };
 
-impl EventLoop {
+impl NodeCore {
     pub(super) fn on_seats(&mut self, event: SeatsEvent) {
         let mut actions = Vec::new();
         self.seats.handle(self.now, event, &mut actions);
@@ -45,7 +45,7 @@
             }
             SeatsAction::PeersChanged { peers } => self.set_peers(peers),
             SeatsAction::AddressesChanged { entries } => {
-                self.peers.connect(entries, &self.ends);
+                self.effects.push(Effect::Connect { entries });
             }
             SeatsAction::GatewaysChanged { gateways } => {
                 self.peers.gateways = gateways;
@@ -84,7 +84,7 @@
     /// Returns the number of seats of this data centre in the document.
     pub(super) fn configured_seats(&self) -> Option<u16> {
         let document = self.view.as_ref()?.document();
-        Some(document.data_centres.get(&self.settings.data_centre)?.seats)
+        Some(document.data_centres.get(&self.data_centre)?.seats)
     }
 
     fn set_peers(&mut self, peers: Vec<LivePeer>) {
--- a/crates/tamarackproxy/src/node/event_loop.rs
+++ b/crates/tamarackproxy/src/node/event_loop.rs
@@ -1,38 +1,43 @@
-//! The event loop of a node.
+//! The event loop of a node: sockets around the core.
 
 use std::{
     collections::HashMap,
-    hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
-    sync::{Arc, atomic::AtomicU64},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use tokio::{net::TcpListener, sync::mpsc, time::Instant};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+    task::{AbortHandle, JoinHandle},
+    time::Instant,
+};
 
 use super::{
     admin::AdminState,
-    fleet::FleetState,
+    core::{Effect, End, Input, NodeCore},
     handle::{Addresses, NodeError},
-    input::{Command, Engine, TaskEnd},
-    once::KeptResponses,
-    peers::Peers,
-    pending::Pending,
-    view::View,
+    input::Command,
+    links::Links,
 };
 use crate::{
-    coordination::{
-        burn::BurnEngine,
-        configuration::{ConfigurationEngine, ConfigurationEvent, Position},
-        fleet::{FleetEngine, FleetEvent},
-        once::{OnceEngine, OnceEvent},
-        requests::{RequestEngine, RequestsEvent},
-        seats::{EntryAddress, SeatEngine, SeatsEvent},
+    protocol::{
+        caller::Outcome,
+        http::TargetRequest,
+        peer::{ForwardFailure, ForwardRequest, ForwardResponse},
+    },
+    state::{
+        clock::ClockReading,
+        ids::{EntryId, HostId, RequestId},
+        settings::Settings,
     },
-    state::{clock::ClockReading, ids::RequestId, settings::Settings},
     transport::{
         admin_server::{AdminInput, admin_router},
-        caller_server::{CallerInput, caller_router},
+        caller_server::{CallerInput, CallerResponse, caller_router},
         http_server::HttpServer,
         peer_server::{self, PeerInput},
         platform_client::PlatformClient,
@@ -43,59 +48,53 @@
 
 /// Inputs from sockets that wait for the loop; senders wait beyond.
 const INPUTS: usize = 1_024;
-/// Longest time between two ticks of an engine, so that a pause of the loop
-/// is noticed.
-const TICK_MAX_MS: u64 = 200;
-/// Shortest time between two ticks, so that an engine that is due again at
-/// once does not keep the loop from its inputs.
-const TICK_MIN_MS: u64 = 1;
 /// Connections of operators and health checks.
 const ADMIN_CONNECTIONS: u32 = 256;
+/// Time that a health check may take.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time that operators' requests get to end when the node has stopped.
+const OPERATORS_STOP: Duration = Duration::from_millis(100);
 
-/// All state of a running node.
+/// Where the response to a request goes.
+enum Reply {
+    Caller(oneshot::Sender<CallerResponse>),
+    Peer(oneshot::Sender<ForwardResponse>),
+}
+
+/// A node with its sockets.
 pub(super) struct EventLoop {
-    pub(super) settings: Settings,
-    pub(super) now: ClockReading,
-    pub(super) requests: RequestEngine,
-    pub(super) once: OnceEngine,
-    pub(super) seats: SeatEngine,
-    pub(super) configuration: ConfigurationEngine,
-    pub(super) fleet: FleetEngine,
-    pub(super) burn: BurnEngine,
-    pub(super) view: Option<View>,
-    pub(super) position: Position,
-    pub(super) is_ready: bool,
-    pub(super) is_stopping: bool,
-    pub(super) is_released: bool,
-    pub(super) pending: HashMap<RequestId, Pending>,
-    pub(super) kept: KeptResponses,
-    pub(super) peers: Peers,
-    pub(super) fleet_state: FleetState,
+    settings: Settings,
+    pub(super) core: NodeCore,
     pub(super) admin: AdminState,
-    pub(super) next_request: Arc<AtomicU64>,
     pub(super) store: StoreClient,
-    pub(super) platform: Rc<PlatformClient>,
-    pub(super) targets: TargetClient,
-    pub(super) ends: mpsc::UnboundedSender<TaskEnd>,
-    stop_at_ms: Option<u64>,
+    platform: Rc<PlatformClient>,
+    targets: TargetClient,
+    links: Links,
+    replies: HashMap<RequestId, Reply>,
+    attempts: HashMap<(RequestId, u32), AbortHandle>,
+    watches: HashMap<Box<str>, JoinHandle<()>>,
+    next_request: Arc<AtomicU64>,
+    stop_at: Option<Instant>,
     origin: Instant,
-    inputs: Inputs,
+    ends: mpsc::UnboundedSender<Input>,
+    arrivals: Arrivals,
     callers: HttpServer,
     operators: HttpServer,
-    peer_listener: tokio::task::JoinHandle<()>,
+    peer_listener: JoinHandle<()>,
     addresses: Addresses,
 }
 
-struct Inputs {
-    ends: mpsc::UnboundedReceiver<TaskEnd>,
+/// Receivers of everything that wakes the loop.
+struct Arrivals {
+    ends: mpsc::UnboundedReceiver<Input>,
     commands: mpsc::UnboundedReceiver<Command>,
     callers: mpsc::Receiver<CallerInput>,
     peers: mpsc::Receiver<PeerInput>,
     admin: mpsc::Receiver<AdminInput>,
 }
 
-enum Input {
-    End(TaskEnd),
+enum Arrival {
+    End(Input),
     Command(Command),
     Caller(CallerInput),
     Peer(PeerInput),
@@ -103,37 +102,29 @@
     Tick,
 }
 
-impl Inputs {
-    /// Waits for the next input; ends of own tasks and commands go first, so
-    /// that a flood of new requests does not delay them.
-    async fn next(&mut self, tick_at: Instant) -> Input {
+impl Arrivals {
+    /// Waits for the next arrival. Commands, ticks and ends of own tasks go
+    /// first, so that a flood of new requests does not delay them.
+    async fn next(&mut self, tick_at: Instant) -> Arrival {
         tokio::select! {
             biased;
-            Some(command) = self.commands.recv() => Input::Command(command),
-            () = tokio::time::sleep_until(tick_at) => Input::Tick,
-            Some(end) = self.ends.recv() => Input::End(end),
-            Some(input) = self.peers.recv() => Input::Peer(input),
-            Some(input) = self.admin.recv() => Input::Admin(input),
-            Some(input) = self.callers.recv() => Input::Caller(input),
+            Some(command) = self.commands.recv() => Arrival::Command(command),
+            () = tokio::time::sleep_until(tick_at) => Arrival::Tick,
+            Some(end) = self.ends.recv() => Arrival::End(end),
+            Some(input) = self.peers.recv() => Arrival::Peer(input),
+            Some(input) = self.admin.recv() => Arrival::Admin(input),
+            Some(input) = self.callers.recv() => Arrival::Caller(input),
         }
     }
 }
 
-/// Derives a seed from the entry host's name, so that entry hosts spread
-/// their calls differently.
-fn seed_of(settings: &Settings) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    settings.entry.hash(&mut hasher);
-    hasher.finish()
-}
-
 fn unix_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
 
 impl EventLoop {
-    /// Binds all listeners and makes the engines.
+    /// Binds all listeners and makes the core.
     pub(super) async fn start(
         settings: Settings,
         commands: mpsc::UnboundedReceiver<Command>,
@@ -168,48 +159,22 @@
             admin: operators.address(),
             peers: peer_address,
         };
-
-        let (entry, data_centre) = (settings.entry.clone(), settings.data_centre.clone());
-        let seed = seed_of(&settings);
-        let own = EntryAddress {
-            entry: entry.clone(),
-            data_centre: data_centre.clone(),
-            peer_address: peer_address.to_string().into(),
-        };
-        let known = settings.peers.iter().map(|peer| EntryAddress {
-            entry: peer.entry.clone(),
-            data_centre: peer.data_centre.clone(),
-            peer_address: peer.address.to_string().into(),
-        });
-        let known: Vec<EntryAddress> = known.collect();
-        let entry_hosts = u32::try_from(known.len()).unwrap_or(u32::MAX).saturating_add(1);
         let store_timeout = Duration::from_millis(settings.store.timeout.as_ms());
         Ok(Self {
-            now: ClockReading::new(0, unix_ms()),
-            requests: RequestEngine::new(entry.clone(), data_centre.clone(), seed),
-            once: OnceEngine::new(entry.clone(), data_centre.clone(), entry_hosts),
-            seats: SeatEngine::new(own, known, seed),
-            configuration: ConfigurationEngine::new(entry.clone(), data_centre.clone(), seed),
-            fleet: FleetEngine::new(entry.clone(), data_centre.clone(), seed),
-            burn: BurnEngine::new(data_centre),
-            view: None,
-            position: Position::default(),
-            is_ready: false,
-            is_stopping: false,
-            is_released: false,
-            pending: HashMap::new(),
-            kept: KeptResponses::new(settings.limits.kept_responses_bytes),
-            peers: Peers::new(&settings),
-            fleet_state: FleetState::default(),
+            core: NodeCore::new(&settings, &peer_address.to_string()),
             admin: AdminState::default(),
-            next_request,
             store: StoreClient::new(settings.store.address, store_timeout),
             platform: Rc::new(PlatformClient::new(settings.platform.address)),
             targets: TargetClient::default(),
-            ends,
-            stop_at_ms: None,
+            links: Links::new(&settings, ends.clone()),
+            replies: HashMap::new(),
+            attempts: HashMap::new(),
+            watches: HashMap::new(),
+            next_request,
+            stop_at: None,
             origin: Instant::now(),
-            inputs: Inputs {
+            ends,
+            arrivals: Arrivals {
                 ends: ends_receiver,
                 commands,
                 callers: callers_receiver,
@@ -231,155 +196,240 @@
     /// Runs until the node was stopped or killed.
     pub(super) async fn run(mut self) {
         log::info!(entry = self.settings.entry.as_str(); "node started");
-        self.peers.connect(Vec::new(), &self.ends);
-        self.tick();
+        self.input(Input::Tick);
         while !self.has_ended() {
-            let tick_at = self.origin + Duration::from_millis(self.next_tick_ms());
-            let input = self.inputs.next(tick_at).await;
-            self.read_clocks();
-            match input {
-                Input::Command(Command::Kill) => return,
-                Input::Command(Command::Stop) => self.stop(),
-                Input::End(end) => self.on_task_end(end),
-                Input::Caller(input) => self.on_caller(input),
-                Input::Peer(input) => self.on_peer(input),
-                Input::Admin(input) => self.on_admin(input),
-                Input::Tick => self.tick(),
+            let tick_at = self.origin + Duration::from_millis(self.core.next_tick_ms());
+            match self.arrivals.next(tick_at).await {
+                Arrival::Command(Command::Kill) => return,
+                Arrival::Command(Command::Stop) => self.stop(),
+                Arrival::End(end) => self.input(end),
+                Arrival::Caller(input) => self.on_caller(input),
+                Arrival::Peer(input) => self.on_peer(input),
+                Arrival::Admin(input) => self.on_admin(input),
+                Arrival::Tick => self.input(Input::Tick),
             }
         }
         self.peer_listener.abort();
-        self.operators.stop(Duration::from_millis(100));
-        log::info!(entry = self.settings.entry.as_str(), open = self.pending.len(); "node stopped");
+        self.operators.stop(OPERATORS_STOP);
+        let open = self.core.open_requests();
+        log::info!(entry = self.settings.entry.as_str(), open = open; "node stopped");
     }
 
-    fn read_clocks(&mut self) {
+    fn clock(&self) -> ClockReading {
         let monotonic_ms = u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX);
-        self.now = ClockReading::new(monotonic_ms, unix_ms());
+        ClockReading::new(monotonic_ms, unix_ms())
     }
 
-    fn next_tick_ms(&self) -> u64 {
-        let engines = [
-            self.requests.next_tick_ms(),
-            self.once.next_tick_ms(),
-            self.seats.next_tick_ms(),
-            self.configuration.next_tick_ms(),
-            self.fleet.next_tick_ms().filter(|_| self.peers.is_gateway()),
-            self.burn.next_tick_ms(),
-        ];
-        let earliest = self.now.monotonic_ms + TICK_MIN_MS;
-        let latest = self.now.monotonic_ms + TICK_MAX_MS;
-        engines.into_iter().flatten().min().unwrap_or(latest).clamp(earliest, latest)
+    /// Passes an input to the core and carries out the effects.
+    pub(super) fn input(&mut self, input: Input) {
+        if let Input::AttemptEnded { request, attempt, .. } = &input {
+            self.attempts.remove(&(*request, *attempt));
+        }
+        for effect in self.core.handle(self.clock(), input) {
+            self.carry_out(effect);
+        }
     }
 
-    /// Passes a tick to every engine, the seat engine first: it notices a
-    /// pause of the loop before anything is started.
-    fn tick(&mut self) {
-        self.on_seats(SeatsEvent::Tick);
-        self.on_configuration(ConfigurationEvent::Tick);
-        self.on_once(OnceEvent::Tick);
-        self.on_requests(RequestsEvent::Tick);
-        self.tick_fleet();
-        self.tick_peers();
-        self.tick_burn();
-        if self.is_stopping {
-            self.continue_stop();
+    fn on_caller(&mut self, input: CallerInput) {
+        match input {
+            CallerInput::Request { request, received, reply } => {
+                self.replies.insert(request, Reply::Caller(reply));
+                self.input(Input::CallerRequest { request, received });
+            }
+            CallerInput::Gone { request } => self.input(Input::CallerGone { request }),
         }
     }
 
-    /// Passes a tick to the fleet engine if this entry host may control pools.
-    fn tick_fleet(&mut self) {
-        if self.peers.is_gateway() {
-            self.poll_host_list();
-            self.on_fleet(FleetEvent::Tick);
+    fn on_peer(&mut self, input: PeerInput) {
+        match input {
+            PeerInput::Message { hello, message } => {
+                self.input(Input::PeerMessage { hello, message });
+            }
+            PeerInput::Forward { request: message, reply } => {
+                let request = RequestId(self.next_request.fetch_add(1, Ordering::Relaxed));
+                self.replies.insert(request, Reply::Peer(reply));
+                self.input(Input::Forwarded { request, message: Box::new(message) });
+            }
         }
     }
 
-    fn on_task_end(&mut self, end: TaskEnd) {
-        match end {
-            TaskEnd::Attempt { request, attempt, result, response } => {
-                self.on_attempt_end(request, attempt, result, response);
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::CallStore { engine, call, request } => {
+                let store = self.store.clone();
+                self.spawn(async move {
+                    let result = store.call(&request).await;
+                    if let Err(error) = &result {
+                        log::debug!(engine:? = engine; "store call failed: {error}; {request:?}");
+                    }
+                    Input::StoreReplied { engine, call, result }
+                });
+            }
+            Effect::Watch { prefix, from_version, generation } => {
+                self.start_watch(prefix, from_version, generation);
+            }
+            Effect::Unwatch { prefix } => self.end_watch(&prefix),
+            Effect::Connect { entries } => self.links.connect(entries),
+            Effect::SendPeer { to, message } => self.links.send(&to, message),
+            Effect::Forward { request, to, message, time_ms } => {
+                self.forward(request, &to, message, time_ms);
             }
-            TaskEnd::Forward { request, result, retry_after_ms, response } => {
-                self.on_forward_end(request, result, retry_after_ms, response);
+            Effect::Dispatch { request, attempt, address, target_request, time_ms, .. } => {
+                self.dispatch(request, attempt, address, target_request, time_ms);
             }
-            TaskEnd::Store { engine, call, result } => match engine {
-                Engine::Seats => self.on_seats(SeatsEvent::StoreReplied { call, result }),
-                Engine::Once => self.on_once(OnceEvent::StoreReplied { call, result }),
-                Engine::Configuration => {
-                    self.on_configuration(ConfigurationEvent::StoreReplied { call, result });
+            Effect::Abort { request, attempt } => {
+                if let Some(task) = self.attempts.remove(&(request, attempt)) {
+                    task.abort();
                 }
-                Engine::Fleet => self.on_fleet(FleetEvent::StoreReplied { call, result }),
-                Engine::Burn => self.burn.store_replied(self.now, call, result),
-            },
-            TaskEnd::Watched { prefix, generation, event } => {
-                self.on_watched(&prefix, generation, event);
             }
-            TaskEnd::Listed { hosts } => self.on_listed(hosts),
-            TaskEnd::Health { host, healthy, asked_by } => {
-                self.on_health(host, healthy, asked_by);
+            Effect::Reply { request, end } => self.reply(request, end),
+            Effect::TargetsKnown { addresses } => {
+                self.targets.retain(|address| addresses.contains(address));
+            }
+            Effect::ListHosts => {
+                let platform = Rc::clone(&self.platform);
+                self.spawn(async move { Input::Listed { hosts: platform.list_hosts().await } });
+            }
+            Effect::Reboot { host, operation } => {
+                let platform = Rc::clone(&self.platform);
+                self.spawn(async move {
+                    let accepted = platform.reboot(&host, operation).await;
+                    Input::RebootEnded { host, accepted }
+                });
             }
-            TaskEnd::Reboot { host, accepted } => {
-                self.on_fleet(FleetEvent::RebootAccepted { host, accepted });
+            Effect::CheckHealth { host, addresses, asked_by } => {
+                self.check_health(host, addresses, asked_by);
             }
-            TaskEnd::PeerRefused { peer } => self.on_seats(SeatsEvent::PeerRefused { peer }),
+            Effect::PutEnded { call, result } => self.on_put_ended(call, result),
+            Effect::WaitEnded { call, reached } => self.on_wait_ended(call, reached),
+        }
+    }
+
+    /// Runs a task whose result is an input of the core.
+    fn spawn<F>(&self, task: F) -> AbortHandle
+    where
+        F: Future<Output = Input> + 'static,
+    {
+        let ends = self.ends.clone();
+        let run = async move {
+            let _ = ends.send(task.await);
+        };
+        tokio::task::spawn_local(run).abort_handle()
+    }
+
+    fn start_watch(&mut self, prefix: Box<str>, from_version: u64, generation: u64) {
+        self.end_watch(&prefix);
+        let (store, ends, watched) = (self.store.clone(), self.ends.clone(), prefix.clone());
+        let task = tokio::task::spawn_local(async move {
+            let (events, mut received) = mpsc::unbounded_channel();
+            let pass_on = async {
+                while let Some(event) = received.recv().await {
+                    let prefix = watched.clone();
+                    let _ = ends.send(Input::Watched { prefix, generation, event });
+                }
+            };
+            tokio::join!(store.watch(&watched, from_version, events), pass_on);
+        });
+        self.watches.insert(prefix, task);
+    }
+
+    fn end_watch(&mut self, prefix: &str) {
+        if let Some(task) = self.watches.remove(prefix) {
+            task.abort();
         }
     }
 
-    /// Starts a call to the store on behalf of an engine.
-    pub(super) fn call_store(
-        &self,
-        engine: Engine,
-        call: crate::state::ids::CallId,
-        request: crate::protocol::store::StoreRequest,
+    fn forward(&mut self, request: RequestId, to: &EntryId, message: ForwardRequest, time_ms: u64) {
+        let time = Duration::from_millis(time_ms);
+        let exchange = self.links.get(to).map(|link| link.forward(message, time));
+        self.spawn(async move {
+            let reply = match exchange {
+                Some(exchange) => exchange.await,
+                None => Err(ForwardFailure::NotSent),
+            };
+            Input::ForwardEnded { request, reply }
+        });
+    }
+
+    fn dispatch(
+        &mut self,
+        request: RequestId,
+        attempt: u32,
+        address: std::net::SocketAddr,
+        target_request: TargetRequest,
+        time_ms: u64,
+    ) {
+        let (targets, time) = (self.targets.clone(), Duration::from_millis(time_ms));
+        let task = self.spawn(async move {
+            let (result, response) = targets.send(address, target_request, time).await;
+            Input::AttemptEnded { request, attempt, result, response }
+        });
+        self.attempts.insert((request, attempt), task);
+    }
+
+    fn check_health(
+        &mut self,
+        host: HostId,
+        addresses: Vec<std::net::SocketAddr>,
+        asked_by: Option<EntryId>,
     ) {
-        let (store, ends) = (self.store.clone(), self.ends.clone());
-        tokio::task::spawn_local(async move {
-            let result = store.call(&request).await;
-            if let Err(error) = &result {
-                log::debug!(engine:? = engine; "call to the store failed: {error}; {request:?}");
+        let targets = self.targets.clone();
+        self.spawn(async move {
+            let mut healthy = true;
+            for address in addresses {
+                healthy &= targets.is_healthy(address, HEALTH_TIMEOUT).await;
             }
-            let _ = ends.send(TaskEnd::Store { engine, call, result });
+            Input::HealthChecked { host, healthy, asked_by }
         });
     }
 
-    /// Begins a graceful stop.
-    fn stop(&mut self) {
-        if self.is_stopping {
-            return;
+    /// Sends a response; a receiver that went away needs none.
+    fn reply(&mut self, request: RequestId, end: End) {
+        match self.replies.remove(&request) {
+            Some(Reply::Caller(reply)) => {
+                let _ = reply.send(caller_response(end));
+            }
+            Some(Reply::Peer(reply)) => {
+                let _ = reply.send(end.into_forward_response());
+            }
+            None => {}
         }
-        log::info!(entry = self.settings.entry.as_str(); "graceful stop begins");
-        self.is_stopping = true;
-        let deadline_ms = self.settings.limits.stop_deadline.as_ms();
-        self.stop_at_ms = Some(self.now.monotonic_ms + deadline_ms);
-        self.callers.stop(Duration::from_millis(deadline_ms));
-        self.on_requests(RequestsEvent::Stopping);
-        self.on_once(OnceEvent::Stopping);
-        self.on_configuration(ConfigurationEvent::Stopping);
-        self.on_fleet(FleetEvent::Stopping);
-        self.on_seats(SeatsEvent::Stopping);
-        self.continue_stop();
     }
 
-    /// Releases the seat once nothing is in flight and the log is closed.
-    fn continue_stop(&mut self) {
-        let is_idle = self.pending.is_empty() && !self.once.is_open();
-        if is_idle && !self.admin.is_release_asked {
-            self.admin.is_release_asked = true;
-            self.on_seats(SeatsEvent::Release);
-        }
+    /// Begins a graceful stop.
+    fn stop(&mut self) {
+        log::info!(entry = self.settings.entry.as_str(); "graceful stop begins");
+        let deadline = Duration::from_millis(self.settings.limits.stop_deadline.as_ms());
+        self.stop_at.get_or_insert(Instant::now() + deadline);
+        self.callers.stop(deadline);
+        self.input(Input::Stop);
     }
 
     fn has_ended(&self) -> bool {
-        if self.is_released && self.pending.is_empty() {
+        if self.core.has_ended() {
             return true;
         }
-        let is_late = self.stop_at_ms.is_some_and(|stop_at_ms| self.now.monotonic_ms >= stop_at_ms);
+        let is_late = self.stop_at.is_some_and(|stop_at| Instant::now() >= stop_at);
         if is_late {
             log::error!(
-                open = self.pending.len();
+                open = self.core.open_requests();
                 "stop deadline passed with requests in flight; raise stop_deadline in [limits]"
             );
         }
         is_late
     }
 }
+
+fn caller_response(end: End) -> CallerResponse {
+    match end.into_answer() {
+        Ok(answer) => CallerResponse {
+            outcome: Outcome::Answered,
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+        },
+        Err((outcome, refusal, retry_after_ms)) => {
+            CallerResponse::refused(&refusal, outcome, retry_after_ms)
+        }
+    }
+}
--- a/crates/tamarackproxy/src/node/mod.rs
+++ b/crates/tamarackproxy/src/node/mod.rs
@@ -1,20 +1,13 @@
 //! A running entry host: one event loop on one thread.
 //!
-//! The loop owns the engines, passes them events and carries out their
-//! actions through the transport layer.
+//! [`core`] connects the engines and decides; the event loop passes it what
+//! arrives on sockets and carries out its effects.
 
 mod admin;
-mod burn;
-mod configuration;
+pub mod core;
 mod event_loop;
-mod fleet;
 mod handle;
 mod input;
-mod once;
-mod peers;
-mod pending;
-mod requests;
-mod seats;
-mod view;
+mod links;
 
 pub use self::handle::{Node, NodeError, NodeHandle};
--- a/crates/tamarackproxy/src/protocol/peer.rs
+++ b/crates/tamarackproxy/src/protocol/peer.rs
@@ -119,3 +119,12 @@
     /// Body of the answer.
     pub body: Vec<u8>,
 }
+
+/// How a forward failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForwardFailure {
+    /// No byte of the request left this process.
+    NotSent,
+    /// The request may have arrived.
+    Lost,
+}
--- a/crates/tamarackproxy/src/transport/caller_server.rs
+++ b/crates/tamarackproxy/src/transport/caller_server.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 use tokio::{
@@ -18,22 +18,13 @@
 };
 
 use crate::{
-    protocol::caller::{OUTCOME_HEADER, Outcome, REQUEST_BODY_MAX_BYTES, Refusal},
+    protocol::{
+        caller::{OUTCOME_HEADER, Outcome, REQUEST_BODY_MAX_BYTES, Refusal},
+        http::CallerRequest,
+    },
     state::ids::RequestId,
 };
 
-/// A caller's request with its whole body.
-#[derive(Debug)]
-pub(crate) struct CallerRequest {
-    pub(crate) method: Method,
-    /// First segment of the path after `/call/`.
-    pub(crate) service: Box<str>,
-    /// Rest of the path, with the query.
-    pub(crate) path: Box<str>,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
 /// The response to a caller.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerResponse {
--- a/crates/tamarackproxy/src/transport/peer_client.rs
+++ b/crates/tamarackproxy/src/transport/peer_client.rs
@@ -18,8 +18,8 @@
 use crate::protocol::{
     caller::RESPONSE_BODY_MAX_BYTES,
     peer::{
-        CONTROL_MESSAGE_MAX_BYTES, FORWARD_REQUEST_MAX_BYTES, ForwardRequest, ForwardResponse,
-        Hello, PeerMessage,
+        CONTROL_MESSAGE_MAX_BYTES, FORWARD_REQUEST_MAX_BYTES, ForwardFailure, ForwardRequest,
+        ForwardResponse, Hello, PeerMessage,
     },
 };
 
@@ -32,15 +32,6 @@
 /// Room for the headers of a forwarded response, in bytes.
 const HEADERS_MAX_BYTES: usize = 64 << 10;
 
-/// How a forward failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ForwardFailure {
-    /// No byte of the request left this process.
-    NotSent,
-    /// The request may have arrived.
-    Lost,
-}
-
 /// Link to one entry host; dropping it closes the connection.
 pub(crate) struct PeerLink {
     control: mpsc::Sender<PeerMessage>,
--- a/crates/tamarackproxy/src/transport/platform_client.rs
+++ b/crates/tamarackproxy/src/transport/platform_client.rs
@@ -5,11 +5,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Uri};
 
-use super::target_client::{TargetClient, TargetRequest, TargetResponse};
+use super::target_client::TargetClient;
 use crate::{
     coordination::requests::AttemptResult,
     protocol::{
         caller::IDEMPOTENCY_KEY_HEADER,
+        http::{TargetRequest, TargetResponse},
         platform::{HostList, ListedHost},
     },
     state::ids::{HostId, OperationId},
--- a/crates/tamarackproxy/src/transport/target_client.rs
+++ b/crates/tamarackproxy/src/transport/target_client.rs
@@ -15,33 +15,15 @@
 
 use crate::{
     coordination::requests::AttemptResult,
-    protocol::caller::{OUTCOME_HEADER, Outcome, RESPONSE_BODY_MAX_BYTES},
+    protocol::{
+        caller::{OUTCOME_HEADER, Outcome, RESPONSE_BODY_MAX_BYTES},
+        http::{TargetRequest, TargetResponse},
+    },
 };
 
 /// Idle connections kept for one target; a seat's share of its slots.
 const IDLE_CONNECTIONS: usize = 8;
 
-/// Request as a target receives it.
-#[derive(Clone, Debug)]
-pub(crate) struct TargetRequest {
-    pub(crate) method: Method,
-    pub(crate) path: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    /// Whether a lost connection may be answered by another attempt. Requests
-    /// that may not be repeated get a new connection: a target that closes an
-    /// idle one just as the request is written would leave the outcome unknown.
-    pub(crate) repeatable: bool,
-}
-
-/// Whole response of a target.
-#[derive(Clone, Debug)]
-pub(crate) struct TargetResponse {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
 type Connection = SendRequest<Full<Bytes>>;
 
 /// Client with a few idle connections to each target.
