--- a/crates/tamarackproxy/src/coordination/requests/admission.rs
+++ b/crates/tamarackproxy/src/coordination/requests/admission.rs
@@ -21,8 +21,13 @@
 const RETRY_AFTER_UNKNOWN_MS: u64 = 1_000;
 
 impl RequestEngine {
+    /// Admits or refuses a request. An id that is in use is ignored: a refusal
+    /// would end the other request.
     pub(super) fn submit(&mut self, id: RequestId, meta: RequestMeta) {
-        match self.admit(id, &meta) {
+        if self.request_keys.contains_key(&id) {
+            return;
+        }
+        match self.admit(&meta) {
             Ok((service, caller)) => self.enter(id, meta, service, caller),
             Err((refusal, retry_after_ms)) => self.refuse(id, refusal, retry_after_ms),
         }
@@ -31,7 +36,6 @@
     /// Decides whether a request may wait, without keeping anything of it.
     fn admit(
         &mut self,
-        id: RequestId,
         meta: &RequestMeta,
     ) -> Result<(ServiceKey, CallerKey), (Refusal, Option<u64>)> {
         let service = self.service_keys.get(&meta.service).copied();
@@ -56,9 +60,6 @@
         }
         let class = class_index(meta.urgency);
         self.check_deadline(service, caller, class, meta.deadline_at_ms)?;
-        if self.request_keys.contains_key(&id) {
-            return Err((Refusal::Malformed("the request id is in use".into()), None));
-        }
         if self.services[service].queue.len() >= queue_limit {
             self.make_room(service, caller, class, queue_limit)?;
         }
--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -11,7 +11,7 @@
     limits::Caller,
     report::RequestCounters,
     slots::{LoanIn, LoanOut, LoanTerms},
-    state::{Abandoned, Attempt, Request, Service, Target},
+    state::{Abandoned, Attempt, Request, Service, Stage, Target},
     timers::{Timer, Timers},
 };
 use crate::state::{
@@ -134,6 +134,7 @@
             RequestsEvent::Stopping => self.stop(),
             RequestsEvent::Tick => {}
         }
+        self.drop_stale_timers();
         std::mem::take(&mut self.actions)
     }
 
@@ -142,6 +143,22 @@
         self.timers.next_ms()
     }
 
+    /// Drops timers whose request, attempt or loan has ended, so that they do
+    /// not wake the owner.
+    fn drop_stale_timers(&mut self) {
+        let (attempts, requests) = (&self.attempts, &self.requests);
+        let (loans_in, loans_out) = (&self.loans_in, &self.loans_out);
+        self.timers.drop_stale(|timer| match timer {
+            Timer::AttemptOver(attempt) => !attempts.contains_key(attempt),
+            Timer::Deadline(request) => requests
+                .get(request)
+                .is_none_or(|request| matches!(request.stage, Stage::Running(_))),
+            Timer::LoanInOver(loan) => !loans_in.contains_key(loan),
+            Timer::LoanOutOver(loan) => !loans_out.contains_key(&loan),
+            _ => false,
+        });
+    }
+
     fn fire_timers(&mut self) {
         while let Some(timer) = self.timers.pop_due(self.now_ms) {
             match timer {
--- a/crates/tamarackproxy/src/coordination/requests/health.rs
+++ b/crates/tamarackproxy/src/coordination/requests/health.rs
@@ -130,16 +130,17 @@
         self.standing != Standing::Admitted
     }
 
-    /// Whether it may receive a request now that `in_flight` run there; a
-    /// probe must be repeatable.
+    /// Whether it may receive a request now that `in_flight` run there. The
+    /// first probe is a repeatable request, or any if there is none for long.
     pub fn accepts(&self, now_ms: u64, in_flight: u16, repeatable: bool) -> bool {
         match self.standing {
             _ if self.is_leaving(now_ms) => false,
             Standing::Admitted => true,
             Standing::Ejected { until_ms, .. } => {
-                now_ms >= until_ms && in_flight == 0 && repeatable
+                let probe_at_ms = if repeatable { until_ms } else { until_ms + EJECT_MAX_MS };
+                in_flight == 0 && now_ms >= probe_at_ms
             }
-            Standing::Probed { .. } => in_flight == 0 && repeatable,
+            Standing::Probed { .. } => in_flight == 0,
         }
     }
 
@@ -176,8 +177,8 @@
             (self.concurrency_share * CONCURRENCY_TIMEOUT_DECREASE).max(CONCURRENCY_MIN);
     }
 
-    /// Adds a result. `others` is the share of the whole service, and
-    /// `may_eject` tells whether enough targets remain.
+    /// Adds a result. `all` is the share of the whole service, and `may_eject`
+    /// tells whether enough targets remain.
     pub fn add_result(&mut self, now_ms: u64, failed: bool, all: ErrorShare, may_eject: bool) {
         self.errors.add(now_ms, failed);
         match self.standing {
--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -50,7 +50,7 @@
         service.ask_interval_ms = (2 * service.ask_interval_ms).min(BORROW_INTERVAL_MAX_MS);
         service.borrow_timer = true;
         self.timers.add(self.now_ms + service.ask_interval_ms, Timer::Borrow(key));
-        let wanted = service.queue.len().min(BORROW_MAX).div_ceil(self.peers.len() as u32);
+        let wanted = service.queue.len().min(BORROW_MAX);
         let message = RequestsMessage::Borrow {
             service: service.id.clone(),
             wanted: wanted as u16,
@@ -232,7 +232,7 @@
     pub(super) fn review_loans(&mut self, key: ServiceKey) {
         let service = &mut self.services[key];
         service.review_timer = false;
-        let busy = !service.queue.is_empty() && !self.stopping;
+        let busy = !service.queue.is_empty() && !self.stopping && self.seat.is_some();
         let mut held = false;
         for loan in self.loans_of(key) {
             let kept = busy && !self.loan_is_useless(loan);
--- a/crates/tamarackproxy/src/coordination/requests/timers.rs
+++ b/crates/tamarackproxy/src/coordination/requests/timers.rs
@@ -50,6 +50,16 @@
         self.0.pop().map(|Reverse((_, timer))| timer)
     }
 
+    /// Drops the next timers for as long as they are of no use any more.
+    pub fn drop_stale<F>(&mut self, is_stale: F)
+    where
+        F: Fn(Timer) -> bool,
+    {
+        while self.0.peek().is_some_and(|Reverse((_, timer))| is_stale(*timer)) {
+            self.0.pop();
+        }
+    }
+
     /// Time of the next timer.
     pub fn next_ms(&self) -> Option<u64> {
         self.0.peek().map(|Reverse((at_ms, _))| *at_ms)
