--- a/crates/tamarackproxy/src/coordination/requests/health.rs
+++ b/crates/tamarackproxy/src/coordination/requests/health.rs
@@ -26,6 +26,8 @@
 const LATENCY_STALE_MS: u64 = 5_000;
 /// Ratio to the service's mean latency above which a target counts as slow.
 const SLOW_RATIO: f64 = 2.0;
+/// Ratio to the service's mean latency below which a target is as good as any.
+const SLOWNESS_MIN: f64 = 1.25;
 /// Factor of the concurrency share after an answer of a slow target.
 const CONCURRENCY_DECREASE: f64 = 0.95;
 /// Factor of the concurrency share after a timeout.
@@ -150,8 +152,16 @@
         limit.clamp(1, available.max(1))
     }
 
+    /// Ratio of the target's latency to the usual one, 1 unless it is clearly
+    /// slower: small differences are noise, and following them would send
+    /// everything to one target.
+    pub fn slowness(&self, now_ms: u64, usual_ms: f64) -> f64 {
+        let ratio = self.latency_ms(now_ms, usual_ms) / usual_ms;
+        if ratio < SLOWNESS_MIN { 1.0 } else { ratio }
+    }
+
     /// Expected latency, or `usual_ms` if nothing recent is known.
-    pub fn latency_ms(&self, now_ms: u64, usual_ms: f64) -> f64 {
+    fn latency_ms(&self, now_ms: u64, usual_ms: f64) -> f64 {
         match self.latency_ms {
             Some(latency) if now_ms < self.answered_at_ms + LATENCY_STALE_MS => latency,
             _ => usual_ms,
--- a/crates/tamarackproxy/src/coordination/requests/routing.rs
+++ b/crates/tamarackproxy/src/coordination/requests/routing.rs
@@ -74,9 +74,9 @@
         self.local_route(key, request).or_else(|| self.remote_route(key, request))
     }
 
-    /// Chooses the usable target with the shortest expected time for its
-    /// requests, the new one included; equal ones are drawn at random. A
-    /// target on which the request failed before is the last choice.
+    /// Chooses the usable target with the smallest part of its limit in use,
+    /// the new request included and weighed by slowness; equal ones are drawn
+    /// at random. A target on which the request failed is the last choice.
     fn local_route(&mut self, key: ServiceKey, request_key: RequestKey) -> Option<Route> {
         let request = &self.requests[request_key];
         let service = &self.services[key];
@@ -99,7 +99,7 @@
             let ends_at_ms = self.now_ms + least_ms + ATTEMPT_GRACE_MS;
             let Some(source) = target.slots.choose(&self.loans_in, ends_at_ms) else { continue };
             let mut score = f64::from(in_flight + 1) / f64::from(limit)
-                * target.health.latency_ms(self.now_ms, usual_ms)
+                * target.health.slowness(self.now_ms, usual_ms)
                 * self.rng.random_range(1.0..1.01);
             if request.avoid == Some(target_key) {
                 score += f64::from(u32::MAX);
--- a/crates/tamarackproxy/src/coordination/requests/tests.rs
+++ b/crates/tamarackproxy/src/coordination/requests/tests.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
+mod answers;
+mod flood;
 mod leaving;
 mod outcomes;
+mod retry;
 mod slots;
 mod slots_model;
--- a/crates/tamarackproxy/src/coordination/requests/tests/support.rs
+++ b/crates/tamarackproxy/src/coordination/requests/tests/support.rs
@@ -3,7 +3,7 @@
 use crate::{
     coordination::requests::{
         AttemptResult, CallerLimits, RequestEngine, RequestMeta, RequestsAction, RequestsEvent,
-        SeatShare, ServiceLimits, TargetState,
+        SeatShare, ServiceLimits, ServiceLoad, TargetState,
     },
     state::{
         clock::ClockReading,
@@ -83,6 +83,16 @@
         self.event(RequestsEvent::Submitted { request: RequestId(id), meta })
     }
 
+    /// Fills a single slot for long, after an answer that took 100 ms.
+    pub fn saturate(&mut self) {
+        for id in 900_000..900_002 {
+            let meta = self.meta();
+            self.submit(id, meta);
+        }
+        self.advance(100);
+        self.answer(900_000);
+    }
+
     /// A normal repeatable request of caller `aline` with a deadline of 5 s.
     pub fn meta(&self) -> RequestMeta {
         RequestMeta {
@@ -133,3 +143,13 @@
     };
     actions.iter().filter_map(end).collect()
 }
+
+/// Another data centre with idle slots, behind the entry host `r1`.
+pub fn remote_load(idle_slots: u32) -> RequestsEvent {
+    let service = ServiceId::new(SERVICE);
+    RequestsEvent::RemoteLoad {
+        data_centre: DataCentreId::new("remera"),
+        gateway: peer("r1"),
+        loads: vec![ServiceLoad { service, idle_slots, queued: 0, in_flight: 0 }],
+    }
+}
