--- a/crates/tamarackproxy/src/coordination/requests/tests/slots.rs
+++ b/crates/tamarackproxy/src/coordination/requests/tests/slots.rs
@@ -1,10 +1,14 @@
 //! Slot shares of one engine (hazard 5).
 
+use slotmap::SlotMap;
+
 use super::support::{Bench, SERVICE, dispatched, ends, peer, services, target};
 use crate::{
     coordination::requests::{
         ATTEMPT_GRACE_MS, AttemptResult, LOAN_DURATION_MS, LoanId, RequestsAction, RequestsEvent,
-        RequestsMessage, SeatShare, slots::base_slots,
+        RequestsMessage, SeatShare,
+        keys::{LoanKey, TargetKey},
+        slots::{LoanIn, SlotSource, TargetSlots, base_slots},
     },
     state::ids::{HostId, ServiceId},
 };
@@ -116,11 +120,43 @@
     bench.advance(15);
     let actions = lend_to(&mut bench, asked_at_ms);
     assert_eq!(dispatched(&actions).len(), 1);
-    // With 1.2 s left, a request with a deadline of 5 s does not fit any more.
-    bench.now_ms += LOAN_DURATION_MS - 15 - 1_200;
-    bench.answer(1);
-    let meta = bench.meta();
-    assert_eq!(dispatched(&bench.submit(2, meta)), [], "it may outlive the loan");
+    // Requests follow each other on the loan, each with a deadline of 5 s.
+    let mut next = |id: u64, left_ms: u64| {
+        bench.now_ms = asked_at_ms + LOAN_DURATION_MS - left_ms;
+        let meta = bench.meta();
+        bench.submit(id, meta);
+        let timeout = |action: &RequestsAction| match action {
+            RequestsAction::Dispatch { timeout_ms, .. } => Some(*timeout_ms),
+            _ => None,
+        };
+        bench.answer(id - 1).iter().find_map(timeout)
+    };
+    assert_eq!(next(2, 10_000), Some(5_000));
+    assert_eq!(next(3, 6_000), Some(5_000));
+    assert_eq!(next(4, 3_000), Some(3_000 - ATTEMPT_GRACE_MS), "it ends before the loan");
+    assert_eq!(next(5, 1_400), None, "too little time is left");
+}
+
+/// Guards against the choice of a loan that ends before the attempt does.
+#[test]
+fn slots_are_chosen_from_loans_that_last() {
+    let (mut loans, mut slots) = (SlotMap::<LoanKey, LoanIn>::with_key(), TargetSlots::default());
+    for ends_at_ms in [1_000, 3_000, 2_000] {
+        slots.loans.push(loans.insert(LoanIn {
+            lender: peer("e2"),
+            id: LoanId(ends_at_ms),
+            target: TargetKey::default(),
+            slots: 1,
+            used: 0,
+            ends_at_ms,
+            recalled: false,
+        }));
+    }
+    let choice = |ends_at_ms| match slots.choose(&loans, ends_at_ms) {
+        Some(SlotSource::Loan(key)) => loans[key].ends_at_ms,
+        _ => 0,
+    };
+    assert_eq!([500, 1_001, 2_001, 3_001].map(choice), [1_000, 2_000, 3_000, 0]);
 }
 
 /// Guards against use of a loan that the lender has taken back because the
@@ -164,6 +200,24 @@
     assert_eq!(lent(&bench), 0);
 }
 
+/// Guards against starting work on a loan that was received before the seat
+/// was suspended.
+#[test]
+fn slots_borrowed_are_unused_without_a_seat() {
+    let mut bench = Bench::new(&["h1"], 1);
+    bench.event(RequestsEvent::PeersChanged { peers: vec![peer("e2")] });
+    for id in 1..=5 {
+        let meta = bench.meta();
+        bench.submit(id, meta);
+    }
+    let now_ms = bench.now_ms;
+    assert_eq!(dispatched(&lend_to(&mut bench, now_ms)).len(), 2);
+    bench.event(RequestsEvent::SeatChanged { seat: None });
+    for id in 1..=3 {
+        assert_eq!(dispatched(&bench.answer(id)), []);
+    }
+}
+
 /// Guards against starting work without a confirmed seat, on the own share or
 /// on loans.
 #[test]
