--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,8 @@
 //! runtime that starts it and stops when its handle is dropped.
 
 pub mod bench;
+pub mod clock;
 pub mod fleet;
 pub mod net;
 pub mod store;
+pub mod target;
--- a/crates/standins/src/store/server.rs
+++ b/crates/standins/src/store/server.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
     time::Duration,
 };
 
@@ -13,7 +13,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tamarackproxy::state::ids::DataCentreId;
-use tokio::{sync::watch, time::Instant};
+use tokio::sync::watch;
 
 use super::{
     faults::ReplyFate,
@@ -22,7 +22,10 @@
     },
     state::{Change, StoreSnapshot, StoreState},
 };
-use crate::net::{Body, BodySender, Handler, Server, ServerOptions, channel_body, full_body};
+use crate::{
+    clock::Clock,
+    net::{Body, BodySender, Handler, Server, ServerOptions, channel_body, full_body},
+};
 
 /// Largest body that the store reads, in bytes: a value of 1 MB in base64
 /// with its envelope.
@@ -41,7 +44,7 @@
 #[derive(Clone, Debug)]
 pub struct StoreHandle {
     state: Arc<Mutex<StoreState>>,
-    started: Instant,
+    clock: Clock,
     /// Number of restores, and a wake-up for watches at each change.
     changed: watch::Sender<u64>,
 }
@@ -54,7 +57,7 @@
 
     /// Returns the time on the store's clock, in milliseconds.
     pub fn now_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        self.clock.now_ms()
     }
 
     /// Writes a key without counting a call.
@@ -86,10 +89,11 @@
     pub async fn start(
         state: StoreState,
         addresses: &[(DataCentreId, SocketAddr)],
+        clock: Clock,
     ) -> io::Result<Self> {
         let handle = StoreHandle {
             state: Arc::new(Mutex::new(state)),
-            started: Instant::now(),
+            clock,
             changed: watch::Sender::new(0),
         };
         let mut listeners = Vec::new();
@@ -98,7 +102,7 @@
             let server = Server::start(*address, ServerOptions::default(), service).await?;
             listeners.push((data_centre.clone(), server));
         }
-        tokio::spawn(expire_leases(Arc::downgrade(&handle.state), handle.clone_without_state()));
+        tokio::spawn(expire_leases(Arc::downgrade(&handle.state), handle.changed.clone(), clock));
         Ok(Self { handle, listeners })
     }
 
@@ -140,28 +144,16 @@
     }
 }
 
-/// What the expiry task needs besides the state.
-struct Expiry {
-    started: Instant,
-    changed: watch::Sender<u64>,
-}
-
-impl StoreHandle {
-    fn clone_without_state(&self) -> Expiry {
-        Expiry { started: self.started, changed: self.changed.clone() }
-    }
-}
-
-async fn expire_leases(state: std::sync::Weak<Mutex<StoreState>>, expiry: Expiry) {
+/// Ends lapsed leases until the store is dropped.
+async fn expire_leases(state: Weak<Mutex<StoreState>>, changed: watch::Sender<u64>, clock: Clock) {
     loop {
         tokio::time::sleep(Duration::from_millis(EXPIRY_INTERVAL_MS)).await;
         let Some(state) = state.upgrade() else { return };
-        let now_ms = u64::try_from(expiry.started.elapsed().as_millis()).unwrap_or(u64::MAX);
         let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
         let revision = state.revision();
-        state.expire(now_ms);
+        state.expire(clock.now_ms());
         if state.revision() != revision {
-            expiry.changed.send_replace(state.restores());
+            changed.send_replace(state.restores());
         }
     }
 }
--- a/crates/standins/src/store/tests.rs
+++ b/crates/standins/src/store/tests.rs
@@ -10,7 +10,10 @@
 };
 
 use super::{CallLimits, StoreServer, StoreState};
-use crate::net::{Call, call};
+use crate::{
+    clock::Clock,
+    net::{Call, call},
+};
 
 fn swap(key: &str, expected: u64, lease: Option<u64>) -> StoreRequest {
     StoreRequest::CompareAndSwap {
@@ -115,9 +118,13 @@
 #[tokio::test]
 async fn gateway_swaps_reads_and_reports_as_published() {
     let address = "127.77.0.2:0".parse().expect("is an address");
-    let store = StoreServer::start(StoreState::new(1), &[(DataCentreId::new("a"), address)])
-        .await
-        .expect("starts");
+    let store = StoreServer::start(
+        StoreState::new(1),
+        &[(DataCentreId::new("a"), address)],
+        Clock::start(),
+    )
+    .await
+    .expect("starts");
     let key = STANDARD.encode("host/h1");
     let transaction = json!({
         "compare": [{ "result": "EQUAL", "target": "MOD", "key": key, "mod_revision": "0" }],
@@ -151,7 +158,8 @@
     let any_port = || "127.77.0.3:0".parse().expect("is an address");
     let names = ["a", "b"].map(DataCentreId::new);
     let addresses = names.clone().map(|name| (name, any_port()));
-    let store = StoreServer::start(StoreState::new(1), &addresses).await.expect("starts");
+    let store =
+        StoreServer::start(StoreState::new(1), &addresses, Clock::start()).await.expect("starts");
     let read = |name: &DataCentreId| {
         let address = store.address(name).expect("listens");
         call(Call::new(address, Method::POST, "/v3/kv/range").with_body(r#"{"key":"YQ=="}"#))
