--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,8 +6,10 @@
 //! runtime that starts it and stops when its handle is dropped.
 
 pub mod bench;
+pub mod caller;
 pub mod clock;
 pub mod fleet;
 pub mod net;
+pub mod platform;
 pub mod store;
 pub mod target;
