--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod platform;
 pub mod store;
 pub mod target;
+pub mod verdict;
