--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,6 +1,12 @@
 //! Measurements: each drives the library's decision code and returns figures.
 
 mod figure;
+mod flood;
+pub mod key_values;
+pub mod once;
+mod request_sim;
+mod slots;
+pub mod virtual_time;
 
 pub use self::figure::{Bound, Figure};
 
@@ -10,7 +16,14 @@
 /// Names of the measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString, VariantNames)]
 #[strum(serialize_all = "kebab-case")]
-pub enum BenchName {}
+pub enum BenchName {
+    /// What the other work keeps during a flood.
+    Flood,
+    /// Overruns and use of the slots that entry hosts share.
+    Slots,
+    /// Charges under faults against the at-most-once engine.
+    Once,
+}
 
 /// Command line of `tamarack-bench`.
 #[derive(Clone, Debug, Options)]
@@ -29,8 +42,12 @@
 }
 
 /// Runs one measurement.
-pub fn run(name: BenchName, _options: &BenchOptions) -> Vec<Figure> {
-    match name {}
+pub fn run(name: BenchName, options: &BenchOptions) -> Vec<Figure> {
+    match name {
+        BenchName::Flood => flood::run(options),
+        BenchName::Slots => slots::run(options),
+        BenchName::Once => once::run(options.seed, options.seeds),
+    }
 }
 
 /// Returns the measurements that a name selects; all if there is no name.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod net;
 pub mod platform;
+pub mod sim;
 pub mod store;
 pub mod target;
 pub mod verdict;
--- a/crates/tamarackproxy/src/coordination/requests/routing.rs
+++ b/crates/tamarackproxy/src/coordination/requests/routing.rs
@@ -22,11 +22,6 @@
 /// Time that a request waits for slots of peers before it is forwarded, in
 /// milliseconds: more than a round of messages in the data centre takes.
 const FORWARD_PATIENCE_MS: u64 = 3;
-/// Shortest time that an attempt on a loan is given, in milliseconds, unless
-/// the request's deadline is sooner.
-const LOAN_ATTEMPT_MIN_MS: u64 = 1_000;
-/// Same, in expected slot times.
-const LOAN_ATTEMPT_SLOT_TIMES: f64 = 8.0;
 /// Time after which the usable slots are counted again, in milliseconds.
 const CAPACITY_MAX_AGE_MS: u64 = 10;
 
@@ -62,11 +57,16 @@
         self.borrow(key);
     }
 
-    /// Whether the deadline leaves less than the expected slot time.
+    /// Whether the deadline leaves too little time. While others wait for the
+    /// slot, a request that would probably use it in vain is given up.
     fn is_too_late(&self, key: RequestKey) -> bool {
         let request = &self.requests[key];
-        let expected = self.services[request.service].expected_ms(request.class).unwrap_or(0.0);
-        (request.meta.deadline_at_ms as f64) < self.now_ms as f64 + expected.max(1.0)
+        let service = &self.services[request.service];
+        let needed_ms = match service.queue.len() > 1 {
+            true => service.ample_ms(request.class),
+            false => service.expected_ms(request.class).unwrap_or(0.0),
+        };
+        (request.meta.deadline_at_ms as f64) < self.now_ms as f64 + needed_ms.max(1.0)
     }
 
     fn route(&mut self, key: ServiceKey, request: RequestKey) -> Option<Route> {
@@ -80,19 +80,14 @@
     fn local_route(&mut self, key: ServiceKey, request_key: RequestKey) -> Option<Route> {
         let request = &self.requests[request_key];
         let service = &self.services[key];
-        let usual_ms = service.latency_ms.get().unwrap_or(1.0).max(0.1);
-        let expected_ms = service.expected_ms(request.class).unwrap_or(0.0);
+        let usual_ms = service.usual_ms();
         let wanted_ms = request.meta.deadline_at_ms.saturating_sub(self.now_ms).min(ATTEMPT_MAX_MS);
-        let least_ms = (LOAN_ATTEMPT_MIN_MS.max((LOAN_ATTEMPT_SLOT_TIMES * expected_ms) as u64))
-            .min(wanted_ms);
-        let connections = service.limits.as_ref().map_or(0, |limits| limits.connections)
-            / self.seat.map_or(1, |seat| seat.seats.max(1));
+        let least_ms = service.least_attempt_ms().min(wanted_ms);
         let mut best: Option<(f64, TargetKey, SlotSource)> = None;
         for &target_key in &service.targets {
             let target = &self.targets[target_key];
             let in_flight = target.slots.in_flight;
             if !target.accepts_work
-                || in_flight >= connections.max(1)
                 || !target.health.accepts(self.now_ms, in_flight, request.meta.repeatable)
             {
                 continue;
--- a/crates/tamarackproxy/src/node/event_loop.rs
+++ b/crates/tamarackproxy/src/node/event_loop.rs
@@ -22,6 +22,7 @@
 };
 use crate::{
     coordination::{
+        burn::BurnEngine,
         configuration::{ConfigurationEngine, ConfigurationEvent, Position},
         fleet::{FleetEngine, FleetEvent},
         once::{OnceEngine, OnceEvent},
@@ -45,6 +46,9 @@
 /// Longest time between two ticks of an engine, so that a pause of the loop
 /// is noticed.
 const TICK_MAX_MS: u64 = 200;
+/// Shortest time between two ticks, so that an engine that is due again at
+/// once does not keep the loop from its inputs.
+const TICK_MIN_MS: u64 = 1;
 /// Connections of operators and health checks.
 const ADMIN_CONNECTIONS: u32 = 256;
 
@@ -57,6 +61,7 @@
     pub(super) seats: SeatEngine,
     pub(super) configuration: ConfigurationEngine,
     pub(super) fleet: FleetEngine,
+    pub(super) burn: BurnEngine,
     pub(super) view: Option<View>,
     pub(super) position: Position,
     pub(super) is_ready: bool,
@@ -185,7 +190,8 @@
             once: OnceEngine::new(entry.clone(), data_centre.clone(), entry_hosts),
             seats: SeatEngine::new(own, known, seed),
             configuration: ConfigurationEngine::new(entry.clone(), data_centre.clone(), seed),
-            fleet: FleetEngine::new(entry.clone(), data_centre, seed),
+            fleet: FleetEngine::new(entry.clone(), data_centre.clone(), seed),
+            burn: BurnEngine::new(data_centre),
             view: None,
             position: Position::default(),
             is_ready: false,
@@ -225,6 +231,7 @@
     /// Runs until the node was stopped or killed.
     pub(super) async fn run(mut self) {
         log::info!(entry = self.settings.entry.as_str(); "node started");
+        self.peers.connect(Vec::new(), &self.ends);
         self.tick();
         while !self.has_ended() {
             let tick_at = self.origin + Duration::from_millis(self.next_tick_ms());
@@ -256,10 +263,12 @@
             self.once.next_tick_ms(),
             self.seats.next_tick_ms(),
             self.configuration.next_tick_ms(),
-            self.fleet.next_tick_ms(),
+            self.fleet.next_tick_ms().filter(|_| self.peers.is_gateway()),
+            self.burn.next_tick_ms(),
         ];
+        let earliest = self.now.monotonic_ms + TICK_MIN_MS;
         let latest = self.now.monotonic_ms + TICK_MAX_MS;
-        engines.into_iter().flatten().min().unwrap_or(latest).min(latest)
+        engines.into_iter().flatten().min().unwrap_or(latest).clamp(earliest, latest)
     }
 
     /// Passes a tick to every engine, the seat engine first: it notices a
@@ -271,6 +280,7 @@
         self.on_requests(RequestsEvent::Tick);
         self.tick_fleet();
         self.tick_peers();
+        self.tick_burn();
         if self.is_stopping {
             self.continue_stop();
         }
@@ -299,6 +309,7 @@
                     self.on_configuration(ConfigurationEvent::StoreReplied { call, result });
                 }
                 Engine::Fleet => self.on_fleet(FleetEvent::StoreReplied { call, result }),
+                Engine::Burn => self.burn.store_replied(self.now, call, result),
             },
             TaskEnd::Watched { prefix, generation, event } => {
                 self.on_watched(&prefix, generation, event);
@@ -324,6 +335,9 @@
         let (store, ends) = (self.store.clone(), self.ends.clone());
         tokio::task::spawn_local(async move {
             let result = store.call(&request).await;
+            if let Err(error) = &result {
+                log::debug!(engine:? = engine; "call to the store failed: {error}; {request:?}");
+            }
             let _ = ends.send(TaskEnd::Store { engine, call, result });
         });
     }
