Add the fault matrix and hold back the seat after a pause

Cause: failures of whole nodes were not tested. The first run of the matrix found three faults: a process that woke from a pause handled a waiting request before the seat engine noticed the pause, it then used host records that were 20 s old, and an entry host that is no gateway forgot that the platform's list calls a host leaving as soon as its record became active.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod clock;
 pub mod fleet;
+pub mod matrix;
 pub mod net;
 pub mod platform;
 pub mod sim;
--- /dev/null
+++ b/crates/standins/src/matrix/targets.rs
@@ -0,0 +1,77 @@
+//! Instances on virtual time.
+
+use std::collections::{BTreeSet, HashMap};
+
+use tamarackproxy::state::ids::{HostId, RequestId, ServiceId, TargetId};
+
+use crate::target::{Cut, LeavingSign, RunRecord, SLOTS};
+
+/// Attempt of an entry host that a run belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct AttemptOf {
+    pub(super) node: usize,
+    pub(super) incarnation: u32,
+    pub(super) request: RequestId,
+    pub(super) attempt: u32,
+}
+
+/// What targets ran and which faults they have.
+#[derive(Default)]
+pub(super) struct Targets {
+    pub(super) runs: Vec<RunRecord>,
+    pub(super) attempts: Vec<AttemptOf>,
+    pub(super) slot_overruns: u64,
+    pub(super) leaving_signs: Vec<LeavingSign>,
+    running: HashMap<(ServiceId, HostId), BTreeSet<usize>>,
+    /// Hosts that fail every request.
+    pub(super) failing: BTreeSet<HostId>,
+    /// Hosts whose responses break off.
+    pub(super) cutting: BTreeSet<HostId>,
+}
+
+impl Targets {
+    /// Starts a run; nothing if all slots are taken.
+    pub(super) fn start(
+        &mut self,
+        target: &TargetId,
+        run: RunRecord,
+        attempt: AttemptOf,
+    ) -> Option<usize> {
+        let running =
+            self.running.entry((target.service.clone(), target.host.clone())).or_default();
+        if running.len() >= SLOTS {
+            self.slot_overruns += 1;
+            return None;
+        }
+        let index = self.runs.len();
+        running.insert(index);
+        self.runs.push(run);
+        self.attempts.push(attempt);
+        Some(index)
+    }
+
+    /// Ends a run; tells whether it was still running.
+    pub(super) fn end(&mut self, index: usize, now_ms: u64, cut: Option<Cut>) -> bool {
+        let run = &mut self.runs[index];
+        if run.ended_ms.is_some() {
+            return false;
+        }
+        run.ended_ms = Some(now_ms);
+        run.cut = cut;
+        let key = (run.service.clone(), run.host.clone());
+        if let Some(running) = self.running.get_mut(&key) {
+            running.remove(&index);
+        }
+        true
+    }
+
+    /// Ends all runs of a host and returns them.
+    pub(super) fn cut_host(&mut self, host: &HostId, now_ms: u64, cut: Cut) -> Vec<usize> {
+        let of_host = self.running.iter().filter(|((_, running), _)| running == host);
+        let indices: Vec<usize> = of_host.flat_map(|(_, indices)| indices.clone()).collect();
+        for &index in &indices {
+            self.end(index, now_ms, Some(cut));
+        }
+        indices
+    }
+}
--- a/crates/tamarackproxy/src/node/core/fleet.rs
+++ b/crates/tamarackproxy/src/node/core/fleet.rs
@@ -124,7 +124,8 @@
                 targets.push(TargetState {
                     target,
                     data_centre: own.clone(),
-                    accepts_work: record.phase.accepts_work(),
+                    accepts_work: record.phase.accepts_work()
+                        && !self.fleet_state.leaving.contains(&record.host),
                 });
             }
         }
@@ -132,9 +133,6 @@
         self.effects.push(Effect::TargetsKnown { addresses: known });
         self.fleet_state.addresses = addresses;
         self.on_requests(RequestsEvent::TargetsChanged { targets });
-        for host in self.fleet_state.leaving.clone() {
-            self.on_requests(RequestsEvent::HostLeaving { host });
-        }
     }
 
     /// Answers a controller that drains a host.
@@ -158,8 +156,7 @@
         self.effects.push(Effect::ListHosts);
     }
 
-    /// Takes the platform's list; the request engine passes signs of leaving
-    /// on to the peers of the data centre.
+    /// Takes the platform's list and tells the peers which hosts are leaving.
     pub(super) fn on_listed(&mut self, hosts: Option<Vec<ListedHost>>) {
         let Some(hosts) = hosts else { return };
         let own = &self.data_centre;
@@ -168,13 +165,24 @@
             .filter(|host| host.state == ListedState::Leaving && host.data_centre == *own)
             .map(|host| host.host.clone());
         let leaving: Vec<HostId> = leaving.collect();
-        for host in &leaving {
-            self.on_requests(RequestsEvent::HostLeaving { host: host.clone() });
+        if !(leaving.is_empty() && self.fleet_state.leaving.is_empty()) {
+            for peer in self.peers.live_entries() {
+                self.send(&peer, PeerMessage::ListedLeaving { hosts: leaving.clone() });
+            }
         }
-        self.fleet_state.leaving = leaving;
+        self.set_leaving(leaving);
         self.on_fleet(FleetEvent::HostsListed { hosts });
     }
 
+    /// Takes the hosts of this data centre that are listed as leaving; they
+    /// get no new work whatever their records say.
+    pub(super) fn set_leaving(&mut self, hosts: Vec<HostId>) {
+        if hosts != self.fleet_state.leaving {
+            self.fleet_state.leaving = hosts;
+            self.publish_targets();
+        }
+    }
+
     /// Checks a host, or asks the gateway of its data centre to do it.
     fn ask_health(&mut self, host: HostId) {
         let Some((_, record)) = self.fleet_state.record(&host) else { return };
--- a/crates/tamarackproxy/src/node/core/mod.rs
+++ b/crates/tamarackproxy/src/node/core/mod.rs
@@ -39,7 +39,7 @@
         fleet::{FleetEngine, FleetEvent},
         once::{OnceEngine, OnceEvent},
         requests::{AttemptResult, RequestEngine, RequestsEvent},
-        seats::{EntryAddress, SeatEngine, SeatsEvent},
+        seats::{EntryAddress, PAUSE_LIMIT_MS, SeatEngine, SeatsEvent},
     },
     protocol::{peer::Hello, store::StoreRequest},
     state::{
@@ -149,8 +149,15 @@
     }
 
     /// Takes an input and returns what to do, in order.
+    ///
+    /// After a pause of the process the seat engine learns of it before the
+    /// input is applied, so that nothing is started on a seat that may be lost.
     pub fn handle(&mut self, now: ClockReading, input: Input) -> Vec<Effect> {
+        let gap_ms = now.monotonic_ms.saturating_sub(self.now.monotonic_ms);
         self.now = now;
+        if gap_ms > PAUSE_LIMIT_MS {
+            self.on_pause();
+        }
         self.apply(input);
         while let Some((request, attempt)) = self.late_ends.pop() {
             self.on_attempt_end(request, attempt, AttemptResult::NotSent, None);
@@ -224,6 +231,7 @@
     /// pause of the loop before anything is started.
     fn tick(&mut self) {
         self.on_seats(SeatsEvent::Tick);
+        self.end_catching_up();
         self.on_configuration(ConfigurationEvent::Tick);
         self.on_once(OnceEvent::Tick);
         self.on_requests(RequestsEvent::Tick);
@@ -295,6 +303,11 @@
         self.is_ready && !self.is_stopping && self.peers.own_seat().is_some()
     }
 
+    /// Tells whether a document is in force that is as new as can be reached.
+    pub fn is_configured(&self) -> bool {
+        self.is_ready
+    }
+
     /// Returns the position of the document in force.
     pub fn position(&self) -> Position {
         self.position
--- a/crates/tamarackproxy/src/node/core/peers.rs
+++ b/crates/tamarackproxy/src/node/core/peers.rs
@@ -9,7 +9,7 @@
         fleet::{FleetEvent, FleetMessage, ServiceDemand},
         once::OnceEvent,
         requests::{RequestsEvent, RequestsMessage, ServiceLoad},
-        seats::{LivePeer, SeatsEvent},
+        seats::{LivePeer, SeatsEvent, SeatsMessage},
     },
     protocol::peer::{Hello, PeerMessage},
     state::ids::{DataCentreId, EntryId, ServiceId, Term},
@@ -28,6 +28,9 @@
     pub(super) seat: Option<(u16, Term)>,
     /// Seat that is held but must not be used until it is confirmed.
     pub(super) is_suspended: bool,
+    /// Time until which the seat is not used after a pause, unless a peer
+    /// shows earlier that nothing was missed, in milliseconds.
+    pub(super) catching_up_until_ms: Option<u64>,
     loads: BTreeMap<EntryId, (u64, Vec<ServiceLoad>)>,
     next_load_ms: u64,
 }
@@ -40,6 +43,7 @@
             gateways: Vec::new(),
             seat: None,
             is_suspended: false,
+            catching_up_until_ms: None,
             loads: BTreeMap::new(),
             next_load_ms: 0,
         }
@@ -47,7 +51,8 @@
 
     /// Returns the seat of this entry host while it may be used.
     pub(super) fn own_seat(&self) -> Option<u16> {
-        self.seat.filter(|_| !self.is_suspended).map(|(index, _)| index)
+        let is_usable = !self.is_suspended && self.catching_up_until_ms.is_none();
+        self.seat.filter(|_| is_usable).map(|(index, _)| index)
     }
 
     /// Returns the live holder of a seat of this data centre.
@@ -66,7 +71,7 @@
         self.live.iter().filter_map(|peer| peer.seat).all(|seat| seat > own)
     }
 
-    fn live_entries(&self) -> Vec<EntryId> {
+    pub(super) fn live_entries(&self) -> Vec<EntryId> {
         self.live.iter().map(|peer| peer.entry.clone()).collect()
     }
 }
@@ -106,7 +111,12 @@
         let from = hello.entry.clone();
         match message {
             PeerMessage::Hello(_) => {}
-            PeerMessage::Seats(message) => self.on_seats(SeatsEvent::Received { from, message }),
+            PeerMessage::Seats(message) => {
+                if let SeatsMessage::Heartbeat(heartbeat) = &message {
+                    self.compare_with_peer(heartbeat.in_force, heartbeat.fleet_version);
+                }
+                self.on_seats(SeatsEvent::Received { from, message });
+            }
             PeerMessage::Requests(message) => {
                 if let RequestsMessage::Leaving { host } = &message {
                     log::info!(host = host.as_str(); "a peer reports that the host is leaving");
@@ -123,6 +133,7 @@
             PeerMessage::Fleet(message) => self.on_fleet(FleetEvent::Received { from, message }),
             PeerMessage::HealthQuery { host } => self.check_health(host, Some(from)),
             PeerMessage::HealthStatus { host, healthy } => self.on_health(host, healthy, None),
+            PeerMessage::ListedLeaving { hosts } => self.set_leaving(hosts),
             PeerMessage::Load { data_centre, loads } => self.on_load(from, data_centre, loads),
         }
     }
--- a/crates/tamarackproxy/src/node/core/seats.rs
+++ b/crates/tamarackproxy/src/node/core/seats.rs
@@ -10,9 +10,13 @@
         seats::{LivePeer, SeatsAction, SeatsEvent},
     },
     protocol::peer::PeerMessage,
-    state::ids::Term,
+    state::ids::{Epoch, Revision, Term},
 };
 
+/// Time for which a seat is not used after a pause unless a peer is heard, in
+/// milliseconds: two heartbeats may be lost.
+const CATCH_UP_MS: u64 = 3_000;
+
 impl NodeCore {
     pub(super) fn on_seats(&mut self, event: SeatsEvent) {
         let mut actions = Vec::new();
@@ -65,6 +69,33 @@
         }
     }
 
+    /// Stops using the seat after a pause of the process: it may be lost, and
+    /// document and host records may have changed meanwhile.
+    pub(super) fn on_pause(&mut self) {
+        log::warn!("the process was paused; the seat is not used until it is confirmed");
+        self.peers.catching_up_until_ms = Some(self.now.monotonic_ms + CATCH_UP_MS);
+        self.publish_seat();
+        self.on_seats(SeatsEvent::Tick);
+    }
+
+    /// Uses the seat again once a peer shows nothing newer than what is in
+    /// force here.
+    pub(super) fn compare_with_peer(&mut self, in_force: (Epoch, Revision), fleet_version: u64) {
+        let own = (self.position.epoch, self.position.revision);
+        let is_caught_up = own >= in_force && self.fleet_state.version >= fleet_version;
+        if is_caught_up && self.peers.catching_up_until_ms.take().is_some() {
+            self.publish_seat();
+        }
+    }
+
+    /// Uses the seat again when no peer was heard in time, as without peers.
+    pub(super) fn end_catching_up(&mut self) {
+        let now_ms = self.now.monotonic_ms;
+        if self.peers.catching_up_until_ms.take_if(|until_ms| now_ms >= *until_ms).is_some() {
+            self.publish_seat();
+        }
+    }
+
     fn set_seat(&mut self, seat: Option<(u16, Term)>) {
         self.peers.seat = seat;
         self.publish_seat();
@@ -72,7 +103,7 @@
 
     /// Tells the engines that depend on it whether the seat may be used.
     pub(super) fn publish_seat(&mut self) {
-        let usable = self.peers.seat.filter(|_| !self.peers.is_suspended);
+        let usable = self.peers.seat.filter(|_| self.peers.own_seat().is_some());
         let seats = self.configured_seats();
         let share = usable.zip(seats).map(|((index, _), seats)| SeatShare { index, seats });
         self.burn.seat_changed(usable.map(|(index, _)| index));
--- a/crates/tamarackproxy/src/protocol/peer.rs
+++ b/crates/tamarackproxy/src/protocol/peer.rs
@@ -58,6 +58,12 @@
         /// Whether all its instances answered their health check.
         healthy: bool,
     },
+    /// Hosts of the data centre that the platform lists as leaving, from the
+    /// gateway after each read of the list.
+    ListedLeaving {
+        /// The hosts.
+        hosts: Vec<HostId>,
+    },
     /// Load of the sender's data centre.
     Load {
         /// Data centre that the load is of.
