Add the demo

Cause: a reader needs one command that runs a whole deployment and tells whether the promises held. Change: stand-ins, entry hosts, callers, operators, a wave and at most one fault in one process, with a table and one JSON line.

--- /dev/null
+++ b/crates/standins/src/demo/layout.rs
@@ -0,0 +1,64 @@
+//! Loopback addresses of one run.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// Lowest second octet that is chosen from the process id, which leaves
+/// 127.0 to 127.15 to other programs and tests.
+const FIRST_NETWORK: u8 = 16;
+/// Number of second octets that are chosen from; 127.77 belongs to tests.
+const NETWORKS: u32 = 60;
+/// Last octet of the first entry host of a data centre.
+const FIRST_ENTRY: u8 = 200;
+/// Third octet of the store and the platform.
+const PLATFORM_SITE: u8 = 100;
+/// Added to a data centre's number for the third octet of its relays.
+const RELAY_SITE: u8 = 150;
+
+/// Port of the store.
+const STORE_PORT: u16 = 2_379;
+/// Port of the platform's interface.
+const PLATFORM_PORT: u16 = 2_380;
+
+/// Addresses `127.<network>.<site>.<number>`, one for each process or host.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Layout {
+    network: u8,
+}
+
+impl Layout {
+    /// Takes the network given, or one from the process id so that several
+    /// runs on one machine do not meet.
+    pub(super) fn new(network: Option<u8>) -> Self {
+        let own = (std::process::id() % NETWORKS) as u8 + FIRST_NETWORK;
+        Self { network: network.unwrap_or(own) }
+    }
+
+    fn ip(self, site: u8, number: u8) -> IpAddr {
+        Ipv4Addr::new(127, self.network, site, number).into()
+    }
+
+    /// Returns the address of a host of the fleet.
+    pub(super) fn host(self, data_centre: usize, number: usize) -> IpAddr {
+        self.ip(data_centre as u8 + 1, number as u8 + 1)
+    }
+
+    /// Returns the address of an entry host.
+    pub(super) fn entry(self, data_centre: usize, number: usize) -> IpAddr {
+        self.ip(data_centre as u8 + 1, FIRST_ENTRY + number as u8)
+    }
+
+    /// Returns the store's listener for a data centre.
+    pub(super) fn store(self, data_centre: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(PLATFORM_SITE, data_centre as u8 + 1), STORE_PORT)
+    }
+
+    /// Returns the platform's interface.
+    pub(super) fn platform(self) -> SocketAddr {
+        SocketAddr::new(self.ip(PLATFORM_SITE, 250), PLATFORM_PORT)
+    }
+
+    /// Returns an address for a relay in a data centre, with a free port.
+    pub(super) fn relay(self, data_centre: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(RELAY_SITE + data_centre as u8, 1), 0)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/demo/mod.rs
@@ -0,0 +1,21 @@
+//! A whole deployment in one process: stand-ins, entry hosts, callers,
+//! operators, one maintenance wave and at most one fault.
+
+mod deployment;
+mod entries;
+mod faults;
+mod layout;
+mod load;
+mod operators;
+mod options;
+mod report;
+mod run;
+mod site;
+
+pub use self::{
+    options::{DemoOptions, Deployment, Fault},
+    run::run,
+};
+
+#[cfg(test)]
+mod tests;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bench;
 pub mod caller;
 pub mod clock;
+pub mod demo;
 pub mod fleet;
 pub mod net;
 pub mod platform;
--- a/crates/standins/src/verdict/observations.rs
+++ b/crates/standins/src/verdict/observations.rs
@@ -88,6 +88,8 @@
     pub services: Vec<ServiceRule>,
     /// Puts that operators were told to be accepted.
     pub puts: Vec<AcceptedPut>,
+    /// Puts without a reply that tells whether they were accepted.
+    pub open_puts: Vec<AcceptedPut>,
     /// Positions that entry hosts showed, oldest first.
     pub sightings: Vec<Sighting>,
     /// Cuts of data centres.
--- a/crates/standins/src/verdict/tests.rs
+++ b/crates/standins/src/verdict/tests.rs
@@ -302,4 +302,11 @@
     assert_eq!(broken(&seen), ["config_reverts"]);
     seen.final_text = "[service booking]\n\n[service office]\nqueue_limit = 900\n".into();
     assert_eq!(broken(&seen), ["config_reverts"]);
+    let mut other = put(5_500, 0, 1_000);
+    seen.final_text = "[service booking]\nqueue_limit = 1000\n".into();
+    seen.open_puts.push(other.clone());
+    assert_eq!(broken(&seen), [] as [&str; 0]);
+    other.section = "service office".into();
+    seen.open_puts = vec![other];
+    assert_eq!(broken(&seen), ["config_reverts"]);
 }
