Describe the cases behind broken promises and choose a free network

Cause: a figure alone does not show which request broke a promise, and two runs whose process ids have one remainder met on the same addresses. Change: evidence lines on standard error; the network is tried first. Conclusion: a broken figure names the runs behind it.

--- a/crates/standins/src/demo/layout.rs
+++ b/crates/standins/src/demo/layout.rs
@@ -1,6 +1,8 @@
 //! Loopback addresses of one run.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+
+use anyhow::Context;
 
 /// Lowest second octet that is chosen from the process id, which leaves
 /// 127.0 to 127.15 to other programs and tests.
@@ -26,11 +28,18 @@
 }
 
 impl Layout {
-    /// Takes the network given, or one from the process id so that several
-    /// runs on one machine do not meet.
-    pub(super) fn new(network: Option<u8>) -> Self {
-        let own = (std::process::id() % NETWORKS) as u8 + FIRST_NETWORK;
-        Self { network: network.unwrap_or(own) }
+    /// Takes the network given, or a free one, beginning with one that follows
+    /// from the process id so that several runs on one machine do not meet.
+    pub(super) fn new(network: Option<u8>) -> anyhow::Result<Self> {
+        if let Some(network) = network {
+            return Ok(Self { network });
+        }
+        let first = std::process::id();
+        let candidates = (0..NETWORKS).map(|step| Self {
+            network: (first.wrapping_add(step) % NETWORKS) as u8 + FIRST_NETWORK,
+        });
+        let mut free = candidates.filter(|layout| TcpListener::bind(layout.platform()).is_ok());
+        free.next().context("no network of loopback addresses is free; choose one by --network")
     }
 
     fn ip(self, site: u8, number: u8) -> IpAddr {
--- a/crates/standins/src/demo/run.rs
+++ b/crates/standins/src/demo/run.rs
@@ -46,7 +46,7 @@
 }
 
 async fn run_all(options: &DemoOptions) -> anyhow::Result<bool> {
-    let plan = Arc::new(Plan::new(options.deployment, Layout::new(options.network))?);
+    let plan = Arc::new(Plan::new(options.deployment, Layout::new(options.network)?)?);
     let site = Site::start(&plan, options.seed)?;
     let mut entries = Entries::start(&plan, &site).await?;
     wait_for_adoption(&plan, &site).await?;
@@ -103,6 +103,9 @@
     callers.stop().await;
     tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
     let observations = observe(plan, site, &callers, &operators, injected?)?;
+    for line in Verdict::evidence(&observations) {
+        eprintln!("{line}");
+    }
     Ok(report(options, site, &operators, &observations))
 }
 
--- a/crates/standins/src/demo/tests.rs
+++ b/crates/standins/src/demo/tests.rs
@@ -9,6 +9,11 @@
     options::Deployment,
 };
 
+fn plan_of(deployment: Deployment) -> Plan {
+    let layout = Layout::new(Some(16)).expect("needs no free network");
+    Plan::new(deployment, layout).expect("the example is valid")
+}
+
 /// Guards against examples from which no run can be built, and against a wave
 /// that starts before the callers.
 #[rstest]
@@ -18,7 +23,7 @@
     #[case] deployment: Deployment,
     #[case] entries: usize,
 ) {
-    let plan = Plan::new(deployment, Layout::new(Some(16))).expect("the example is valid");
+    let plan = plan_of(deployment);
     assert_eq!((plan.hosts.len(), plan.entries.len()), (50, entries));
     let (section, body) = plan.wave_start();
     let paused = plan.text.section(&section).expect("has a wave");
@@ -29,7 +34,7 @@
 /// overlap.
 #[test]
 fn every_service_surges_once_in_turn() {
-    let plan = Plan::new(Deployment::Kielce, Layout::new(Some(16))).expect("is valid");
+    let plan = plan_of(Deployment::Kielce);
     let plans = plans(&plan.document, Window { from_ms: 0, to_ms: 10_000 }, None);
     for at_ms in [1_000, 3_000, 5_000, 7_000, 9_000] {
         let loads = plans.iter().flat_map(|plan| &plan.loads);
--- /dev/null
+++ b/crates/standins/src/verdict/evidence.rs
@@ -0,0 +1,32 @@
+//! What stands behind the figures that break a promise.
+
+use super::{Observations, hosts, requests};
+use crate::target::{BodyCheck, Cut};
+
+/// Cases that are described of one kind.
+const CASES: usize = 5;
+
+/// Describes some cases of each kind, one a line, for whoever looks for the
+/// cause.
+pub(super) fn describe(observations: &Observations) -> Vec<String> {
+    let mut lines = Vec::new();
+    let runs = observations.runs.iter().filter(|run| run.cut == Some(Cut::PlannedStop));
+    add(&mut lines, "cut by a planned stop", runs);
+    add(&mut lines, "ran more than once", requests::doubled(observations));
+    add(&mut lines, "reported as not run, but ran", requests::false_not_run(observations));
+    let crossed = requests::with_body(observations, BodyCheck::Crossed);
+    add(&mut lines, "answered with another response", crossed);
+    let truncated = requests::with_body(observations, BodyCheck::Truncated);
+    add(&mut lines, "answered with a part", truncated);
+    add(&mut lines, "started after a sign of leaving", hosts::work_after_leaving(observations));
+    add(&mut lines, "in two pools", hosts::in_two_pools(observations));
+    lines
+}
+
+fn add<I>(lines: &mut Vec<String>, title: &str, cases: I)
+where
+    I: IntoIterator,
+    I::Item: std::fmt::Debug,
+{
+    lines.extend(cases.into_iter().take(CASES).map(|case| format!("{title}: {case:?}")));
+}
--- a/crates/standins/src/verdict/hosts.rs
+++ b/crates/standins/src/verdict/hosts.rs
@@ -33,12 +33,13 @@
     HostFigures {
         hosts_in_two_pools: in_two_pools(observations).len() as u64,
         cut_off_in_flight: cut.sum(),
-        work_after_leaving: work_after_leaving(observations),
+        work_after_leaving: work_after_leaving(observations).len() as u64,
         hosts_maintained: maintained(observations),
     }
 }
 
-fn in_two_pools(observations: &Observations) -> BTreeSet<&HostId> {
+/// Returns the hosts that were in two pools at once.
+pub(super) fn in_two_pools(observations: &Observations) -> BTreeSet<&HostId> {
     let mut found = BTreeSet::new();
     let mut last: HashMap<&HostId, (&PoolId, HostPhase)> = HashMap::new();
     for change in &observations.host_records {
@@ -72,7 +73,8 @@
     to_ms: u64,
 }
 
-fn work_after_leaving(observations: &Observations) -> u64 {
+/// Returns the runs that started too long after a sign of leaving.
+pub(super) fn work_after_leaving(observations: &Observations) -> Vec<&RunRecord> {
     let leaving: Vec<Leaving<'_>> = by_record(observations)
         .into_iter()
         .chain(by_list(observations))
@@ -84,7 +86,7 @@
             *leaving.host == run.host && (from_ms + 1..leaving.to_ms).contains(&run.started_ms)
         })
     };
-    observations.runs.iter().filter(is_late).count() as u64
+    observations.runs.iter().filter(is_late).collect()
 }
 
 /// Signs in host records; a data centre that is cut off sees them once it is
--- a/crates/standins/src/verdict/mod.rs
+++ b/crates/standins/src/verdict/mod.rs
@@ -3,6 +3,7 @@
 
 mod budgets;
 mod configuration;
+mod evidence;
 mod hosts;
 mod observations;
 mod requests;
@@ -52,6 +53,11 @@
         }
     }
 
+    /// Describes some of the cases behind the broken promises, one a line.
+    pub fn evidence(observations: &Observations) -> Vec<String> {
+        evidence::describe(observations)
+    }
+
     /// Returns the figures that break a promise, with their values.
     pub fn broken(&self) -> Vec<(&'static str, u64)> {
         let late_ms = self.configuration.config_in_force_max_ms;
--- a/crates/standins/src/verdict/requests.rs
+++ b/crates/standins/src/verdict/requests.rs
@@ -8,7 +8,7 @@
 use super::Observations;
 use crate::{
     caller::{AttemptEnd, AttemptRecord},
-    target::BodyCheck,
+    target::{BodyCheck, RunRecord},
 };
 
 /// Counts of requests; a request is counted once, whatever its repeats.
@@ -57,10 +57,6 @@
     }
     let known: Vec<Known> = by_request.values().map(|attempts| known(attempts)).collect();
     let count = |wanted: Known| known.iter().filter(|known| **known == wanted).count() as u64;
-    let bodies = |wanted| {
-        let bodies = observations.attempts.iter().map(|attempt| body(&attempt.end));
-        bodies.filter(|body| *body == Some(wanted)).count() as u64
-    };
     RequestFigures {
         requests: by_request.len() as u64,
         answered: count(Known::Answered),
@@ -68,10 +64,10 @@
         unknown: count(Known::Unknown),
         disconnected: count(Known::Disconnected),
         late: by_request.values().filter(|attempts| is_late(attempts)).count() as u64,
-        crossed: bodies(BodyCheck::Crossed),
-        truncated: bodies(BodyCheck::Truncated),
-        doubled: doubled(observations),
-        false_not_run: false_not_run(observations),
+        crossed: with_body(observations, BodyCheck::Crossed).len() as u64,
+        truncated: with_body(observations, BodyCheck::Truncated).len() as u64,
+        doubled: doubled(observations).len() as u64,
+        false_not_run: false_not_run(observations).len() as u64,
         not_run_after_run: not_run_after_run(observations, &by_request),
         slot_overruns: observations.slot_overruns,
     }
@@ -108,21 +104,29 @@
     }
 }
 
-fn doubled(observations: &Observations) -> u64 {
-    let mut runs: HashMap<(&str, &str), u32> = HashMap::new();
+/// Returns the runs of the keys that ran more than once.
+pub(super) fn doubled(observations: &Observations) -> Vec<Vec<&RunRecord>> {
+    let mut runs: HashMap<(&str, &str), Vec<&RunRecord>> = HashMap::new();
     for run in observations.runs.iter().filter(|run| !run.repeatable) {
         if let Some(key) = &run.key {
-            *runs.entry((&run.caller, key)).or_default() += 1;
+            runs.entry((&run.caller, key)).or_default().push(run);
         }
     }
-    runs.values().filter(|runs| **runs > 1).count() as u64
+    runs.into_values().filter(|runs| runs.len() > 1).collect()
 }
 
-fn false_not_run(observations: &Observations) -> u64 {
+/// Returns the attempts that were reported as not run and ran.
+pub(super) fn false_not_run(observations: &Observations) -> Vec<&AttemptRecord> {
     let ran: HashSet<u64> = observations.runs.iter().filter_map(|run| run.attempt).collect();
     let told = observations.attempts.iter();
     let told = told.filter(|attempt| attempt.end.outcome() == Some(Outcome::NotRun));
-    told.filter(|attempt| ran.contains(&attempt.attempt)).count() as u64
+    told.filter(|attempt| ran.contains(&attempt.attempt)).collect()
+}
+
+/// Returns the attempts with such a body.
+pub(super) fn with_body(observations: &Observations, wanted: BodyCheck) -> Vec<&AttemptRecord> {
+    let attempts = observations.attempts.iter();
+    attempts.filter(|attempt| body(&attempt.end) == Some(wanted)).collect()
 }
 
 fn not_run_after_run(
