Hold what is under way in a data centre cut, and add faults

Cause: a cut that closes connections tells both sides at once; a network that drops packets does not. Change: relays have a silent mode; faults data-centre-reset and target-leaving. Conclusion: a cut delivers what was under way late, as a partition does.

--- a/crates/standins/src/demo/faults.rs
+++ b/crates/standins/src/demo/faults.rs
@@ -6,6 +6,7 @@
 
 use super::{deployment::Plan, entries::Entries, load::Window, options::Fault, site::Site};
 use crate::{
+    net::RelayMode,
     target::TargetFaults,
     verdict::{DataCentreCut, EntryOutage},
 };
@@ -77,7 +78,12 @@
             site.store.handle().state().faults.lost_reply_share = LOST_REPLY_SHARE;
         }
         Fault::EntryKilled => entries.kill(choice.entry),
-        Fault::DataCentreCut => site.set_connected(plan, choice.data_centre, false),
+        Fault::DataCentreCut => site.set_ways(plan, choice.data_centre, RelayMode::Silent),
+        Fault::DataCentreReset => site.set_ways(plan, choice.data_centre, RelayMode::Closed),
+        Fault::TargetLeaving => {
+            let faults = TargetFaults { leaving: true, ..TargetFaults::default() };
+            site.targets[choice.host].set_faults(faults);
+        }
         Fault::FailingWorker => {
             let faults = TargetFaults { fails_everything: true, ..TargetFaults::default() };
             site.targets[choice.host].set_faults(faults);
@@ -112,8 +118,12 @@
             entries.restart(choice.entry)?;
             entries.wait_until_ready(choice.entry).await?;
         }
-        Fault::DataCentreCut => site.set_connected(plan, choice.data_centre, true),
-        Fault::FailingWorker => site.targets[choice.host].set_faults(TargetFaults::default()),
+        Fault::DataCentreCut | Fault::DataCentreReset => {
+            site.set_ways(plan, choice.data_centre, RelayMode::Open);
+        }
+        Fault::FailingWorker | Fault::TargetLeaving => {
+            site.targets[choice.host].set_faults(TargetFaults::default());
+        }
         Fault::RackLost => {
             rack(plan, choice).for_each(|host| site.platform.state().revive(now_ms, host));
         }
@@ -132,7 +142,7 @@
     };
     match fault {
         Fault::EntryKilled => records.outages.push(outage(choice.entry)),
-        Fault::DataCentreCut => {
+        Fault::DataCentreCut | Fault::DataCentreReset => {
             let of_cut = |index: &usize| plan.entries[*index].data_centre == choice.data_centre;
             records.outages = (0..plan.entries.len()).filter(of_cut).map(outage).collect();
             let data_centre = plan.data_centres[choice.data_centre].clone();
--- a/crates/standins/src/demo/options.rs
+++ b/crates/standins/src/demo/options.rs
@@ -24,8 +24,11 @@
     LostReplies,
     /// One entry host ends without clean-up and is started again.
     EntryKilled,
-    /// One data centre is cut off from the others, the store and the platform.
+    /// One data centre is cut off from the others, the store and the platform;
+    /// what is under way is held until the end.
     DataCentreCut,
+    /// The same, but connections are closed.
+    DataCentreReset,
     /// One host answers every request with an error at once.
     FailingWorker,
     /// Urgent callers send far more than one service can run.
@@ -34,6 +37,8 @@
     RackLost,
     /// The platform announces that one host leaves, then takes it back.
     HostLeaving,
+    /// The instances of one host say that they leave, then stay.
+    TargetLeaving,
 }
 
 /// Options of `tamarack-demo`.
@@ -54,7 +59,8 @@
     #[options(no_short)]
     pub keep: bool,
     /// fault to inject: platform-down, lost-replies, entry-killed,
-    /// data-centre-cut, failing-worker, urgent-flood, rack-lost, host-leaving
+    /// data-centre-cut, data-centre-reset, failing-worker, urgent-flood,
+    /// rack-lost, host-leaving, target-leaving
     #[options(no_short, meta = "NAME")]
     pub fault: Option<Fault>,
     /// second octet of all addresses; by default from the process id
--- a/crates/standins/src/demo/site.rs
+++ b/crates/standins/src/demo/site.rs
@@ -17,7 +17,7 @@
 use super::deployment::Plan;
 use crate::{
     clock::Clock,
-    net::Relay,
+    net::{Relay, RelayMode},
     platform::{PlatformServer, PlatformState},
     store::{StoreServer, StoreState},
     target::{ServiceTimes, TargetHost, TargetRecords},
@@ -84,15 +84,15 @@
     }
 
     /// Opens or cuts all ways between a data centre and everything outside.
-    pub(super) fn set_connected(&self, plan: &Plan, data_centre: usize, connected: bool) {
+    pub(super) fn set_ways(&self, plan: &Plan, data_centre: usize, mode: RelayMode) {
         for peer in &self.peer_relays {
             if peer.from == data_centre || plan.entries[peer.to_entry].data_centre == data_centre {
-                peer.relay.set_open(connected);
+                peer.relay.set_mode(mode);
             }
         }
         let relays = &self.platform_relays[data_centre];
-        relays.store.set_open(connected);
-        relays.platform.set_open(connected);
+        relays.store.set_mode(mode);
+        relays.platform.set_mode(mode);
     }
 }
 
--- a/crates/standins/src/net/mod.rs
+++ b/crates/standins/src/net/mod.rs
@@ -8,7 +8,7 @@
 pub use self::{
     body::{Body, BodySender, channel_body, full_body},
     client::{Call, CallError, Reply, call},
-    relay::Relay,
+    relay::{Relay, RelayMode},
     server::{Handler, Server, ServerOptions},
 };
 
--- a/crates/standins/src/net/relay.rs
+++ b/crates/standins/src/net/relay.rs
@@ -20,11 +20,23 @@
 /// waits.
 const PIECES_ON_THE_WAY: usize = 64;
 
+/// What a relay does with connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayMode {
+    /// Passes everything on.
+    Open,
+    /// Holds what is under way until the relay is open again, as a network
+    /// that drops packets does; new connections are closed at once.
+    Silent,
+    /// Closes all connections.
+    Closed,
+}
+
 /// Handle of a relay; dropping it stops the relay.
 #[derive(Debug)]
 pub struct Relay {
     address: SocketAddr,
-    open: watch::Sender<bool>,
+    mode: watch::Sender<RelayMode>,
 }
 
 impl Relay {
@@ -37,9 +49,9 @@
     pub async fn start(address: SocketAddr, to: SocketAddr, one_way: Duration) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let (open, state) = watch::channel(true);
-        tokio::spawn(run(listener, to, one_way, state));
-        Ok(Self { address, open })
+        let (mode, changes) = watch::channel(RelayMode::Open);
+        tokio::spawn(run(listener, to, one_way, changes));
+        Ok(Self { address, mode })
     }
 
     /// Returns the address that the relay listens on.
@@ -47,10 +59,9 @@
         self.address
     }
 
-    /// Cuts all connections and closes new ones at once, or passes
-    /// connections on again.
-    pub fn set_open(&self, open: bool) {
-        self.open.send_replace(open);
+    /// Changes what the relay does with connections.
+    pub fn set_mode(&self, mode: RelayMode) {
+        self.mode.send_replace(mode);
     }
 }
 
@@ -58,27 +69,36 @@
     listener: TcpListener,
     to: SocketAddr,
     one_way: Duration,
-    mut open: watch::Receiver<bool>,
+    mut mode: watch::Receiver<RelayMode>,
 ) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => if let Ok((stream, _)) = accepted
-                && *open.borrow()
+                && *mode.borrow() == RelayMode::Open
             {
-                connections.spawn(pass(stream, to, one_way));
-            },
-            changed = open.changed() => match changed {
-                Ok(()) if *open.borrow() => {}
-                Ok(()) => connections.shutdown().await,
-                Err(_) => return,
+                connections.spawn(pass(stream, to, one_way, mode.clone()));
             },
+            changed = mode.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let is_closed = *mode.borrow() == RelayMode::Closed;
+                if is_closed {
+                    connections.shutdown().await;
+                }
+            }
             Some(_) = connections.join_next() => {}
         }
     }
 }
 
-async fn pass(near: TcpStream, to: SocketAddr, one_way: Duration) {
+async fn pass(
+    near: TcpStream,
+    to: SocketAddr,
+    one_way: Duration,
+    mode: watch::Receiver<RelayMode>,
+) {
     let Ok(far) = TcpStream::connect(to).await else { return };
     if near.set_nodelay(true).is_err() || far.set_nodelay(true).is_err() {
         return;
@@ -86,12 +106,17 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     tokio::join!(
-        direction(near_read, far_write, one_way),
-        direction(far_read, near_write, one_way)
+        direction(near_read, far_write, one_way, mode.clone()),
+        direction(far_read, near_write, one_way, mode)
     );
 }
 
-async fn direction(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, one_way: Duration) {
+async fn direction(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    one_way: Duration,
+    mut mode: watch::Receiver<RelayMode>,
+) {
     let (sender, mut pieces) = mpsc::channel::<(Instant, Bytes)>(PIECES_ON_THE_WAY);
     let read = async move {
         let mut buffer = BytesMut::with_capacity(PIECE_BYTES);
@@ -106,11 +131,17 @@
     let write = async move {
         while let Some((due, piece)) = pieces.recv().await {
             tokio::time::sleep_until(due).await;
+            if mode.wait_for(|mode| *mode == RelayMode::Open).await.is_err() {
+                return;
+            }
             if to.write_all(&piece).await.is_err() {
                 return;
             }
         }
-        // The peer learns that this direction has ended.
+        // The peer learns that this direction has ended, once it is reachable.
+        if mode.wait_for(|mode| *mode == RelayMode::Open).await.is_err() {
+            return;
+        }
         let _ = to.shutdown().await;
     };
     tokio::join!(read, write);
--- a/crates/standins/src/net/server.rs
+++ b/crates/standins/src/net/server.rs
@@ -45,7 +45,14 @@
 pub struct Server {
     address: SocketAddr,
     open: watch::Sender<bool>,
-    refused_connections: Arc<AtomicU64>,
+    counts: Arc<ConnectionCounts>,
+}
+
+/// Connections by what happened to them.
+#[derive(Debug, Default)]
+struct ConnectionCounts {
+    accepted: AtomicU64,
+    refused: AtomicU64,
 }
 
 impl Server {
@@ -66,10 +73,9 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (open, state) = watch::channel(true);
-        let refused_connections = Arc::new(AtomicU64::new(0));
-        let refused = refused_connections.clone();
-        tokio::spawn(run(listener, address, options, handler, state, refused));
-        Ok(Self { address, open, refused_connections })
+        let counts = Arc::new(ConnectionCounts::default());
+        tokio::spawn(run(listener, address, options, handler, state, counts.clone()));
+        Ok(Self { address, open, counts })
     }
 
     /// Returns the address that the server listens on.
@@ -84,7 +90,12 @@
 
     /// Returns the number of connections closed for the connection limit.
     pub fn refused_connections(&self) -> u64 {
-        self.refused_connections.load(Ordering::Relaxed)
+        self.counts.refused.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of connections accepted so far.
+    pub fn connections(&self) -> u64 {
+        self.counts.accepted.load(Ordering::Relaxed)
     }
 }
 
@@ -94,7 +105,7 @@
     options: ServerOptions,
     handler: H,
     mut open: watch::Receiver<bool>,
-    refused: Arc<AtomicU64>,
+    counts: Arc<ConnectionCounts>,
 ) where
     H: Handler + Sync,
 {
@@ -118,15 +129,19 @@
             },
         };
         tokio::select! {
-            () = accept(current, options, &handler, &refused) => {}
+            () = accept(current, options, &handler, &counts) => {}
             result = open.wait_for(|open| !*open) => if result.is_err() { return },
         }
     }
 }
 
 /// Accepts until it is dropped, which closes all connections.
-async fn accept<H>(listener: TcpListener, options: ServerOptions, handler: &H, refused: &AtomicU64)
-where
+async fn accept<H>(
+    listener: TcpListener,
+    options: ServerOptions,
+    handler: &H,
+    counts: &ConnectionCounts,
+) where
     H: Handler + Sync,
 {
     let mut connections = JoinSet::new();
@@ -135,8 +150,9 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
                     if options.max_connections.is_some_and(|max| connections.len() >= max) {
-                        refused.fetch_add(1, Ordering::Relaxed);
+                        counts.refused.fetch_add(1, Ordering::Relaxed);
                     } else {
+                        counts.accepted.fetch_add(1, Ordering::Relaxed);
                         connections.spawn(serve(stream, peer, handler.clone()));
                     }
                 }
--- a/crates/standins/src/net/tests.rs
+++ b/crates/standins/src/net/tests.rs
@@ -4,8 +4,9 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use hyper::{Method, Request, Response, body::Incoming};
+use rstest::rstest;
 
-use super::{Body, Call, Handler, Relay, Server, ServerOptions, call, full_body};
+use super::{Body, Call, Handler, Relay, RelayMode, Server, ServerOptions, call, full_body};
 
 #[derive(Clone)]
 struct Hello;
@@ -21,22 +22,49 @@
 }
 
 /// Guards against partitions that pass traffic and relays that stay cut.
+#[rstest]
+#[case(RelayMode::Closed)]
+#[case(RelayMode::Silent)]
 #[tokio::test]
-async fn cut_relay_passes_nothing_until_it_is_opened() {
+async fn cut_relay_passes_nothing_until_it_is_opened(#[case] cut: RelayMode) {
     let server = Server::start(any_port(), ServerOptions::default(), Hello).await.expect("starts");
     let relay = Relay::start(any_port(), server.address(), Duration::from_micros(1400))
         .await
         .expect("starts");
     let request = || Call::new(relay.address(), Method::GET, "/");
     assert_eq!(call(request()).await.expect("is passed on").body.as_ref(), b"hello");
-    relay.set_open(false);
+    relay.set_mode(cut);
     tokio::task::yield_now().await;
     assert!(call(request()).await.is_err());
-    relay.set_open(true);
+    relay.set_mode(RelayMode::Open);
     tokio::task::yield_now().await;
     assert!(call(request()).await.is_ok());
 }
 
+/// Guards against a silent relay that closes connections or loses what was
+/// under way: late responses would never be tried.
+#[tokio::test]
+async fn silent_relay_holds_a_request_until_it_is_opened() {
+    let server = Server::start(any_port(), ServerOptions::default(), Hello).await.expect("starts");
+    let relay = Relay::start(any_port(), server.address(), Duration::ZERO).await.expect("starts");
+    let stream = tokio::net::TcpStream::connect(relay.address()).await.expect("connects");
+    while server.connections() == 0 {
+        tokio::task::yield_now().await;
+    }
+    relay.set_mode(RelayMode::Silent);
+    tokio::task::yield_now().await;
+    stream.try_write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").expect("is written");
+    for _ in 0..1_000 {
+        tokio::task::yield_now().await;
+    }
+    let mut reply = [0; 12];
+    assert!(stream.try_read(&mut reply).is_err(), "nothing passes");
+    relay.set_mode(RelayMode::Open);
+    stream.readable().await.expect("is answered");
+    stream.try_read(&mut reply).expect("is read");
+    assert_eq!(&reply, b"HTTP/1.1 200");
+}
+
 /// Guards against a closed server that still answers.
 #[tokio::test]
 async fn closed_server_refuses_until_it_is_opened() {
