--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -73,7 +73,7 @@
             let data_centre = data_centre_name(index % size.data_centres);
             let place = index / size.data_centres;
             hosts.push(listed_host(index, place, &data_centre));
-            let pool = pool_name(index % size.pools);
+            let pool = pool_name(place % size.pools);
             *sizes.entry(pool).or_default().entry(data_centre).or_default() += 1;
         }
         let mut document = empty_document();
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 
 pub use self::{
     checks::Checks,
-    deployment::{Deployment, DeploymentSize},
+    deployment::{Deployment, DeploymentSize, WAVE},
     store::VirtualStore,
     world::{Acknowledgement, FleetWorld, HostTruth, Timing, WriteFault},
 };
--- a/crates/tamarackproxy/src/coordination/fleet/drain.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/drain.rs
@@ -100,7 +100,7 @@
         if let Some(progress) = self.progress.get_mut(host) {
             progress.statuses.insert(from, (version, in_flight));
         }
-        self.mark_pool(&pool);
+        self.wake_host(&pool, host, 0);
     }
 
     pub(super) fn on_health(&mut self, now: ClockReading, host: &HostId, healthy: bool) {
@@ -133,7 +133,7 @@
                 }
             }
         }
-        self.mark_pool(&pool);
+        self.wake_host(&pool, host, 0);
     }
 
     pub(super) fn on_reboot(&mut self, host: &HostId, accepted: bool) {
@@ -146,7 +146,7 @@
         {
             progress.reboot_accepted = true;
         }
-        self.mark_pool(&pool);
+        self.wake_host(&pool, host, 0);
     }
 
     /// Returns the progress of a host in this version of its record.
@@ -222,7 +222,7 @@
             }
         }
         let next_ms = progress.next_ms;
-        self.wake_pool(&record.pool, next_ms);
+        self.wake_host(&record.pool, &record.host, next_ms);
         Drain::Waits { seats: waiting.len() as u32 }
     }
 
@@ -244,7 +244,7 @@
             actions.push(FleetAction::Reboot { host: record.host.clone(), operation });
         }
         let next_ms = progress.next_ms;
-        self.wake_pool(&record.pool, next_ms);
+        self.wake_host(&record.pool, &record.host, next_ms);
         None
     }
 
@@ -273,7 +273,7 @@
             actions.push(FleetAction::CheckHealth { host: record.host.clone() });
         }
         let next_ms = progress.next_ms;
-        self.wake_pool(&record.pool, next_ms);
+        self.wake_host(&record.pool, &record.host, next_ms);
         false
     }
 
@@ -300,7 +300,7 @@
         };
         if !self.in_contact(now, &record.data_centre) {
             let next_ms = self.probe(now, record, version, actions);
-            self.wake_pool(&record.pool, next_ms);
+            self.wake_host(&record.pool, &record.host, next_ms);
             return false;
         }
         if health.unhealthy_in_row >= UNHEALTHY_CHECKS {
@@ -314,7 +314,7 @@
             }
             actions.push(FleetAction::CheckHealth { host: record.host.clone() });
         }
-        self.wake_pool(&record.pool, next_ms);
+        self.wake_host(&record.pool, &record.host, next_ms);
         false
     }
 
--- a/crates/tamarackproxy/src/coordination/fleet/engine.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/engine.rs
@@ -35,6 +35,9 @@
     pub dirty: bool,
     /// When the pool is reconciled next without a change.
     pub wake_ms: Option<u64>,
+    /// Hosts that need a step while the rest of the pool is unchanged, with
+    /// the monotonic time at which they need it.
+    pub due_hosts: BTreeMap<HostId, u64>,
     /// When each wave's shared record was read last.
     pub wave_read_ms: BTreeMap<WaveId, u64>,
     /// Since when the pool holds more of a wave's grant than it can use.
@@ -159,7 +162,10 @@
     pub fn next_tick_ms(&self) -> Option<u64> {
         self.controls
             .values()
-            .flat_map(|control| [Some(control.lease.next_tick_ms()), control.wake_ms])
+            .flat_map(|control| {
+                let host_ms = control.due_hosts.values().min().copied();
+                [Some(control.lease.next_tick_ms()), control.wake_ms, host_ms]
+            })
             .flatten()
             .filter(|&at_ms| at_ms < u64::MAX)
             .min()
@@ -217,7 +223,15 @@
         }
     }
 
-    /// Shows a condition; returns whether it is new.
+    /// Asks for a step of one host at this time at the latest.
+    pub(super) fn wake_host(&mut self, pool: &PoolId, host: &HostId, at_ms: u64) {
+        if let Some(control) = self.controls.get_mut(pool) {
+            let known = control.due_hosts.entry(host.clone()).or_insert(at_ms);
+            *known = at_ms.min(*known);
+        }
+    }
+
+    /// Shows a condition.
     pub(super) fn report(
         &mut self,
         key: String,
@@ -252,6 +266,7 @@
                 lease: ControlLease::new(format!("pool-{pool}"), self.entry.clone()),
                 dirty: true,
                 wake_ms: None,
+                due_hosts: BTreeMap::new(),
                 wave_read_ms: BTreeMap::new(),
                 unused_since_ms: BTreeMap::new(),
             });
@@ -356,16 +371,24 @@
     }
 
     fn reconcile_due(&mut self, now: ClockReading, actions: &mut Vec<FleetAction>) {
-        let due: Vec<PoolId> = self
+        let now_ms = now.monotonic_ms;
+        let whole = |control: &PoolControl| {
+            control.dirty || control.wake_ms.is_some_and(|at_ms| at_ms <= now_ms)
+        };
+        let due: Vec<(PoolId, bool)> = self
             .controls
             .iter()
             .filter(|(_, control)| {
-                control.dirty || control.wake_ms.is_some_and(|at_ms| at_ms <= now.monotonic_ms)
+                whole(control) || control.due_hosts.values().any(|&at_ms| at_ms <= now_ms)
             })
-            .map(|(pool, _)| pool.clone())
+            .map(|(pool, control)| (pool.clone(), whole(control)))
             .collect();
-        for pool in due {
-            self.reconcile(now, &pool, actions);
+        for (pool, whole) in due {
+            if whole {
+                self.reconcile(now, &pool, actions);
+            } else {
+                self.reconcile_hosts(now, &pool, actions);
+            }
         }
     }
 
--- a/crates/tamarackproxy/src/coordination/fleet/plan.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/plan.rs
@@ -92,7 +92,8 @@
         self.probe_silent_data_centres(now, pool, wave, actions);
         let candidates = self.candidates(now, pool, wave, section.max_parallel);
         self.note_unused_grant(now, pool, wave, &shared, &progress, candidates.len() as u32);
-        let share = self.pool_share(now, pool, term, wave, &shared);
+        let startable = candidates.len() as u32;
+        let share = self.pool_share(now, pool, term, wave, &shared, startable);
         let stale = self.wave_is_stale(now, pool, wave, &shared);
         if (stale || settle(&shared, section, &share) != shared)
             && !self.calls.is_busy(&wave_key(wave))
@@ -165,6 +166,7 @@
         term: Term,
         wave: &WaveId,
         shared: &WaveRecord,
+        candidates: u32,
     ) -> PoolShare {
         let empty = WavePoolRecord::new(wave.clone(), pool.clone());
         let progress = self.wave_progress(wave, pool).unwrap_or(&empty);
@@ -172,12 +174,7 @@
         let finished = progress.in_progress.is_empty()
             && self.view.hosts_of(pool).all(|view| progress.done.contains(&view.record.host));
         let running = shared.phase == WavePhase::Running && !finished;
-        let limit = self.max_parallel(wave);
-        let usable = if running {
-            in_progress + self.candidates(now, pool, wave, limit).len() as u32
-        } else {
-            in_progress
-        };
+        let usable = if running { in_progress + candidates } else { in_progress };
         let granted = shared.granted.get(pool).copied().unwrap_or(0);
         let unused_since = self
             .controls
@@ -197,7 +194,8 @@
         }
     }
 
-    fn max_parallel(&self, wave: &WaveId) -> u32 {
+    /// Returns how many hosts a wave may stop at once.
+    pub(super) fn max_parallel(&self, wave: &WaveId) -> u32 {
         self.document
             .as_ref()
             .and_then(|document| document.waves.get(wave))
--- a/crates/tamarackproxy/src/coordination/fleet/reconcile.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/reconcile.rs
@@ -113,6 +113,7 @@
         };
         control.dirty = false;
         control.wake_ms = None;
+        control.due_hosts.clear();
         let (Some(term), Some(document)) =
             (control.lease.held_at(now.monotonic_ms), self.document.clone())
         else {
@@ -141,6 +142,57 @@
         self.adopt(now, &document, pool, term, actions);
     }
 
+    /// Takes the due steps of single hosts.
+    pub(super) fn reconcile_hosts(
+        &mut self,
+        now: ClockReading,
+        pool: &PoolId,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let ready = self.view.records_read()
+            && self.backoff.waits_until(now.monotonic_ms).is_none()
+            && self.held(now, pool).is_some_and(|term| self.is_fenced(pool, term));
+        let (true, Some(term), Some(document)) =
+            (ready, self.held(now, pool), self.document.clone())
+        else {
+            self.mark_pool(pool);
+            self.reconcile(now, pool, actions);
+            return;
+        };
+        let Some(control) = self.controls.get_mut(pool) else {
+            return;
+        };
+        let due: Vec<HostId> = control
+            .due_hosts
+            .iter()
+            .filter(|&(_, &at_ms)| at_ms <= now.monotonic_ms)
+            .map(|(host, _)| host.clone())
+            .collect();
+        due.iter().for_each(|host| {
+            control.due_hosts.remove(host);
+        });
+        let mut wants = Wants::default();
+        for facts in self.unsettled_among(pool, due.iter()) {
+            self.step(now, &document, term, &facts, &mut wants, actions);
+        }
+        self.submit(now, pool, term, wants, actions);
+    }
+
+    /// Tells whether every record that the controller spends from carries its
+    /// term.
+    fn is_fenced(&self, pool: &PoolId, term: Term) -> bool {
+        let budgets = self.services.get(pool).into_iter().flatten().all(|service| {
+            self.budget(service).is_some_and(|known| known.term == term && known.pool == *pool)
+        });
+        let waves = self
+            .pool_waves
+            .get(pool)
+            .into_iter()
+            .flatten()
+            .all(|wave| self.wave_progress(wave, pool).is_some_and(|known| known.term == term));
+        budgets && waves
+    }
+
     /// Raises the term in every record that the controller spends from, so
     /// that delayed writes of predecessors fail; returns whether it is done.
     fn take_over(
@@ -175,10 +227,21 @@
 
     /// Returns the hosts of the pool that need a step.
     fn unsettled_hosts(&self, pool: &PoolId) -> Vec<Facts> {
+        let hosts = self.view.hosts_of(pool).map(|view| &view.record.host);
+        self.unsettled_among(pool, hosts)
+    }
+
+    /// Returns those of the given hosts of the pool that need a step.
+    fn unsettled_among<'a>(
+        &self,
+        pool: &PoolId,
+        hosts: impl Iterator<Item = &'a HostId>,
+    ) -> Vec<Facts> {
         let services: &[ServiceId] = self.services.get(pool).map_or(&[], |known| known);
         let waves: &[WaveId] = self.pool_waves.get(pool).map_or(&[], |known| known);
-        self.view
-            .hosts_of(pool)
+        hosts
+            .filter_map(|host| self.view.host(host))
+            .filter(|view| view.record.pool == *pool)
             .filter_map(|view| self.facts(view, services, waves))
             .filter(|facts| !self.calls.is_busy(&host_key(facts.host())))
             .collect()
@@ -585,6 +648,10 @@
         pool: &PoolId,
         actions: &mut Vec<FleetAction>,
     ) {
+        // A pool that is still being filled is short of instances.
+        if !self.view.all_recorded() {
+            return;
+        }
         for service in self.services.get(pool).cloned().unwrap_or_default() {
             let (Some(section), Some(budget)) =
                 (document.budgets.get(&service), self.budget(&service))
--- a/crates/tamarackproxy/src/coordination/fleet/view.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/view.rs
@@ -96,6 +96,11 @@
     /// in it.
     pub fn replace_list(&mut self, hosts: Vec<ListedHost>) -> BTreeSet<PoolId> {
         self.list_read = true;
+        let unchanged = hosts.len() == self.listed.len()
+            && hosts.iter().all(|new| self.listed.get(&new.host) == Some(new));
+        if unchanged {
+            return BTreeSet::new();
+        }
         let listed: BTreeMap<HostId, ListedHost> =
             hosts.into_iter().map(|listed| (listed.host.clone(), listed)).collect();
         let differs = |host: &HostId| {
--- a/crates/tamarackproxy/src/coordination/fleet/writes.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/writes.rs
@@ -123,9 +123,13 @@
         let wrap = |write| Call::Host { host: host.clone(), write };
         let done = self.advance(now, write, step, Self::decide_host, wrap, actions);
         if let Some(stored) = done {
-            self.learn_host(&stored);
+            let moved = stored.record.pool != pool;
+            let pools = self.view.learn(stored.version.0, &stored.record);
+            if moved {
+                self.mark_pools(&pools);
+            }
         }
-        self.mark_pool(&pool);
+        self.wake_host(&pool, &host, 0);
     }
 
     /// Follows a budget's update after a reply.
@@ -337,7 +341,9 @@
         if !self.still_holds(now, &write.pool, write.term, in_record) {
             return None;
         }
-        let share = self.pool_share(now, &write.pool, write.term, &wave, &record);
+        let limit = self.max_parallel(&wave);
+        let candidates = self.candidates(now, &write.pool, &wave, limit).len() as u32;
+        let share = self.pool_share(now, &write.pool, write.term, &wave, &record, candidates);
         let mut next = wave::settle(&record, section, &share);
         if known && next == record {
             return None;
