Add pool moves, buffer policies and the buffer measurement

Cause: surges last seconds and a move takes longer, so a pool has to hold what recent surges need within their deadlines before they come. Change: demand histories, four buffer policies behind one enum, moves that reserve in the budgets, drain, and name the new pool in one swap. tamarack-bench gains the measurement buffer; tests inject faults at each write of a move.

--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements: each drives the library's decision code and returns figures.
 
+mod buffer;
 mod figure;
 mod wave;
 
@@ -12,6 +13,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString, VariantNames)]
 #[strum(serialize_all = "kebab-case")]
 pub enum BenchName {
+    /// Buffer held against surges and rack failures.
+    Buffer,
     /// Roll-out time of a maintenance wave.
     Wave,
 }
@@ -35,6 +38,7 @@
 /// Runs one measurement.
 pub fn run(name: BenchName, options: &BenchOptions) -> Vec<Figure> {
     match name {
+        BenchName::Buffer => buffer::run(options),
         BenchName::Wave => wave::run(options),
     }
 }
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod checks;
 mod deployment;
 mod store;
+pub mod surges;
 mod world;
 
 pub use self::{
--- a/crates/standins/src/fleet/world.rs
+++ b/crates/standins/src/fleet/world.rs
@@ -8,7 +8,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tamarackproxy::{
-    coordination::fleet::{FleetAction, FleetEngine, FleetEvent, FleetMessage, FleetReport},
+    coordination::fleet::{
+        FleetAction, FleetEngine, FleetEvent, FleetMessage, FleetReport, ServiceDemand,
+    },
     protocol::{
         platform::{ListedHost, ListedState},
         store::{StoreError, StoreReply, StoreRequest},
@@ -29,6 +31,8 @@
 const DELAY_MS: u64 = 2;
 /// Interval between readings of the platform's list, in milliseconds.
 const LIST_INTERVAL_MS: u64 = 15_000;
+/// Interval between reports of the demand, in milliseconds.
+const DEMAND_INTERVAL_MS: u64 = 1_000;
 /// Time after which the seat of a dead holder becomes vacant, in milliseconds.
 const SEAT_TAKEOVER_MS: u64 = 16_000;
 
@@ -114,6 +118,7 @@
     Check { node: usize, host: HostId },
     Vacate { node: usize },
     List,
+    Demand,
     Tick { node: usize, at_ms: u64 },
     Fault(Box<dyn FnOnce(&mut FleetWorld)>),
 }
@@ -132,6 +137,8 @@
     pub write_fault: Option<(u64, WriteFault)>,
     /// Data centres without contact to the others, the store and the platform.
     pub cut: BTreeSet<DataCentreId>,
+    /// Demand that is reported every second; none if empty.
+    pub demand: Vec<ServiceDemand>,
     document: Arc<Document>,
     records: BTreeMap<HostId, HostRecord>,
     versions: BTreeMap<HostId, u64>,
@@ -163,6 +170,7 @@
             reports: Vec::new(),
             write_fault: None,
             cut: BTreeSet::new(),
+            demand: Vec::new(),
             document: Arc::new(deployment.document),
             records: BTreeMap::new(),
             versions: BTreeMap::new(),
@@ -177,6 +185,7 @@
         };
         world.start_nodes();
         world.schedule(0, Happening::List);
+        world.schedule(0, Happening::Demand);
         world
     }
 
@@ -404,6 +413,7 @@
             }
             Happening::Vacate { node } => self.vacate(node),
             Happening::List => self.list(),
+            Happening::Demand => self.report_demand(),
             Happening::Fault(fault) => fault(self),
         }
     }
@@ -651,6 +661,15 @@
         self.schedule(self.now_ms + LIST_INTERVAL_MS, Happening::List);
     }
 
+    fn report_demand(&mut self) {
+        if !self.demand.is_empty() {
+            for node in 0..self.candidates {
+                self.deliver(node, FleetEvent::Demand { demand: self.demand.clone() });
+            }
+        }
+        self.schedule(self.now_ms + DEMAND_INTERVAL_MS, Happening::Demand);
+    }
+
     /// Returns the hosts that are active in a pool and run.
     pub fn available(&self, pool: &str) -> u32 {
         let runs = |host: &HostId| self.hosts.get(host).is_some_and(|truth| truth.up);
--- a/crates/tamarackproxy/src/coordination/fleet/drain.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/drain.rs
@@ -287,10 +287,11 @@
         version: u64,
         actions: &mut Vec<FleetAction>,
     ) -> bool {
-        let settled = now.unix_ms >= record.phase_since_unix_ms + LIST_LAG_MS;
+        let settled = record.phase != HostPhase::Active
+            || now.unix_ms >= record.phase_since_unix_ms + LIST_LAG_MS;
         match self.view.listed_state(&record.host) {
             Some(Some(ListedState::Leaving)) if settled => return true,
-            Some(None) if settled && record.phase == HostPhase::Active => {
+            Some(None) if settled => {
                 self.health.entry(record.host.clone()).or_default();
             }
             _ => {}
--- a/crates/tamarackproxy/src/coordination/fleet/engine.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/engine.rs
@@ -9,10 +9,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
-    FleetAction, FleetEvent, FleetMessage, FleetReport, ServiceDemand,
+    FleetAction, FleetEvent, FleetMessage, FleetReport,
     backoff::Backoff,
     calls::{Call, Calls},
     control::ControlLease,
+    demand::{BufferPolicy, DemandHistory},
     drain::{Contact, Health, Progress},
     view::FleetView,
 };
@@ -40,6 +41,8 @@
     pub due_hosts: BTreeMap<HostId, u64>,
     /// When each wave's shared record was read last.
     pub wave_read_ms: BTreeMap<WaveId, u64>,
+    /// When the pool's moves are planned next.
+    pub moves_ms: u64,
     /// Since when the pool holds more of a wave's grant than it can use.
     pub unused_since_ms: BTreeMap<WaveId, u64>,
 }
@@ -78,7 +81,8 @@
     pub(super) wave_pools: BTreeMap<(WaveId, PoolId), Stored<WavePoolRecord>>,
     pub(super) progress: BTreeMap<HostId, Progress>,
     pub(super) health: BTreeMap<HostId, Health>,
-    pub(super) demand: Vec<ServiceDemand>,
+    pub(super) histories: BTreeMap<ServiceId, DemandHistory>,
+    pub(super) policies: BTreeMap<PoolId, BufferPolicy>,
     pub(super) calls: Calls,
     pub(super) backoff: Backoff,
     pub(super) adoption_ms: u64,
@@ -107,7 +111,8 @@
             wave_pools: BTreeMap::new(),
             progress: BTreeMap::new(),
             health: BTreeMap::new(),
-            demand: Vec::new(),
+            histories: BTreeMap::new(),
+            policies: BTreeMap::new(),
             calls: Calls::default(),
             backoff: Backoff::default(),
             adoption_ms: 0,
@@ -141,7 +146,7 @@
                 self.rank_candidates();
                 self.mark_all();
             }
-            FleetEvent::Demand { demand } => self.demand = demand,
+            FleetEvent::Demand { demand } => self.on_demand(now, &demand),
             FleetEvent::Received { from, message } => self.on_message(now, from, message),
             FleetEvent::HealthChecked { host, healthy } => self.on_health(now, &host, healthy),
             FleetEvent::RebootAccepted { host, accepted } => self.on_reboot(&host, accepted),
@@ -267,6 +272,7 @@
                 dirty: true,
                 wake_ms: None,
                 due_hosts: BTreeMap::new(),
+                moves_ms: 0,
                 wave_read_ms: BTreeMap::new(),
                 unused_since_ms: BTreeMap::new(),
             });
--- a/crates/tamarackproxy/src/coordination/fleet/events.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/events.rs
@@ -38,6 +38,8 @@
     pub in_flight: u32,
     /// Requests that wait.
     pub queued: u32,
+    /// Mean time for which a request occupies a slot, in milliseconds.
+    pub service_ms: u32,
 }
 
 /// What happened.
--- a/crates/tamarackproxy/src/coordination/fleet/mod.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod calls;
 pub mod control;
+pub mod demand;
 mod drain;
 mod engine;
 mod events;
--- a/crates/tamarackproxy/src/coordination/fleet/plan.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/plan.rs
@@ -29,17 +29,22 @@
 const GRANT_KEPT_MS: u64 = 10_000;
 
 /// Room that the budget of one service leaves.
-struct Room {
+pub(super) struct Room {
     limits: BudgetLimits,
     available: BTreeMap<RackKey, u32>,
     stopped: usize,
 }
 
 impl Room {
-    fn allows(&self, rack: &RackKey) -> bool {
+    pub fn allows(&self, rack: &RackKey) -> bool {
         self.limits.allows_stop(&self.available, self.stopped, rack)
     }
 
+    /// Returns the available instances in a rack.
+    pub fn instances(&self, rack: &RackKey) -> u32 {
+        self.available.get(rack).copied().unwrap_or(0)
+    }
+
     fn take(&mut self, rack: &RackKey) {
         if let Some(count) = self.available.get_mut(rack) {
             *count = count.saturating_sub(1);
@@ -259,7 +264,7 @@
 
     /// Returns the room in the budget of each service of the pool, less the
     /// hosts that waves have started and that are not reserved yet.
-    fn rooms(&self, pool: &PoolId) -> Vec<Room> {
+    pub(super) fn rooms(&self, pool: &PoolId) -> Vec<Room> {
         let started: Vec<&HostRecord> = self
             .pool_waves
             .get(pool)
@@ -316,20 +321,39 @@
         wave: &WaveId,
         actions: &mut Vec<FleetAction>,
     ) {
-        let Some(progress) = self.wave_progress(wave, pool) else {
-            return;
-        };
-        let mut silent: BTreeMap<DataCentreId, (HostRecord, u64)> = BTreeMap::new();
-        for view in self.view.hosts_of(pool) {
+        if let Some(progress) = self.wave_progress(wave, pool) {
+            let left = self.view.hosts_of(pool).filter(|view| self.is_eligible(progress, view));
+            let silent = self.silent_data_centres(now, left);
+            self.probe_all(now, pool, silent, actions);
+        }
+    }
+
+    /// Returns one host with its version for each data centre of the given
+    /// hosts that has not answered lately.
+    pub(super) fn silent_data_centres<'a>(
+        &self,
+        now: ClockReading,
+        hosts: impl Iterator<Item = &'a HostView>,
+    ) -> Vec<(HostRecord, u64)> {
+        let mut silent: BTreeMap<&DataCentreId, &HostView> = BTreeMap::new();
+        for view in hosts {
             let data_centre = &view.record.data_centre;
-            if !silent.contains_key(data_centre)
-                && self.is_eligible(progress, view)
-                && !self.in_contact(now, data_centre)
-            {
-                silent.insert(data_centre.clone(), (view.record.clone(), view.version));
+            if !silent.contains_key(data_centre) && !self.in_contact(now, data_centre) {
+                silent.insert(data_centre, view);
             }
         }
-        for (record, version) in silent.into_values() {
+        silent.into_values().map(|view| (view.record.clone(), view.version)).collect()
+    }
+
+    /// Asks the seats of these hosts' data centres for a sign of life.
+    pub(super) fn probe_all(
+        &mut self,
+        now: ClockReading,
+        pool: &PoolId,
+        silent: Vec<(HostRecord, u64)>,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        for (record, version) in silent {
             let next_ms = self.probe(now, &record, version, actions);
             self.wake_pool(pool, next_ms);
         }
--- a/crates/tamarackproxy/src/coordination/fleet/reconcile.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/reconcile.rs
@@ -138,6 +138,7 @@
         self.release_departed(pool, &mut wants);
         self.report_budgets(&document, pool, actions);
         self.plan_waves(now, &document, pool, term, &mut wants, actions);
+        self.plan_moves(now, &document, pool, &mut wants, actions);
         self.submit(now, pool, term, wants, actions);
         self.adopt(now, &document, pool, term, actions);
     }
@@ -345,7 +346,7 @@
         match (&facts.stop, facts.next_pool().cloned()) {
             (Some((wave, stop)), _) => self.begin_stop(facts, wave, stop, term, wants),
             (None, Some(next_pool)) => {
-                self.begin_move(document, facts, next_pool, term, wants);
+                self.begin_move(now, document, facts, next_pool, term, wants);
             }
             (None, None) => self.release(facts, term, wants),
         }
