--- a/crates/tamarackproxy/src/coordination/fleet/budget.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/budget.rs
@@ -1,8 +1,6 @@
 //! Rules of availability budgets.
 
-use std::collections::BTreeMap;
-
-use super::view::RackKey;
+use super::{racks::RackCounts, view::RackKey};
 use crate::state::{
     document::{BudgetSection, FailureReserve},
     ids::{HostId, OperationId, PoolId, Term, WaveId},
@@ -60,9 +58,8 @@
     /// Tells whether the remaining instances, counted by rack, still leave room
     /// for the reserved failure; stops that have not gone beyond the drain are
     /// given up if they do not.
-    pub fn holds(&self, available: &BTreeMap<RackKey, u32>) -> bool {
-        let total: u32 = available.values().sum();
-        let largest = available.values().max().copied().unwrap_or(0);
+    pub fn holds(&self, available: &RackCounts) -> bool {
+        let (total, largest) = (available.total(), available.largest());
         total >= self.min_available.saturating_add(self.reserved_for_failure(largest))
     }
 
@@ -75,22 +72,12 @@
 
     /// Tells whether one more host in `rack` may be stopped while `stopped`
     /// hosts are, where `available` counts the remaining ones by rack.
-    pub fn allows_stop(
-        &self,
-        available: &BTreeMap<RackKey, u32>,
-        stopped: usize,
-        rack: &RackKey,
-    ) -> bool {
-        let own = available.get(rack).copied().unwrap_or(0);
-        if own == 0 || stopped >= self.max_stopped as usize {
+    pub fn allows_stop(&self, available: &RackCounts, stopped: usize, rack: &RackKey) -> bool {
+        if available.in_rack(rack) == 0 || stopped >= self.max_stopped as usize {
             return false;
         }
-        let total: u32 = available.values().sum::<u32>() - 1;
-        let largest = available
-            .iter()
-            .map(|(key, &count)| if key == rack { count - 1 } else { count })
-            .max()
-            .unwrap_or(0);
+        let total = available.total() - 1;
+        let largest = available.largest_without_one_of(rack);
         total >= self.min_available.saturating_add(self.reserved_for_failure(largest))
     }
 }
@@ -103,7 +90,7 @@
     record: &mut BudgetRecord,
     changes: &[BudgetChange],
     limits: BudgetLimits,
-    available: &mut BTreeMap<RackKey, u32>,
+    available: &mut RackCounts,
     term: Term,
     unix_ms: u64,
 ) -> bool {
@@ -117,9 +104,7 @@
                 if known || !granted {
                     continue;
                 }
-                if let Some(count) = available.get_mut(rack) {
-                    *count = count.saturating_sub(1);
-                }
+                available.take(rack);
                 let reservation = Reservation {
                     kind: *kind,
                     operation: *operation,
--- a/crates/tamarackproxy/src/coordination/fleet/engine.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/engine.rs
@@ -15,6 +15,7 @@
     control::ControlLease,
     demand::{BufferPolicy, DemandHistory},
     drain::{Contact, Health, Progress},
+    reconcile::RECHECK_MS,
     view::FleetView,
 };
 use crate::{
@@ -24,7 +25,7 @@
         clock::ClockReading,
         document::Document,
         ids::{CallId, DataCentreId, EntryId, HostId, PoolId, ServiceId, Term, WaveId},
-        records::{BudgetRecord, WavePoolRecord, WaveRecord},
+        records::{BudgetRecord, HostRecord, WavePoolRecord, WaveRecord},
     },
 };
 
@@ -131,8 +132,7 @@
                 self.mark_pools(&pools);
             }
             FleetEvent::HostRecordChanged { version, record } => {
-                let pools = self.view.learn(version, &record);
-                self.mark_pools(&pools);
+                self.on_host_record(now, version, &record);
             }
             FleetEvent::HostsListed { hosts } => {
                 let pools = self.view.replace_list(hosts);
@@ -254,6 +254,17 @@
         self.reports.remove(key);
     }
 
+    /// Takes one record; a change within one pool concerns mostly the host.
+    fn on_host_record(&mut self, now: ClockReading, version: u64, record: &HostRecord) {
+        let pools = self.view.learn(version, record);
+        if pools.len() > 1 {
+            self.mark_pools(&pools);
+        } else if !pools.is_empty() {
+            self.wake_host(&record.pool, &record.host, now.monotonic_ms);
+            self.wake_pool(&record.pool, now.monotonic_ms + RECHECK_MS);
+        }
+    }
+
     fn on_document(&mut self, document: Arc<Document>) {
         self.services.clear();
         for (service, section) in &document.services {
--- a/crates/tamarackproxy/src/coordination/fleet/plan.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/plan.rs
@@ -9,6 +9,7 @@
     budget::BudgetLimits,
     calls::{host_key, wave_key, wave_pool_key},
     engine::FleetEngine,
+    racks::RackCounts,
     reconcile::{RECHECK_MS, Wants},
     view::{HostView, RackKey},
     wave::{PoolShare, WavePoolChange, settle},
@@ -31,7 +32,7 @@
 /// Room that the budget of one service leaves.
 pub(super) struct Room {
     limits: BudgetLimits,
-    available: BTreeMap<RackKey, u32>,
+    available: RackCounts,
     stopped: usize,
 }
 
@@ -42,13 +43,11 @@
 
     /// Returns the available instances in a rack.
     pub fn instances(&self, rack: &RackKey) -> u32 {
-        self.available.get(rack).copied().unwrap_or(0)
+        self.available.in_rack(rack)
     }
 
     fn take(&mut self, rack: &RackKey) {
-        if let Some(count) = self.available.get_mut(rack) {
-            *count = count.saturating_sub(1);
-        }
+        self.available.take(rack);
         self.stopped += 1;
     }
 }
@@ -242,9 +241,8 @@
                     !hosts.is_empty() && rooms.iter().all(|room| room.allows(rack))
                 })
                 .max_by_key(|(rack, hosts)| {
-                    let instances = rooms.first().map_or(hosts.len() as u32, |room| {
-                        room.available.get(*rack).copied().unwrap_or(0)
-                    });
+                    let instances =
+                        rooms.first().map_or(hosts.len() as u32, |room| room.instances(rack));
                     (instances, std::cmp::Reverse(stopped.get(&rack.0).copied().unwrap_or(0)))
                 })
                 .map(|(rack, _)| rack.clone());
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/fleet/racks.rs
@@ -0,0 +1,74 @@
+//! Instances counted by rack.
+
+use std::collections::BTreeMap;
+
+use super::view::RackKey;
+
+/// Counts by rack that know their sum and their largest rack, so that a
+/// budget is checked without a pass over all racks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct RackCounts {
+    by_rack: BTreeMap<RackKey, u32>,
+    racks_by_count: BTreeMap<u32, u32>,
+    total: u32,
+}
+
+impl RackCounts {
+    /// Counts one more instance in a rack.
+    pub fn add(&mut self, rack: RackKey) {
+        let count = self.by_rack.entry(rack).or_default();
+        *count += 1;
+        self.total += 1;
+        let count = *count;
+        self.recount(count - 1, count);
+    }
+
+    /// Counts one instance less in a rack, if there is one.
+    pub fn take(&mut self, rack: &RackKey) {
+        let Some(count) = self.by_rack.get_mut(rack).filter(|count| **count > 0) else {
+            return;
+        };
+        *count -= 1;
+        self.total -= 1;
+        let count = *count;
+        self.recount(count + 1, count);
+    }
+
+    /// Returns the instances in a rack.
+    pub fn in_rack(&self, rack: &RackKey) -> u32 {
+        self.by_rack.get(rack).copied().unwrap_or(0)
+    }
+
+    /// Returns the instances in all racks.
+    pub fn total(&self) -> u32 {
+        self.total
+    }
+
+    /// Returns the instances in the largest rack.
+    pub fn largest(&self) -> u32 {
+        self.racks_by_count.last_key_value().map_or(0, |(&count, _)| count)
+    }
+
+    /// Returns the instances in the largest rack after one instance of this
+    /// rack has gone.
+    pub fn largest_without_one_of(&self, rack: &RackKey) -> u32 {
+        match self.racks_by_count.last_key_value() {
+            Some((&largest, 1)) if self.in_rack(rack) == largest => largest - 1,
+            Some((&largest, _)) => largest,
+            None => 0,
+        }
+    }
+
+    /// Moves one rack from one count to another.
+    fn recount(&mut self, from: u32, to: u32) {
+        if let Some(racks) = self.racks_by_count.get_mut(&from) {
+            *racks -= 1;
+            if *racks == 0 {
+                self.racks_by_count.remove(&from);
+            }
+        }
+        if to > 0 {
+            *self.racks_by_count.entry(to).or_default() += 1;
+        }
+    }
+}
--- a/crates/tamarackproxy/src/coordination/fleet/view.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::racks::RackCounts;
 use crate::{
     protocol::platform::{ListedHost, ListedState},
     state::{
@@ -161,15 +162,11 @@
 
     /// Counts the available instances of a service by rack: hosts of its pool
     /// that are active, not known as lost, and not in the budget.
-    pub fn available_by_rack(
-        &self,
-        pool: &PoolId,
-        budget: &BudgetRecord,
-    ) -> BTreeMap<RackKey, u32> {
-        let mut racks = BTreeMap::new();
+    pub fn available_by_rack(&self, pool: &PoolId, budget: &BudgetRecord) -> RackCounts {
+        let mut racks = RackCounts::default();
         for view in self.hosts_of(pool).filter(|view| self.is_available(view, budget)) {
             let record = &view.record;
-            *racks.entry((record.data_centre.clone(), record.rack.clone())).or_default() += 1;
+            racks.add((record.data_centre.clone(), record.rack.clone()));
         }
         racks
     }
