--- a/crates/standins/src/fleet/world.rs
+++ b/crates/standins/src/fleet/world/mod.rs
@@ -1,5 +1,7 @@
 //! Fleet engines with their store, platform, hosts and seats on virtual time.
 
+mod effects;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -13,13 +15,13 @@
     },
     protocol::{
         platform::{ListedHost, ListedState},
-        store::{StoreError, StoreReply, StoreRequest},
+        store::StoreRequest,
     },
     state::{
         clock::ClockReading,
         document::Document,
         ids::{CallId, DataCentreId, EntryId, HostId, OperationId},
-        records::{BudgetRecord, HostPhase, HostRecord},
+        records::{HostPhase, HostRecord},
     },
 };
 
@@ -477,160 +479,6 @@
         }
     }
 
-    fn on_call(&mut self, node: usize, call: CallId, request: &StoreRequest) {
-        let down =
-            self.now_ms < self.store_down_until_ms || self.is_cut(&self.nodes[node].data_centre);
-        let result = if down { Err(StoreError::NotSent) } else { self.execute(node, request) };
-        let event = FleetEvent::StoreReplied { call, result };
-        let at_ms = self.now_ms + DELAY_MS;
-        self.schedule(at_ms, Happening::Deliver { node, event: Box::new(event) });
-    }
-
-    fn execute(&mut self, node: usize, request: &StoreRequest) -> Result<StoreReply, StoreError> {
-        let reply = self.store.call(self.now_ms, request);
-        let (StoreRequest::CompareAndSwap { key, .. }, StoreReply::Swapped(version)) =
-            (request, &reply)
-        else {
-            return Ok(reply);
-        };
-        if key.starts_with("control") {
-            return Ok(reply);
-        }
-        self.on_write(key, version.0);
-        self.checks.writes += 1;
-        match self.write_fault {
-            Some((number, fault)) if number == self.checks.writes => {
-                self.inject(node, fault);
-                if matches!(fault, WriteFault::LoseReply | WriteFault::StoreDown(_)) {
-                    return Err(StoreError::Unknown);
-                }
-            }
-            _ => {}
-        }
-        Ok(reply)
-    }
-
-    fn inject(&mut self, node: usize, fault: WriteFault) {
-        match fault {
-            WriteFault::LoseReply => {}
-            WriteFault::KillWriter => self.kill(node),
-            WriteFault::PauseWriter(duration_ms) => self.pause(node, duration_ms),
-            WriteFault::StoreDown(duration_ms) => self.store_down(duration_ms),
-        }
-    }
-
-    fn on_write(&mut self, key: &str, version: u64) {
-        if key.starts_with("budget/") {
-            if let Some(record) = self.store.record::<BudgetRecord>(key) {
-                self.checks.on_budget(&record);
-            }
-        } else if key.starts_with("host/")
-            && let Some(record) = self.store.record::<HostRecord>(key)
-        {
-            self.on_host_written(version, record);
-        }
-    }
-
-    fn on_host_written(&mut self, version: u64, record: HostRecord) {
-        let before = self.records.insert(record.host.clone(), record.clone());
-        self.versions.insert(record.host.clone(), version);
-        self.checks.on_host(&self.store, &self.records, &self.document, before.as_ref(), &record);
-        if let Some(before) = before
-            && before.pool != record.pool
-        {
-            self.checks.transfers += 1;
-            self.check_unused(&record.host, "changes pool");
-        }
-        let at_ms = self.now_ms + DELAY_MS;
-        for node in 0..self.nodes.len() {
-            let cut = self.is_cut(&self.nodes[node].data_centre);
-            if self.nodes[node].alive && !cut {
-                self.see(node, version, &record);
-                if node < self.candidates {
-                    let record = Box::new(record.clone());
-                    let event = FleetEvent::HostRecordChanged { version, record };
-                    self.schedule(at_ms, Happening::Deliver { node, event: Box::new(event) });
-                }
-            }
-        }
-    }
-
-    /// A seat learns of a record and stops using a host that leaves `active`.
-    fn see(&mut self, node: usize, version: u64, record: &HostRecord) {
-        let (shortest, longest) = self.timing.drain_ms;
-        let state = &mut self.nodes[node];
-        state.seen_version = state.seen_version.max(version);
-        if record.data_centre != state.data_centre {
-            return;
-        }
-        if record.phase.accepts_work() {
-            state.leaving.remove(&record.host);
-            return;
-        }
-        let drained_ms = self.now_ms + self.rng.random_range(shortest..=longest);
-        let known = state.leaving.entry(record.host.clone()).or_insert((version, drained_ms));
-        known.0 = version;
-    }
-
-    fn on_query(&mut self, node: usize, from: usize, host: HostId, version: u64) {
-        let (own, other) = (&self.nodes[node].data_centre, &self.nodes[from].data_centre);
-        let cut = own != other && (self.is_cut(own) || self.is_cut(other));
-        let state = &self.nodes[node];
-        let late_ms = match state.acknowledgement {
-            Acknowledgement::Prompt => 0,
-            Acknowledgement::Late(late_ms) => late_ms,
-            Acknowledgement::Never => return,
-        };
-        if cut || !state.alive || state.seen_version < version {
-            return;
-        }
-        let drained_ms = state.leaving.get(&host).map_or(0, |&(_, drained_ms)| drained_ms);
-        let in_flight = u32::from(self.now_ms < drained_ms + late_ms);
-        let message = FleetMessage::DrainStatus { host, version: state.seen_version, in_flight };
-        let event = FleetEvent::Received { from: state.entry.clone(), message };
-        let at_ms = self.now_ms + DELAY_MS;
-        self.schedule(at_ms, Happening::Deliver { node: from, event: Box::new(event) });
-    }
-
-    fn on_reboot(&mut self, node: usize, host: HostId, operation: OperationId) {
-        let accepted = !self.is_cut(&self.nodes[node].data_centre);
-        if accepted {
-            let new =
-                self.hosts.get_mut(&host).is_some_and(|truth| truth.operations.insert(operation));
-            if new {
-                self.check_unused(&host, "reboots");
-                *self.checks.reboots.entry(host.clone()).or_default() += 1;
-                let (shortest, longest) = self.timing.reboot_ms;
-                let at_ms = self.now_ms + self.rng.random_range(shortest..=longest);
-                if let Some(truth) = self.hosts.get_mut(&host) {
-                    truth.up = false;
-                }
-                self.schedule(at_ms, Happening::Returned { host: host.clone() });
-            }
-        }
-        self.handle(node, FleetEvent::RebootAccepted { host, accepted });
-    }
-
-    /// Checks that no seat of the host's data centre uses the host.
-    fn check_unused(&mut self, host: &HostId, what: &str) {
-        let Some(truth) = self.hosts.get(host) else {
-            return;
-        };
-        for node in &self.nodes {
-            if node.data_centre != truth.listed_host.data_centre || !node.alive {
-                continue;
-            }
-            let unused =
-                node.leaving.get(host).is_some_and(|&(_, drained_ms)| drained_ms <= self.now_ms);
-            if !unused {
-                self.checks.interrupted.push(format!(
-                    "{host} {what} at {} ms while {} uses it",
-                    self.now_ms, node.entry
-                ));
-            }
-        }
-    }
-
     fn vacate(&mut self, node: usize) {
         let data_centre = self.nodes[node].data_centre.clone();
         self.nodes[node].vacant = true;
