--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements: each drives the library's decision code and returns figures.
 
+mod buffer;
 mod figure;
 mod flood;
 pub mod key_values;
@@ -7,6 +8,7 @@
 mod request_sim;
 mod slots;
 pub mod virtual_time;
+mod wave;
 
 pub use self::figure::{Bound, Figure};
 
@@ -23,6 +25,10 @@
     Slots,
     /// Charges under faults against the at-most-once engine.
     Once,
+    /// Buffer held against surges and rack failures.
+    Buffer,
+    /// Roll-out time of a maintenance wave.
+    Wave,
 }
 
 /// Command line of `tamarack-bench`.
@@ -47,6 +53,8 @@
         BenchName::Flood => flood::run(options),
         BenchName::Slots => slots::run(options),
         BenchName::Once => once::run(options.seed, options.seeds),
+        BenchName::Buffer => buffer::run(options),
+        BenchName::Wave => wave::run(options),
     }
 }
 
--- a/crates/tamarackproxy/src/coordination/fleet/plan.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/plan.rs
@@ -9,6 +9,7 @@
     budget::BudgetLimits,
     calls::{host_key, wave_key, wave_pool_key},
     engine::FleetEngine,
+    racks::RackCounts,
     reconcile::{RECHECK_MS, Wants},
     view::{HostView, RackKey},
     wave::{PoolShare, WavePoolChange, settle},
@@ -29,21 +30,24 @@
 const GRANT_KEPT_MS: u64 = 10_000;
 
 /// Room that the budget of one service leaves.
-struct Room {
+pub(super) struct Room {
     limits: BudgetLimits,
-    available: BTreeMap<RackKey, u32>,
+    available: RackCounts,
     stopped: usize,
 }
 
 impl Room {
-    fn allows(&self, rack: &RackKey) -> bool {
+    pub fn allows(&self, rack: &RackKey) -> bool {
         self.limits.allows_stop(&self.available, self.stopped, rack)
     }
 
+    /// Returns the available instances in a rack.
+    pub fn instances(&self, rack: &RackKey) -> u32 {
+        self.available.in_rack(rack)
+    }
+
     fn take(&mut self, rack: &RackKey) {
-        if let Some(count) = self.available.get_mut(rack) {
-            *count = count.saturating_sub(1);
-        }
+        self.available.take(rack);
         self.stopped += 1;
     }
 }
@@ -92,7 +96,8 @@
         self.probe_silent_data_centres(now, pool, wave, actions);
         let candidates = self.candidates(now, pool, wave, section.max_parallel);
         self.note_unused_grant(now, pool, wave, &shared, &progress, candidates.len() as u32);
-        let share = self.pool_share(now, pool, term, wave, &shared);
+        let startable = candidates.len() as u32;
+        let share = self.pool_share(now, pool, term, wave, &shared, startable);
         let stale = self.wave_is_stale(now, pool, wave, &shared);
         if (stale || settle(&shared, section, &share) != shared)
             && !self.calls.is_busy(&wave_key(wave))
@@ -165,6 +170,7 @@
         term: Term,
         wave: &WaveId,
         shared: &WaveRecord,
+        candidates: u32,
     ) -> PoolShare {
         let empty = WavePoolRecord::new(wave.clone(), pool.clone());
         let progress = self.wave_progress(wave, pool).unwrap_or(&empty);
@@ -172,12 +178,7 @@
         let finished = progress.in_progress.is_empty()
             && self.view.hosts_of(pool).all(|view| progress.done.contains(&view.record.host));
         let running = shared.phase == WavePhase::Running && !finished;
-        let limit = self.max_parallel(wave);
-        let usable = if running {
-            in_progress + self.candidates(now, pool, wave, limit).len() as u32
-        } else {
-            in_progress
-        };
+        let usable = if running { in_progress + candidates } else { in_progress };
         let granted = shared.granted.get(pool).copied().unwrap_or(0);
         let unused_since = self
             .controls
@@ -197,7 +198,8 @@
         }
     }
 
-    fn max_parallel(&self, wave: &WaveId) -> u32 {
+    /// Returns how many hosts a wave may stop at once.
+    pub(super) fn max_parallel(&self, wave: &WaveId) -> u32 {
         self.document
             .as_ref()
             .and_then(|document| document.waves.get(wave))
@@ -239,9 +241,8 @@
                     !hosts.is_empty() && rooms.iter().all(|room| room.allows(rack))
                 })
                 .max_by_key(|(rack, hosts)| {
-                    let instances = rooms.first().map_or(hosts.len() as u32, |room| {
-                        room.available.get(*rack).copied().unwrap_or(0)
-                    });
+                    let instances =
+                        rooms.first().map_or(hosts.len() as u32, |room| room.instances(rack));
                     (instances, std::cmp::Reverse(stopped.get(&rack.0).copied().unwrap_or(0)))
                 })
                 .map(|(rack, _)| rack.clone());
@@ -261,7 +262,7 @@
 
     /// Returns the room in the budget of each service of the pool, less the
     /// hosts that waves have started and that are not reserved yet.
-    fn rooms(&self, pool: &PoolId) -> Vec<Room> {
+    pub(super) fn rooms(&self, pool: &PoolId) -> Vec<Room> {
         let started: Vec<&HostRecord> = self
             .pool_waves
             .get(pool)
@@ -318,20 +319,39 @@
         wave: &WaveId,
         actions: &mut Vec<FleetAction>,
     ) {
-        let Some(progress) = self.wave_progress(wave, pool) else {
-            return;
-        };
-        let mut silent: BTreeMap<DataCentreId, (HostRecord, u64)> = BTreeMap::new();
-        for view in self.view.hosts_of(pool) {
+        if let Some(progress) = self.wave_progress(wave, pool) {
+            let left = self.view.hosts_of(pool).filter(|view| self.is_eligible(progress, view));
+            let silent = self.silent_data_centres(now, left);
+            self.probe_all(now, pool, silent, actions);
+        }
+    }
+
+    /// Returns one host with its version for each data centre of the given
+    /// hosts that has not answered lately.
+    pub(super) fn silent_data_centres<'a>(
+        &self,
+        now: ClockReading,
+        hosts: impl Iterator<Item = &'a HostView>,
+    ) -> Vec<(HostRecord, u64)> {
+        let mut silent: BTreeMap<&DataCentreId, &HostView> = BTreeMap::new();
+        for view in hosts {
             let data_centre = &view.record.data_centre;
-            if !silent.contains_key(data_centre)
-                && self.is_eligible(progress, view)
-                && !self.in_contact(now, data_centre)
-            {
-                silent.insert(data_centre.clone(), (view.record.clone(), view.version));
+            if !silent.contains_key(data_centre) && !self.in_contact(now, data_centre) {
+                silent.insert(data_centre, view);
             }
         }
-        for (record, version) in silent.into_values() {
+        silent.into_values().map(|view| (view.record.clone(), view.version)).collect()
+    }
+
+    /// Asks the seats of these hosts' data centres for a sign of life.
+    pub(super) fn probe_all(
+        &mut self,
+        now: ClockReading,
+        pool: &PoolId,
+        silent: Vec<(HostRecord, u64)>,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        for (record, version) in silent {
             let next_ms = self.probe(now, &record, version, actions);
             self.wake_pool(pool, next_ms);
         }
