--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements: each drives the library's decision code and returns figures.
 
+mod config;
 mod figure;
 
 pub use self::figure::{Bound, Figure};
@@ -10,7 +11,10 @@
 /// Names of the measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString, VariantNames)]
 #[strum(serialize_all = "kebab-case")]
-pub enum BenchName {}
+pub enum BenchName {
+    /// Time from a put to its revision in force, and what distribution costs.
+    Config,
+}
 
 /// Command line of `tamarack-bench`.
 #[derive(Clone, Debug, Options)]
@@ -29,8 +33,10 @@
 }
 
 /// Runs one measurement.
-pub fn run(name: BenchName, _options: &BenchOptions) -> Vec<Figure> {
-    match name {}
+pub fn run(name: BenchName, options: &BenchOptions) -> Vec<Figure> {
+    match name {
+        BenchName::Config => config::run(options),
+    }
 }
 
 /// Returns the measurements that a name selects; all if there is no name.
--- a/crates/standins/src/sim/cluster/mod.rs
+++ b/crates/standins/src/sim/cluster/mod.rs
@@ -151,6 +151,11 @@
         self.nodes[node].records.clone()
     }
 
+    /// Size of a stored value, in bytes.
+    pub fn stored_bytes(&self, key: &str) -> usize {
+        self.store.value(key).map_or(0, Bytes::len)
+    }
+
     /// Number of watches that the store serves.
     pub fn watches(&self) -> usize {
         let alive = self.nodes.iter().filter(|node| node.is_alive());
--- a/crates/standins/src/sim/documents.rs
+++ b/crates/standins/src/sim/documents.rs
@@ -26,15 +26,38 @@
     if service.is_multiple_of(2) { MEMBER_A } else { MEMBER_B }
 }
 
-/// Returns a document with the given numbers of data centres, seats in each,
-/// services with a pool each, and callers.
-pub fn document_text(data_centres: usize, seats: u16, services: usize, callers: usize) -> String {
+/// Numbers of a document's sections.
+#[derive(Clone, Copy, Debug)]
+pub struct DocumentShape {
+    /// Data centres.
+    pub data_centres: usize,
+    /// Seats in each data centre.
+    pub seats: u16,
+    /// Teams beside the three that the simulation uses.
+    pub teams: usize,
+    /// Services, with a pool and a budget each.
+    pub services: usize,
+    /// Callers.
+    pub callers: usize,
+}
+
+/// Returns a valid document of a shape.
+pub fn document_text(shape: DocumentShape) -> String {
+    let DocumentShape { data_centres, seats, teams, services, callers } = shape;
     let mut text = String::from("[document]\ndeployment = simulated\n\n");
-    let teams = [(ADMIN, "role = admin\n"), (MEMBER_A, ""), (MEMBER_B, "")];
-    for (index, (team, role)) in teams.into_iter().enumerate() {
+    let named = [(ADMIN, "role = admin\n"), (MEMBER_A, ""), (MEMBER_B, "")];
+    for (index, (team, role)) in named.into_iter().enumerate() {
         let digest = digest(index);
         let _ = write!(text, "[team {team}]\n{role}token_sha256 = {digest}\n\n");
     }
+    for index in 0..teams {
+        let digest = digest(1_000 + index);
+        let _ = write!(
+            text,
+            "[team t{index}]\ntoken_sha256 = {digest}\nquota_cpu_millicores = 200000\n\
+             quota_memory = 800GiB\n\n"
+        );
+    }
     for index in 0..data_centres {
         let _ = write!(text, "[data-centre dc{index:02}]\nregion = r\nseats = {seats}\n\n");
     }
--- a/crates/standins/src/sim/mod.rs
+++ b/crates/standins/src/sim/mod.rs
@@ -10,7 +10,7 @@
 
 pub use self::{
     cluster::{Cluster, ClusterOptions, NodeIndex},
-    documents::{ADMIN, MEMBER_A, MEMBER_B, document_text, service_edit},
+    documents::{ADMIN, DocumentShape, MEMBER_A, MEMBER_B, document_text, service_edit},
     faults::Faults,
     node::NodeState,
     observations::{Observations, PutOutcome},
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -2,14 +2,18 @@
 #![allow(dead_code)]
 
 use serde::de::DeserializeOwned;
-use tamarack_standins::sim::{Cluster, ClusterOptions, MEMBER_A, MEMBER_B, document_text};
+use tamarack_standins::sim::{
+    Cluster, ClusterOptions, DocumentShape, MEMBER_A, MEMBER_B, document_text,
+};
 use tamarackproxy::coordination::configuration::{Position, PutError, SectionEdit};
 
 /// Starts a cluster and waits until every node is ready.
 pub fn settled(data_centres: usize, entries: usize, seed: u64) -> Cluster {
     println!("seed {seed}");
     let options = ClusterOptions { data_centres, entries, seed };
-    let text = document_text(data_centres, entries as u16, 4, 4);
+    let seats = entries as u16;
+    let shape = DocumentShape { data_centres, seats, teams: 2, services: 4, callers: 4 };
+    let text = document_text(shape);
     let mut cluster = Cluster::new(options, &text);
     cluster.run_ms(15_000);
     assert!((0..cluster.len()).all(|node| cluster.is_ready(node)), "all are ready");
--- a/crates/standins/tests/seats.rs
+++ b/crates/standins/tests/seats.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use rstest::rstest;
-use tamarack_standins::sim::{Cluster, ClusterOptions, document_text};
+use tamarack_standins::sim::{Cluster, ClusterOptions, DocumentShape, document_text};
 use tamarackproxy::coordination::seats::{SeatsAction, SeatsEvent};
 
 const SEATS: u16 = 3;
@@ -11,7 +11,8 @@
 fn cluster(data_centres: usize, entries: usize, seed: u64) -> Cluster {
     println!("seed {seed}");
     let options = ClusterOptions { data_centres, entries, seed };
-    Cluster::new(options, &document_text(data_centres, SEATS, 4, 4))
+    let shape = DocumentShape { data_centres, seats: SEATS, teams: 2, services: 4, callers: 4 };
+    Cluster::new(options, &document_text(shape))
 }
 
 /// Starts a cluster and waits until all seats are held.
