--- a/crates/standins/src/sim/cluster/mod.rs
+++ b/crates/standins/src/sim/cluster/mod.rs
@@ -167,6 +167,11 @@
         self.now_us
     }
 
+    /// Number of events that were scheduled.
+    pub fn events(&self) -> u64 {
+        self.order
+    }
+
     /// Number of nodes.
     pub fn len(&self) -> usize {
         self.nodes.len()
--- a/crates/standins/tests/control.rs
+++ b/crates/standins/tests/control.rs
@@ -117,6 +117,21 @@
     rivals.assert_terms_grow();
 }
 
+/// Guards against a holder that trusts its lease while the reply to a renewal
+/// is outstanding.
+#[test]
+fn control_lapses_while_a_renewal_is_in_flight() {
+    let mut rivals = Rivals::new(1, 0.0, 1);
+    rivals.run_ms(1_000);
+    assert!(rivals.leases[0].held().is_some());
+    let reading = |now_ms| ClockReading::new(now_ms, now_ms);
+    let renewal = rivals.leases[0].tick(reading(rivals.now_ms + 3_000));
+    assert!(matches!(renewal, Some(StoreRequest::KeepAlive { .. })));
+    assert_eq!(rivals.leases[0].tick(reading(rivals.now_ms + 10_000)), None);
+    assert_eq!(rivals.leases[0].held(), None);
+    assert_eq!(rivals.leases[0].next_tick_ms(), None, "nothing to do before the reply");
+}
+
 /// Guards against a release that leaves the successor waiting for the lease.
 #[test]
 fn control_released_is_free_at_once() {
--- a/crates/standins/tests/distribution.rs
+++ b/crates/standins/tests/distribution.rs
@@ -189,6 +189,23 @@
     }
 }
 
+/// Guards against timers that are due at once again and again while nothing
+/// can be done: an outage must not cost more events than normal running.
+#[rstest]
+fn configuration_outage_causes_few_events(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = settled(2, 4, seed);
+    let events_of = |cluster: &mut Cluster| {
+        let before = cluster.events();
+        cluster.run_ms(60_000);
+        cluster.events() - before
+    };
+    let at_rest = events_of(&mut cluster);
+    cluster.faults.store_down = true;
+    cluster.interrupt_watches(|_| true);
+    let during = events_of(&mut cluster);
+    assert!(during < 2 * at_rest, "{during} events in the outage, {at_rest} at rest");
+}
+
 /// Guards against host records that miss changes or removals, with lost
 /// messages and a restart between them.
 #[rstest]
--- a/crates/tamarackproxy/src/coordination/configuration/engine/watch.rs
+++ b/crates/tamarackproxy/src/coordination/configuration/engine/watch.rs
@@ -34,9 +34,10 @@
 const INTERRUPTED_JITTER_MS: u64 = 500;
 /// Shortest limit of the delay after a failed read, in milliseconds.
 const BACKOFF_MIN_MS: u64 = 500;
-/// Longest delay after a failed read, in milliseconds; leaves two thirds of
-/// the 6 s after an outage to the read and the pushes.
-const BACKOFF_MAX_MS: u64 = 2_000;
+/// Longest delay after a failed read, in milliseconds. With a call that times
+/// out after 1 s, three attempts fit into the 6 s after an outage; there are
+/// only as many watchers as data centres.
+const BACKOFF_MAX_MS: u64 = 1_000;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Stage {
@@ -112,9 +113,7 @@
         let place = self.peers.iter().filter(|peer| **peer < self.entry).count() as u64;
         let retry_ms = if place == 0 { RETRY_MS } else { STANDBY_RETRY_MS * place };
         self.watcher.lease.set_retry_ms(retry_ms);
-        if self.watcher.lease_call.is_none()
-            && let Some(request) = self.watcher.lease.tick(now)
-        {
+        if let Some(request) = self.watcher.lease.tick(now) {
             self.watcher.lease_call = Some(self.store(request, actions));
         }
         self.follow_lease(now_ms, place, actions);
@@ -124,7 +123,9 @@
     }
 
     fn follow_lease(&mut self, now_ms: u64, place: u64, actions: &mut Vec<ConfigurationAction>) {
-        let holds = self.watcher.lease.held().is_some() || self.stands_in(place);
+        // A lease that may have lapsed in an outage counts until another holder
+        // is seen: the watch writes nothing, and news must not wait for it.
+        let holds = self.watcher.lease.lease().is_some() || self.stands_in(place);
         if holds && !self.watcher.active {
             self.watcher.active = true;
             self.watcher.retry_ms = Some(now_ms);
--- a/crates/tamarackproxy/src/coordination/control/lease.rs
+++ b/crates/tamarackproxy/src/coordination/control/lease.rs
@@ -21,9 +21,10 @@
 const DEFAULT_RETRY_MS: u64 = 3_000;
 /// Shortest limit of the delay after a failed call, in milliseconds.
 const BACKOFF_MIN_MS: u64 = 500;
-/// Longest delay after a failed call, in milliseconds; below the lease's time
-/// to live, so that a holder renews in time after a short outage.
-const BACKOFF_MAX_MS: u64 = 4_000;
+/// Longest delay after a failed call, in milliseconds; leaves a holder several
+/// renewals within its lease, and a scope without holder only briefly after an
+/// outage.
+const BACKOFF_MAX_MS: u64 = 2_000;
 
 #[derive(Clone, Debug)]
 enum Phase {
@@ -39,7 +40,9 @@
 
 /// Lease on `control/<scope>` whose holder has a term above all earlier ones.
 ///
-/// At most one call is in flight. The owner sends the request that
+/// At most one call is in flight. The owner calls [`tick`](Self::tick) on every
+/// event, also while a call is in flight, because it ends a tenure whose lease
+/// may have lapsed. The owner sends the request that
 /// [`tick`](Self::tick) or [`on_store_reply`](Self::on_store_reply) returns and
 /// passes its result back. Writes on behalf of the scope carry the term of
 /// [`held`](Self::held), so that those of a paused former holder fail.
@@ -128,7 +131,8 @@
     pub fn next_tick_ms(&self) -> Option<u64> {
         match self.phase {
             Phase::Waiting => Some(self.next_ms),
-            Phase::Holding(_) => Some(self.next_ms.min(self.valid_until_ms)),
+            Phase::Holding(_) if !self.expired => Some(self.next_ms.min(self.valid_until_ms)),
+            Phase::Holding(_) => Some(self.next_ms),
             Phase::Renewing { .. } if !self.expired => Some(self.valid_until_ms),
             _ => None,
         }
