--- a/crates/tamarackproxy/src/coordination/configuration/engine/watch.rs
+++ b/crates/tamarackproxy/src/coordination/configuration/engine/watch.rs
@@ -88,8 +88,9 @@
         if self.stopped {
             return None;
         }
-        let lease_ms = self.lease.next_tick_ms();
-        [lease_ms.max(self.first_attempt_ms), self.retry_ms].into_iter().flatten().min()
+        let first_ms = self.first_attempt_ms?;
+        let lease_ms = self.lease.next_tick_ms().map(|lease_ms| lease_ms.max(first_ms));
+        lease_ms.into_iter().chain(self.retry_ms).min()
     }
 }
 
