--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements: each drives the library's decision code and returns figures.
 
 mod buffer;
+mod config;
 mod figure;
 mod flood;
 pub mod key_values;
@@ -29,6 +30,8 @@
     Buffer,
     /// Roll-out time of a maintenance wave.
     Wave,
+    /// Time from a put to its revision in force, and what distribution costs.
+    Config,
 }
 
 /// Command line of `tamarack-bench`.
@@ -55,6 +58,7 @@
         BenchName::Once => once::run(options.seed, options.seeds),
         BenchName::Buffer => buffer::run(options),
         BenchName::Wave => wave::run(options),
+        BenchName::Config => config::run(options),
     }
 }
 
