--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -19,6 +19,9 @@
     ids::{CallerId, DataCentreId, EntryId, HostId, RequestId, ServiceId, TargetId},
 };
 
+/// Time before timers are due at which they are looked at, in milliseconds.
+const STALE_TIMERS_MS: u64 = 5;
+
 /// Decides about every request of one entry host.
 ///
 /// Costs, with `t` the service's targets in the data centre, `c` the callers
@@ -143,12 +146,12 @@
         self.timers.next_ms()
     }
 
-    /// Drops timers whose request, attempt or loan has ended, so that they do
-    /// not wake the owner.
+    /// Drops timers whose request, attempt or loan has ended shortly before
+    /// they would wake the owner.
     fn drop_stale_timers(&mut self) {
         let (attempts, requests) = (&self.attempts, &self.requests);
         let (loans_in, loans_out) = (&self.loans_in, &self.loans_out);
-        self.timers.drop_stale(|timer| match timer {
+        self.timers.drop_stale(self.now_ms + STALE_TIMERS_MS, |timer| match timer {
             Timer::AttemptOver(attempt) => !attempts.contains_key(attempt),
             Timer::Deadline(request) => requests
                 .get(request)
--- a/crates/tamarackproxy/src/coordination/requests/limits.rs
+++ b/crates/tamarackproxy/src/coordination/requests/limits.rs
@@ -5,7 +5,7 @@
 /// Time that a caller's unused rate is kept, in seconds.
 const RATE_BURST_S: f64 = 1.0;
 /// Weight of the newest sample in a running mean of service time.
-const SERVICE_TIME_WEIGHT: f64 = 0.05;
+const SERVICE_TIME_WEIGHT: f64 = 0.02;
 
 /// Deviations above the mean that a request is given when others wait: about
 /// one in twenty requests takes longer.
--- a/crates/tamarackproxy/src/coordination/requests/timers.rs
+++ b/crates/tamarackproxy/src/coordination/requests/timers.rs
@@ -50,12 +50,15 @@
         self.0.pop().map(|Reverse((_, timer))| timer)
     }
 
-    /// Drops the next timers for as long as they are of no use any more.
-    pub fn drop_stale<F>(&mut self, is_stale: F)
+    /// Drops the next timers that are due by `until_ms`, for as long as they
+    /// are of no use any more.
+    pub fn drop_stale<F>(&mut self, until_ms: u64, is_stale: F)
     where
         F: Fn(Timer) -> bool,
     {
-        while self.0.peek().is_some_and(|Reverse((_, timer))| is_stale(*timer)) {
+        let goes =
+            |&Reverse((at_ms, timer)): &Reverse<(u64, Timer)>| at_ms <= until_ms && is_stale(timer);
+        while self.0.peek().is_some_and(goes) {
             self.0.pop();
         }
     }
