--- a/crates/tamarackproxy/src/coordination/requests/admission.rs
+++ b/crates/tamarackproxy/src/coordination/requests/admission.rs
@@ -24,9 +24,11 @@
     /// Admits or refuses a request. An id that is in use is ignored: a refusal
     /// would end the other request.
     pub(super) fn submit(&mut self, id: RequestId, meta: RequestMeta) {
-        if self.request_keys.contains_key(&id) {
+        // Ids usually grow, which saves the look-up.
+        if id <= self.highest_id && self.request_keys.contains_key(&id) {
             return;
         }
+        self.highest_id = self.highest_id.max(id);
         match self.admit(&meta) {
             Ok((service, caller)) => self.enter(id, meta, service, caller),
             Err((refusal, retry_after_ms)) => self.refuse(id, refusal, retry_after_ms),
--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -63,6 +63,8 @@
     pub(super) host_targets: HashMap<HostId, Vec<TargetKey>>,
     pub(super) requests: SlotMap<RequestKey, Request>,
     pub(super) request_keys: HashMap<RequestId, RequestKey>,
+    /// Highest id of a request so far.
+    pub(super) highest_id: RequestId,
     pub(super) attempts: SlotMap<AttemptKey, Attempt>,
     pub(super) abandoned: Abandoned,
     pub(super) loans_in: SlotMap<LoanKey, LoanIn>,
@@ -95,12 +97,13 @@
             host_targets: HashMap::new(),
             requests: SlotMap::with_key(),
             request_keys: HashMap::new(),
+            highest_id: RequestId(0),
             attempts: SlotMap::with_key(),
             abandoned: Abandoned::new(),
             loans_in: SlotMap::with_key(),
             loans_out: HashMap::new(),
             next_loan: LoanId(0),
-            timers: Timers::default(),
+            timers: Timers::new(),
             counters: RequestCounters::default(),
             actions: Vec::new(),
         }
--- a/crates/tamarackproxy/src/coordination/requests/queue.rs
+++ b/crates/tamarackproxy/src/coordination/requests/queue.rs
@@ -245,6 +245,9 @@
     /// Number of requests that are served before a new one of this caller.
     pub fn ahead(&self, class: usize, caller: CallerKey, weight: u32) -> f64 {
         let queue = &self.classes[class];
+        if queue.len == 0 {
+            return 0.0;
+        }
         let own = f64::from(self.flow_len(class, caller));
         let weight = f64::from(weight.max(1));
         let others = queue.active_weight as f64 - if own > 0.0 { weight } else { 0.0 };
--- a/crates/tamarackproxy/src/coordination/requests/timers.rs
+++ b/crates/tamarackproxy/src/coordination/requests/timers.rs
@@ -32,22 +32,34 @@
 }
 
 /// Due times in order.
-#[derive(Debug, Default)]
-pub(super) struct Timers(BinaryHeap<Reverse<(u64, Timer)>>);
+#[derive(Debug)]
+pub(super) struct Timers {
+    heap: BinaryHeap<Reverse<(u64, Timer)>>,
+    /// Time of the first, kept beside the heap since every event looks at it.
+    next_ms: u64,
+}
 
 impl Timers {
+    /// Makes an empty list.
+    pub fn new() -> Self {
+        Self { heap: BinaryHeap::new(), next_ms: u64::MAX }
+    }
+
     /// Adds a timer.
     pub fn add(&mut self, at_ms: u64, timer: Timer) {
-        self.0.push(Reverse((at_ms, timer)));
+        self.heap.push(Reverse((at_ms, timer)));
+        self.next_ms = self.next_ms.min(at_ms);
     }
 
     /// Removes and returns a timer that is due.
     pub fn pop_due(&mut self, now_ms: u64) -> Option<Timer> {
-        let Reverse((at_ms, _)) = self.0.peek()?;
-        if *at_ms > now_ms {
-            return None;
-        }
-        self.0.pop().map(|Reverse((_, timer))| timer)
+        (self.next_ms <= now_ms).then(|| self.pop()).flatten()
+    }
+
+    fn pop(&mut self) -> Option<Timer> {
+        let popped = self.heap.pop();
+        self.next_ms = self.heap.peek().map_or(u64::MAX, |Reverse((at_ms, _))| *at_ms);
+        popped.map(|Reverse((_, timer))| timer)
     }
 
     /// Drops the next timers that are due by `until_ms`, for as long as they
@@ -56,15 +68,15 @@
     where
         F: Fn(Timer) -> bool,
     {
-        let goes =
-            |&Reverse((at_ms, timer)): &Reverse<(u64, Timer)>| at_ms <= until_ms && is_stale(timer);
-        while self.0.peek().is_some_and(goes) {
-            self.0.pop();
+        while self.next_ms <= until_ms
+            && self.heap.peek().is_some_and(|&Reverse((_, timer))| is_stale(timer))
+        {
+            self.pop();
         }
     }
 
     /// Time of the next timer.
     pub fn next_ms(&self) -> Option<u64> {
-        self.0.peek().map(|Reverse((at_ms, _))| *at_ms)
+        (!self.heap.is_empty()).then_some(self.next_ms)
     }
 }
