--- a/crates/standins/src/bench/request_sim/sim.rs
+++ b/crates/standins/src/bench/request_sim/sim.rs
@@ -3,7 +3,7 @@
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use rand::{Rng, SeedableRng};
@@ -31,6 +31,9 @@
 /// Time after an attempt's deadline for which a target goes on with it, in
 /// microseconds; less than the grace that the engines allow.
 const TARGET_OVERTIME_US: u64 = 400_000;
+/// Time of one decision above which the process was interrupted; the longest
+/// decisions take a few microseconds.
+const INTERRUPTED: Duration = Duration::from_micros(50);
 /// Time between heartbeats, which carry the loads, in microseconds.
 pub(super) const HEARTBEAT_US: u64 = 1_000_000;
 /// Added to the number of a request at the entry host that it is forwarded to.
@@ -356,7 +359,9 @@
             actions[..],
             [RequestsAction::NotRun { request, .. }] if submitted == Some(request)
         );
-        if refused {
+        if took > INTERRUPTED {
+            // Not counted: the scheduler took the processor away.
+        } else if refused {
             self.cost.refused += took;
             self.cost.refusals += 1;
         } else {
