--- a/crates/standins/src/bench/request_sim/samples.rs
+++ b/crates/standins/src/bench/request_sim/samples.rs
@@ -20,6 +20,8 @@
     pub used: u64,
     /// Slots in all in these samples.
     pub slots: u64,
+    /// Messages that entry hosts sent to peers of their data centre.
+    pub messages: u64,
     /// Longest time in a row in which requests waited on one entry host and an
     /// entry host that holds a seat had an idle slot for them.
     pub longest_idle_us: u64,
--- a/crates/standins/src/bench/request_sim/sim.rs
+++ b/crates/standins/src/bench/request_sim/sim.rs
@@ -411,6 +411,7 @@
     }
 
     fn send(&mut self, from: usize, to: &EntryId, message: RequestsMessage) {
+        self.slot_use.messages += 1;
         if self.loss > 0.0 && self.rng.random_bool(self.loss) {
             return;
         }
--- a/crates/standins/src/bench/slots.rs
+++ b/crates/standins/src/bench/slots.rs
@@ -75,6 +75,9 @@
         let text = format!("in-time responses, {name}");
         add(&text, run.in_time(), "ratio", None, Some(fixed.in_time()));
     }
+    let seconds = RUN_US as f64 / 1e6;
+    let messages = calm.slot_use.messages as f64 / entries as f64 / seconds;
+    add("messages per entry host, calm", messages, "1/s", None, None);
     let bound = Some(Bound::AtMost(50.0));
     let idle_ms = |run: &Run<'_>| run.slot_use.longest_idle_us as f64 / 1_000.0;
     let text = "longest wait beside an idle slot of a live seat, calm";
--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -174,7 +174,7 @@
                 Timer::LoanOutOver(loan) => self.loan_out_over(loan),
                 Timer::Borrow(service) => {
                     if let Some(state) = self.services.get_mut(service) {
-                        state.borrow_timer = false;
+                        state.borrow_at_ms = None;
                     }
                     self.pump(service);
                 }
--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -10,90 +10,151 @@
 };
 use crate::state::ids::{EntryId, ServiceId, TargetId};
 
-/// Time between two rounds of asking peers, in milliseconds, while they lend.
-pub(super) const BORROW_INTERVAL_MS: u64 = 8;
-/// Longest time between two rounds, reached when rounds bring nothing: an idle
-/// slot is found within 50 ms, messages and the review of idle loans included.
-const BORROW_INTERVAL_MAX_MS: u64 = 24;
+/// Shortest time between two rounds of asking peers, in milliseconds.
+const BORROW_INTERVAL_MS: u64 = 8;
+/// Time after which peers are asked again although nothing has changed, in
+/// milliseconds.
+const BORROW_REPEAT_MS: u64 = 75;
+/// Time for which a lender remembers that a peer wants slots, in milliseconds.
+/// A slot that becomes idle is lent at once, without being asked for again.
+const INTEREST_MS: u64 = 100;
 /// Most slots asked for at once.
 const BORROW_MAX: u32 = 256;
 /// Time between two lists of the loans held, in milliseconds. A message that
-/// is lost keeps its slots out of use for about this long.
-const HELD_INTERVAL_MS: u64 = 250;
+/// is lost keeps its slots out of use for about this long and for
+/// `LEND_DELAY_MAX_MS`.
+const HELD_INTERVAL_MS: u64 = 200;
 /// Age of a request for slots beyond which a loan is no longer accepted once
-/// the loans held were listed, in milliseconds: several rounds of messages.
-const LEND_DELAY_MAX_MS: u64 = 20;
+/// the loans held were listed, in milliseconds: the time for which lenders
+/// remember the request, and several rounds of messages.
+const LEND_DELAY_MAX_MS: u64 = INTEREST_MS + 20;
 /// Time between two reviews of idle loans, in milliseconds.
 const REVIEW_INTERVAL_MS: u64 = 10;
 
+/// The last round of asking peers for slots.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Asks {
+    at_ms: u64,
+    wanted: u16,
+    received: u16,
+}
+
+impl Asks {
+    /// When peers are asked again: soon if they have lent what was wanted or
+    /// many more requests wait, and otherwise to repeat the request.
+    fn due_ms(&self, waiting: u32) -> u64 {
+        let wanted = u32::from(self.wanted);
+        let changed = self.received >= self.wanted || waiting >= 2 * wanted && wanted < BORROW_MAX;
+        self.at_ms + if changed { BORROW_INTERVAL_MS } else { BORROW_REPEAT_MS }
+    }
+}
+
+/// A peer that wants slots of a service.
+#[derive(Clone, Debug)]
+pub(super) struct Interest {
+    peer: EntryId,
+    wanted: u16,
+    asked_at_ms: u64,
+    until_ms: u64,
+}
+
+/// Takes slots in turn from each target until there are `count`.
+fn take_evenly(free: &mut [(TargetKey, u16)], count: u16) -> Vec<(TargetKey, u16)> {
+    let mut taken: Vec<(TargetKey, u16)> = free.iter().map(|&(target, _)| (target, 0)).collect();
+    let mut left = count;
+    while left > 0 && free.iter().any(|&(_, slots)| slots > 0) {
+        for ((_, slots), (_, given)) in free.iter_mut().zip(&mut taken) {
+            if left > 0 && *slots > 0 {
+                (*slots, *given, left) = (*slots - 1, *given + 1, left - 1);
+            }
+        }
+    }
+    taken.retain(|&(_, given)| given > 0);
+    taken
+}
+
 impl RequestEngine {
-    /// Asks some peers for slots, if requests wait and it is time.
+    /// Asks the peers for slots, if requests wait and it is time.
     pub(super) fn borrow(&mut self, key: ServiceKey) {
         if self.peers.is_empty() || self.seat.is_none() || self.stopping {
             return;
         }
         let service = &mut self.services[key];
-        if service.borrow_timer || service.queue.is_empty() {
+        let waiting = service.queue.len();
+        if waiting == 0 {
             return;
         }
-        let due = service.asked_at_ms.map_or(0, |asked| asked + service.ask_interval_ms);
-        if due > self.now_ms {
-            service.borrow_timer = true;
-            self.timers.add(due, Timer::Borrow(key));
+        let due_ms = service.asks.map_or(0, |asks| asks.due_ms(waiting));
+        if due_ms > self.now_ms {
+            self.borrow_later(key, due_ms);
             return;
         }
-        service.asked_at_ms = Some(self.now_ms);
+        let wanted = waiting.min(BORROW_MAX) as u16;
+        service.asks = Some(Asks { at_ms: self.now_ms, wanted, received: 0 });
         if !service.held_timer {
             service.held_timer = true;
             self.timers.add(self.now_ms + HELD_INTERVAL_MS, Timer::TellHeld(key));
         }
-        service.ask_interval_ms = (2 * service.ask_interval_ms).min(BORROW_INTERVAL_MAX_MS);
-        service.borrow_timer = true;
-        self.timers.add(self.now_ms + service.ask_interval_ms, Timer::Borrow(key));
-        let wanted = service.queue.len().min(BORROW_MAX);
-        let message = RequestsMessage::Borrow {
-            service: service.id.clone(),
-            wanted: wanted as u16,
-            asked_at_ms: self.now_ms,
-        };
+        let service = service.id.clone();
+        let message = RequestsMessage::Borrow { service, wanted, asked_at_ms: self.now_ms };
         for peer in self.peers.clone() {
             self.send(&peer, message.clone());
         }
+        self.borrow_later(key, self.now_ms + BORROW_REPEAT_MS);
+    }
+
+    fn borrow_later(&mut self, key: ServiceKey, at_ms: u64) {
+        let service = &mut self.services[key];
+        if service.borrow_at_ms.is_none_or(|other| at_ms < other) {
+            service.borrow_at_ms = Some(at_ms);
+            self.timers.add(at_ms, Timer::Borrow(key));
+        }
     }
 
-    /// Lends idle slots to a peer, unless own requests wait for them.
+    /// Notes that a peer wants slots, and gives back those that are its own.
     pub(super) fn lend(&mut self, to: EntryId, service: &ServiceId, wanted: u16, asked_at_ms: u64) {
         let Some(&key) = self.service_keys.get(service) else { return };
         self.recall(key, &to);
-        let state = &self.services[key];
-        if self.seat.is_none() || self.stopping || !state.queue.is_empty() {
+        let interests = &mut self.services[key].interests;
+        interests.retain(|interest| interest.peer != to);
+        let until_ms = self.now_ms + INTEREST_MS;
+        interests.push(Interest { peer: to, wanted, asked_at_ms, until_ms });
+        self.lend_idle(key);
+    }
+
+    /// Lends idle slots to the peers that want some, unless own requests wait.
+    pub(super) fn lend_idle(&mut self, key: ServiceKey) {
+        let state = &mut self.services[key];
+        if state.interests.is_empty() || !state.queue.is_empty() {
             return;
         }
-        let targets = state.targets.clone();
-        if targets.is_empty() {
+        state.interests.retain(|interest| interest.until_ms > self.now_ms && interest.wanted > 0);
+        if self.seat.is_none() || self.stopping || state.interests.is_empty() {
             return;
         }
-        let offset = self.rng.random_range(0..targets.len());
-        let order = || targets.iter().cycle().skip(offset).take(targets.len());
-        let free: Vec<(TargetKey, u16)> =
-            order().map(|&target| (target, self.lendable(target))).filter(|t| t.1 > 0).collect();
-        let total: u16 = free.iter().map(|&(_, slots)| slots).sum();
-        let mut left = wanted.min(total);
-        let (mut given, mut level) = (vec![0; free.len()], 0);
-        while left > 0 {
-            level += 1;
-            for (given, &(_, slots)) in given.iter_mut().zip(&free) {
-                if left > 0 && slots >= level {
-                    *given = level;
-                    left -= 1;
-                }
-            }
-        }
-        for ((target, _), slots) in free.into_iter().zip(given) {
-            if slots > 0 {
-                self.give(&to, target, slots, asked_at_ms);
+        let targets = &self.services[key].targets;
+        let offset = self.rng.random_range(0..targets.len().max(1));
+        let mut free: Vec<(TargetKey, u16)> = targets
+            .iter()
+            .cycle()
+            .skip(offset)
+            .take(targets.len())
+            .map(|&target| (target, self.lendable(target)))
+            .filter(|&(_, slots)| slots > 0)
+            .collect();
+        let mut interests = std::mem::take(&mut self.services[key].interests);
+        let peers = interests.len();
+        for (index, interest) in interests.iter_mut().enumerate() {
+            let left: u16 = free.iter().map(|&(_, slots)| slots).sum();
+            let part = left.div_ceil((peers - index) as u16).min(interest.wanted);
+            interest.wanted -= part;
+            for (target, slots) in take_evenly(&mut free, part) {
+                self.give(&interest.peer, target, slots, interest.asked_at_ms);
             }
         }
+        // The next slot goes to another peer first.
+        interests.rotate_left(1);
+        self.services[key].interests = interests;
     }
 
     /// Slots of a target that may be lent now.
@@ -122,6 +183,11 @@
 
     pub(super) fn loan_received(&mut self, lender: EntryId, target: &TargetId, terms: LoanTerms) {
         let key = self.target_keys.get(target).copied();
+        if let Some(service) = key.map(|key| self.targets[key].service)
+            && let Some(asks) = &mut self.services[service].asks
+        {
+            asks.received = asks.received.saturating_add(terms.slots);
+        }
         let wanted = key.is_some_and(|key| self.wants_loan(key, &lender, terms));
         let (Some(key), true) = (key, wanted) else {
             let message = RequestsMessage::Return { loan: terms.loan, kept: 0 };
@@ -144,10 +210,6 @@
         let service = target.service;
         let state = &mut self.services[service];
         state.capacity.counted_at_ms = None;
-        // Peers lend, so they are asked again soon, and not when the timer that
-        // is set says.
-        state.ask_interval_ms = BORROW_INTERVAL_MS;
-        state.borrow_timer = false;
         self.pump(service);
         self.schedule_review(service);
     }
@@ -171,7 +233,7 @@
         let asked_before_ms = self.now_ms.saturating_sub(LEND_DELAY_MAX_MS);
         let service = &mut self.services[key];
         service.accepted_from_ms = asked_before_ms;
-        let last_loan_ends_ms = service.asked_at_ms.map_or(0, |asked| asked + LOAN_DURATION_MS);
+        let last_loan_ends_ms = service.asks.map_or(0, |asks| asks.at_ms + LOAN_DURATION_MS);
         service.held_timer = self.now_ms < last_loan_ends_ms;
         if service.held_timer {
             self.timers.add(self.now_ms + HELD_INTERVAL_MS, Timer::TellHeld(key));
--- a/crates/tamarackproxy/src/coordination/requests/routing.rs
+++ b/crates/tamarackproxy/src/coordination/requests/routing.rs
@@ -37,7 +37,10 @@
         loop {
             let service = &mut self.services[key];
             let costs_us = service.costs_us();
-            let Some((entry, waiting)) = service.queue.peek(costs_us) else { return };
+            let Some((entry, waiting)) = service.queue.peek(costs_us) else {
+                self.lend_idle(key);
+                return;
+            };
             let request = waiting.request;
             if self.is_too_late(request) {
                 self.services[key].queue.remove(entry);
--- a/crates/tamarackproxy/src/coordination/requests/state.rs
+++ b/crates/tamarackproxy/src/coordination/requests/state.rs
@@ -7,7 +7,7 @@
     health::{ErrorShare, TargetHealth},
     keys::{AttemptKey, CallerKey, EntryKey, RequestKey, ServiceKey, TargetKey},
     limits::ServiceTime,
-    loans::BORROW_INTERVAL_MS,
+    loans::{Asks, Interest},
     queue::ServiceQueue,
     retry::RetryBudget,
     slots::{ATTEMPT_MAX_MS, SlotSource, TargetSlots},
@@ -46,15 +46,16 @@
     pub capacity: Capacity,
     /// Load of other data centres.
     pub remotes: Vec<Remote>,
-    /// When peers were last asked for slots.
-    pub asked_at_ms: Option<u64>,
-    pub borrow_timer: bool,
+    /// When and for what peers were last asked for slots.
+    pub asks: Option<Asks>,
+    /// Peers that want slots.
+    pub interests: Vec<Interest>,
+    /// When peers may be asked again, if a timer is set for it.
+    pub borrow_at_ms: Option<u64>,
     /// Loans that were asked for before this are no longer accepted.
     pub accepted_from_ms: u64,
     pub held_timer: bool,
     pub review_timer: bool,
-    /// Time until peers are asked again, in milliseconds.
-    pub ask_interval_ms: u64,
 }
 
 impl Service {
@@ -71,12 +72,12 @@
             in_flight: 0,
             capacity: Capacity::default(),
             remotes: Vec::new(),
-            asked_at_ms: None,
-            borrow_timer: false,
+            asks: None,
+            interests: Vec::new(),
+            borrow_at_ms: None,
             accepted_from_ms: 0,
             held_timer: false,
             review_timer: false,
-            ask_interval_ms: BORROW_INTERVAL_MS,
         }
     }
 
--- a/crates/tamarackproxy/src/coordination/requests/tests/slots.rs
+++ b/crates/tamarackproxy/src/coordination/requests/tests/slots.rs
@@ -192,6 +192,7 @@
         RequestsEvent::Received { from: peer("e2"), message }
     };
     let lent = |bench: &Bench| bench.engine.in_flight_on(&HostId::new("h1"));
+    bench.advance(1_000);
     bench.event(held(5, Vec::new()));
     assert_eq!(lent(&bench), 4, "the loan may still be on its way");
     bench.event(held(6, vec![(loan, 3)]));
