--- a/crates/tamarackproxy/src/coordination/requests/state.rs
+++ b/crates/tamarackproxy/src/coordination/requests/state.rs
@@ -3,7 +3,7 @@
 use hashbrown::HashMap;
 
 use super::{
-    RequestMeta, ServiceLimits, ServiceLoad,
+    RequestMeta, SeatShare, ServiceLimits, ServiceLoad,
     health::{ErrorShare, TargetHealth},
     keys::{AttemptKey, CallerKey, EntryKey, RequestKey, ServiceKey, TargetKey},
     limits::ServiceTime,
@@ -134,12 +134,23 @@
     pub outstanding_then: u32,
 }
 
+/// Share of a target's slots with what it was computed from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct BaseShare {
+    /// Slots and connections of the target and the seat, if all are known.
+    pub basis: Option<(u16, u16, SeatShare)>,
+    /// Slots of the share.
+    pub slots: u16,
+}
+
 /// One target.
 #[derive(Debug)]
 pub(super) struct Target {
     pub id: TargetId,
     pub service: ServiceKey,
     pub slots: TargetSlots,
+    /// The seat's share of the slots.
+    pub share: BaseShare,
     pub health: TargetHealth,
     /// Whether the fleet state lists the target in this data centre.
     pub listed: bool,
--- a/crates/tamarackproxy/src/coordination/requests/targets.rs
+++ b/crates/tamarackproxy/src/coordination/requests/targets.rs
@@ -5,7 +5,7 @@
     health::TargetHealth,
     keys::{ServiceKey, TargetKey},
     slots::{ATTEMPT_GRACE_MS, ATTEMPT_MAX_MS, TargetSlots, base_slots},
-    state::Target,
+    state::{BaseShare, Target},
     timers::Timer,
 };
 use crate::state::ids::{HostId, TargetId};
@@ -61,6 +61,7 @@
             id: id.clone(),
             service,
             slots: TargetSlots::default(),
+            share: BaseShare::default(),
             health: TargetHealth::new(),
             listed: false,
             accepts_work: false,
@@ -115,16 +116,17 @@
         self.seats = Some(seats);
     }
 
-    /// Computes the base shares again.
+    /// Applies the base shares; computes those whose basis has changed.
     pub(super) fn refresh_bases(&mut self) {
         let settling = self.now_ms < self.settling_until_ms;
         for target in self.targets.values_mut() {
             let limits = self.services[target.service].limits.as_ref();
-            let base = match (limits, self.seat) {
-                (Some(limits), Some(seat)) => base_slots(limits, &target.id, seat),
-                _ => 0,
-            };
-            target.slots.set_base(base, settling);
+            let basis = limits.zip(self.seat).map(|(l, seat)| (l.slots, l.connections, seat));
+            if target.share.basis != basis {
+                let slots = limits.zip(self.seat).map(|(l, seat)| base_slots(l, &target.id, seat));
+                target.share = BaseShare { basis, slots: slots.unwrap_or(0) };
+            }
+            target.slots.set_base(target.share.slots, settling);
         }
         for service in self.services.values_mut() {
             service.capacity.counted_at_ms = None;
