--- a/crates/standins/src/bench/once/faults.rs
+++ b/crates/standins/src/bench/once/faults.rs
@@ -135,7 +135,11 @@
         }
         let node = &self.nodes[failed];
         if node.alive && now_ms >= node.paused_until_ms {
-            return; // The holder returned before the store was in reach.
+            // The holder returned before the store was in reach, and keeps it.
+            let term = self.centres[centre].holders[usize::from(seat)].map(|(_, term)| term);
+            let tenure = term.map(|term| SeatTenure { index: seat, term });
+            self.deliver(failed, OnceEvent::SeatChanged { seat: tenure });
+            return;
         }
         if !self.store_in_reach(centre) {
             self.expose(centre, seat, now_ms, now_ms + 2_000);
