--- a/crates/tamarackproxy/src/coordination/once/tests.rs
+++ b/crates/tamarackproxy/src/coordination/once/tests.rs
@@ -1,3 +1,5 @@
-//! Tests of at-most-once execution, on virtual time with seeded fakes.
+//! Tests of at-most-once execution, on virtual time.
 
+mod driver;
 mod keys;
+mod scenarios;
