--- a/crates/tamarackproxy/src/coordination/once/tests/driver.rs
+++ b/crates/tamarackproxy/src/coordination/once/tests/driver.rs
@@ -179,7 +179,6 @@
 
     /// Lets held writes reach the store and answers them.
     pub fn release_held(&mut self) {
-        self.writes = Writes::Answered;
         for (engine, call, request) in std::mem::take(&mut self.held) {
             let result = self.apply(&request);
             self.handle(engine, OnceEvent::StoreReplied { call, result });
--- a/crates/tamarackproxy/src/coordination/once/tests/scenarios.rs
+++ b/crates/tamarackproxy/src/coordination/once/tests/scenarios.rs
@@ -6,10 +6,10 @@
 use crate::{
     coordination::once::{
         CLOCK_TOLERANCE_MS, KEPT_RESPONSE_BYTES_MAX, KEY_RETENTION_MS, OnceAction, OnceEvent,
-        RunResult,
+        RunResult, copies::CopyKeeper,
     },
     protocol::caller::Refusal,
-    state::ids::RequestId,
+    state::ids::{RequestId, Term},
 };
 
 const ANSWERED: RunResult = RunResult::Answered { size_bytes: 100 };
@@ -198,6 +198,36 @@
     assert_eq!(driver.runs, [(0, RequestId(2))]);
 }
 
+/// Guards against a run under the write of a claim that was given up: the
+/// same key was claimed again, and that claim is not durable yet.
+#[test]
+fn once_claim_given_up_does_not_start_its_repeat() {
+    let mut driver = one_seat();
+    let claim = driver.claim(1, 0, 1, 0);
+    driver.writes = Writes::Held;
+    driver.submit(0, 1, claim);
+    driver.advance(6_000);
+    assert_eq!(driver.refusal(1), Some(("not-run", &Refusal::ClaimUnavailable)));
+    driver.submit(0, 2, claim);
+    driver.release_held();
+    assert!(driver.runs.is_empty());
+    driver.writes = Writes::Answered;
+    driver.release_held();
+    driver.advance(2_000);
+    assert_eq!(driver.runs, [(0, RequestId(2))]);
+}
+
+/// Guards against an acknowledged copy that a successor has not fetched.
+#[test]
+fn once_copies_of_a_fenced_holder_are_refused() {
+    let driver = one_seat();
+    let claim = driver.claim(1, 0, 1, 0);
+    let mut keeper = CopyKeeper::default();
+    assert!(keeper.keep(0, Term(1), 1, vec![claim]));
+    assert_eq!(keeper.fetch(0, Term(2)).0, [claim]);
+    assert!(!keeper.keep(0, Term(1), 2, vec![claim]));
+}
+
 /// Three entry hosts, of which the first two hold the two seats.
 fn two_seats() -> Driver {
     let mut driver = Driver::new(3, 2);
