--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/jobs/recovery.rs
@@ -0,0 +1,158 @@
+//! Changes of the controller: records are read, running tasks are adopted.
+
+use super::{
+    engine::{JobEngine, LEASE_OVER_MS, Timer},
+    events::{JobOutcome, JobsAction, UsageReport},
+    segments::{Segment, SegmentRecord, Segments},
+    state::{Job, JobKey, JobPhase},
+    store::{LIST_PAGE, StoreCall, StoreState},
+};
+use crate::{
+    protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest},
+    state::{clock::ClockReading, ids::Term},
+};
+
+/// Attempts of one term; the attempts of a later term have higher numbers.
+const ATTEMPTS_PER_TERM: u32 = 1 << 12;
+
+impl JobEngine {
+    pub(super) fn on_control_changed(
+        &mut self,
+        now: ClockReading,
+        term: Option<Term>,
+        actions: &mut Vec<JobsAction>,
+    ) {
+        if self.term == term {
+            return;
+        }
+        self.lose_control(actions);
+        self.term = term;
+        if term.is_some() {
+            self.list_segments(actions);
+        }
+        for number in 0..self.workers.len() as u32 {
+            self.reindex(now, number);
+        }
+    }
+
+    /// Drops all jobs; their records stay for the next controller.
+    pub(super) fn lose_control(&mut self, _actions: &mut Vec<JobsAction>) {
+        self.term = None;
+        self.loaded = false;
+        self.jobs.clear();
+        self.names.clear();
+        self.calls.clear();
+        self.timers.clear();
+        self.in_rack.clear();
+        self.in_centre.clear();
+        self.order = Default::default();
+        self.parked = Default::default();
+        self.segments = Segments::default();
+        let last_call = self.store.last_call;
+        self.store = StoreState::new(last_call);
+        self.more_to_place = false;
+        for team in self.teams.values_mut() {
+            team.used = Default::default();
+            team.waiting = Default::default();
+        }
+        for worker in &mut self.workers {
+            worker.tasks.clear();
+            worker.reserved = Default::default();
+            worker.movable = Default::default();
+            worker.renewing = false;
+        }
+    }
+
+    pub(super) fn list_segments(&mut self, actions: &mut Vec<JobsAction>) {
+        let request = StoreRequest::List {
+            prefix: format!("jobs/{}/", self.pool).into(),
+            after: self.store.last_key.clone(),
+            limit: LIST_PAGE,
+        };
+        self.call_store(StoreCall::List, request, actions);
+    }
+
+    pub(super) fn on_segments_listed(
+        &mut self,
+        now: ClockReading,
+        result: Result<StoreReply, StoreError>,
+        actions: &mut Vec<JobsAction>,
+    ) {
+        let Ok(StoreReply::Values { items, more }) = result else {
+            self.store.list_retry_ms = Some(self.backoff_until(now));
+            return;
+        };
+        for item in &items {
+            self.read_segment(now, item);
+        }
+        if let Some(last) = items.last() {
+            self.store.last_key = Some(last.key.clone());
+        }
+        if more && !items.is_empty() {
+            return self.list_segments(actions);
+        }
+        self.segments.open =
+            self.segments.by_number.last_key_value().map_or(0, |(&number, _)| number + 1);
+        self.loaded = true;
+    }
+
+    fn read_segment(&mut self, now: ClockReading, item: &KeyValue) {
+        let number = item.key.rsplit('/').next().and_then(|text| text.parse().ok());
+        let record: Option<SegmentRecord> = serde_json::from_slice(&item.value).ok();
+        let (Some(number), Some(record)) = (number, record) else { return };
+        let jobs = record.jobs.iter().map(|job| (job.spec.job.clone(), job.clone())).collect();
+        let accepted = record.jobs.len();
+        let segment = Segment { version: item.version, jobs, accepted };
+        self.segments.by_number.insert(number, segment);
+        let term = self.term.unwrap_or_default().0 as u32;
+        for recorded in record.jobs {
+            let mut job = Job::new(recorded.spec, number);
+            job.marked_started = recorded.started;
+            job.attempt = term.wrapping_mul(ATTEMPTS_PER_TERM);
+            // A job that may not be repeated and has no mark was never started.
+            if !job.spec.repeatable && !recorded.started {
+                let key = self.add_job(job);
+                self.enqueue(key, false);
+                continue;
+            }
+            let until_ms = now.monotonic_ms + LEASE_OVER_MS;
+            job.phase = JobPhase::Recovering { until_ms };
+            let key = self.add_job(job);
+            self.plan(until_ms, Timer::Recovered(key));
+        }
+    }
+
+    /// Takes over a task that a former controller started and whose worker
+    /// reports it.
+    pub(super) fn adopt(
+        &mut self,
+        now: ClockReading,
+        key: JobKey,
+        number: u32,
+        report: &UsageReport,
+        actions: &mut Vec<JobsAction>,
+    ) {
+        let job = &mut self.jobs[key];
+        if !matches!(job.phase, JobPhase::Recovering { .. }) {
+            return;
+        }
+        job.attempt = report.attempt;
+        let size = job.spec.declared;
+        self.adopt_on(now, key, number, size, actions);
+    }
+
+    /// No worker reported the job within the lease of a former controller.
+    pub(super) fn on_recovered(&mut self, key: JobKey, actions: &mut Vec<JobsAction>) {
+        let Some(job) = self.jobs.get(key) else { return };
+        if !matches!(job.phase, JobPhase::Recovering { .. }) {
+            return;
+        }
+        if job.cancelled {
+            self.finish(key, JobOutcome::Cancelled, actions);
+        } else if job.spec.repeatable {
+            self.enqueue(key, true);
+        } else {
+            self.finish(key, JobOutcome::Unknown, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/jobs/resources.rs
@@ -0,0 +1,56 @@
+//! Amounts of processors, memory and accelerators.
+
+use serde::{Deserialize, Serialize};
+
+/// Processors, memory and accelerators of a worker, a task or a quota.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processors, in thousandths of a core.
+    pub cpu_millicores: u64,
+    /// Memory, in bytes.
+    pub memory_bytes: u64,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// Makes an amount.
+    pub fn new(cpu_millicores: u64, memory_bytes: u64, accelerators: u32) -> Self {
+        Self { cpu_millicores, memory_bytes, accelerators }
+    }
+
+    /// Tells whether this amount fits into another.
+    pub fn fits_in(&self, room: &Resources) -> bool {
+        self.cpu_millicores <= room.cpu_millicores
+            && self.memory_bytes <= room.memory_bytes
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Returns the sum.
+    #[must_use]
+    pub fn plus(&self, other: &Resources) -> Resources {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
+            memory_bytes: self.memory_bytes.saturating_add(other.memory_bytes),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Returns the difference, at least 0 in each part.
+    #[must_use]
+    pub fn minus(&self, other: &Resources) -> Resources {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_sub(other.cpu_millicores),
+            memory_bytes: self.memory_bytes.saturating_sub(other.memory_bytes),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Returns the largest share that a part takes of `whole`, in thousandths.
+    pub fn dominant_share(&self, whole: &Resources) -> u64 {
+        let share = |part: u64, whole: u64| part.saturating_mul(1_000) / whole.max(1);
+        share(self.cpu_millicores, whole.cpu_millicores)
+            .max(share(self.memory_bytes, whole.memory_bytes))
+            .max(share(self.accelerators.into(), whole.accelerators.into()))
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/jobs/segments.rs
@@ -0,0 +1,80 @@
+//! Durable records of jobs: segments that are written in groups.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::events::JobSpec;
+use crate::state::ids::{JobId, OperationId, RecordVersion, Term};
+
+/// Jobs of one segment. At about 400 bytes each a segment stays far below the
+/// store's limit of 1 MB, and the cost of a write does not depend on the
+/// number of jobs.
+pub(super) const SEGMENT_JOBS_MAX: usize = 256;
+
+/// One job in a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct JobRecord {
+    pub spec: JobSpec,
+    /// Whether it was started; written for jobs that may not be repeated.
+    pub started: bool,
+}
+
+/// Value of `jobs/<pool>/<shard>`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct SegmentRecord {
+    /// Term of the controller that wrote it.
+    pub term: Term,
+    /// Id of the write.
+    pub operation: OperationId,
+    /// Jobs that have not ended.
+    pub jobs: Vec<JobRecord>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Segment {
+    pub version: RecordVersion,
+    pub jobs: BTreeMap<JobId, JobRecord>,
+    pub accepted: usize,
+}
+
+/// All segments, with those that differ from the store.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Segments {
+    pub by_number: BTreeMap<u64, Segment>,
+    pub open: u64,
+    /// Segments that someone waits for, and those that only lost ended jobs.
+    pub urgent: BTreeSet<u64>,
+    pub dirty: BTreeSet<u64>,
+}
+
+impl Segments {
+    /// Adds a submitted job to the open segment; returns its number.
+    pub fn add(&mut self, spec: &JobSpec) -> u64 {
+        let full = |segment: &Segment| segment.accepted >= SEGMENT_JOBS_MAX;
+        if self.by_number.get(&self.open).is_some_and(full) {
+            self.open += 1;
+        }
+        let segment = self.by_number.entry(self.open).or_default();
+        segment.accepted += 1;
+        let record = JobRecord { spec: spec.clone(), started: false };
+        segment.jobs.insert(spec.job.clone(), record);
+        self.urgent.insert(self.open);
+        self.open
+    }
+
+    pub fn mark_started(&mut self, number: u64, job: &JobId) {
+        let record = self.by_number.get_mut(&number).and_then(|segment| segment.jobs.get_mut(job));
+        if let Some(record) = record {
+            record.started = true;
+            self.urgent.insert(number);
+        }
+    }
+
+    pub fn remove(&mut self, number: u64, job: &JobId) {
+        if let Some(segment) = self.by_number.get_mut(&number) {
+            segment.jobs.remove(job);
+            self.dirty.insert(number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/jobs/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the job engine.
--- a/crates/tamarackproxy/src/coordination/mod.rs
+++ b/crates/tamarackproxy/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod configuration;
 pub mod fleet;
+pub mod jobs;
 pub mod once;
 pub mod record;
 pub mod requests;
