--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements: each drives the library's decision code and returns figures.
 
 mod figure;
+pub mod jobs;
 pub mod key_values;
 pub mod once;
 pub mod virtual_time;
@@ -16,6 +17,8 @@
 pub enum BenchName {
     /// Charges under faults against the at-most-once engine.
     Once,
+    /// Urgent starts, lost work and quarantine of the job engine.
+    Jobs,
 }
 
 /// Command line of `tamarack-bench`.
@@ -37,6 +40,7 @@
 /// Runs one measurement.
 pub fn run(name: BenchName, options: &BenchOptions) -> Vec<Figure> {
     match name {
+        BenchName::Jobs => jobs::run(options.seed, options.seeds),
         BenchName::Once => once::run(options.seed, options.seeds),
     }
 }
