Share the writes of start marks and fence a former jobs controller

The mark now moves the job to the open segment. A new controller rewrites the last segment and creates the next before it places a job.

--- a/crates/standins/src/bench/once/cluster.rs
+++ b/crates/standins/src/bench/once/cluster.rs
@@ -226,10 +226,13 @@
         if !host.alive {
             return;
         }
-        if event == OnceEvent::Tick {
-            host.tick_at_ms = None;
+        if event == OnceEvent::Tick && host.tick_at_ms.take_if(|at_ms| *at_ms <= now_ms).is_none() {
+            return; // An earlier tick took its place.
         }
         if now_ms < host.paused_until_ms {
+            if event == OnceEvent::Tick {
+                host.tick_at_ms = Some(host.paused_until_ms);
+            }
             self.queue.push_at(host.paused_until_ms, Event::Engine { node, event });
             return;
         }
--- a/crates/tamarackproxy/src/coordination/jobs/engine.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/engine.rs
@@ -275,6 +275,7 @@
             lease_over_ms: 0,
             renewals_lost: 0,
             renewing: false,
+            doubtful: false,
             cut_off: false,
         });
         number
--- a/crates/tamarackproxy/src/coordination/jobs/events.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/events.rs
@@ -95,6 +95,8 @@
     Succeeded,
     /// It failed.
     Failed,
+    /// Its worker had no memory left for it.
+    OutOfMemory,
     /// It was stopped after its state was saved.
     Checkpointed,
     /// It was stopped.
--- a/crates/tamarackproxy/src/coordination/jobs/health.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/health.rs
@@ -4,10 +4,13 @@
 //! Only applications that succeed elsewhere count, so a faulty application
 //! puts no worker into quarantine.
 
-/// Failures in a row that lead to quarantine.
-const FAILURES_MAX: u32 = 3;
+/// Failures in a row that lead to quarantine. Where 3% of the tasks fail by
+/// themselves, a healthy worker has five in a row once in 40 million starts.
+const FAILURES_MAX: u32 = 5;
+/// Failures in a row that do so although another task runs well.
+const FAILURES_WITH_SURVIVOR_MAX: u32 = 10;
 /// Applications that must be among them.
-const APPLICATIONS_MIN: usize = 2;
+const APPLICATIONS_MIN: usize = 3;
 /// First time in quarantine, in milliseconds; it doubles with each failed test.
 const QUARANTINE_MIN_MS: u64 = 60_000;
 /// Tests after which a worker stays in quarantine.
@@ -57,7 +60,7 @@
         self.quarantine.take().is_some()
     }
 
-    pub fn on_failure(&mut self, now_ms: u64, application: u32) -> Verdict {
+    pub fn on_failure(&mut self, now_ms: u64, application: u32, survivor: bool) -> Verdict {
         if let Some((test_ms, tests)) = &mut self.quarantine {
             *tests += 1;
             if *tests >= TESTS_MAX {
@@ -71,7 +74,8 @@
         if !self.applications.contains(&application) && self.applications.len() < APPLICATIONS_MIN {
             self.applications.push(application);
         }
-        let suspect = self.failures >= FAILURES_MAX && self.applications.len() >= APPLICATIONS_MIN;
+        let failures_max = if survivor { FAILURES_WITH_SURVIVOR_MAX } else { FAILURES_MAX };
+        let suspect = self.failures >= failures_max && self.applications.len() >= APPLICATIONS_MIN;
         if suspect { Verdict::Suspect } else { Verdict::Nothing }
     }
 
--- a/crates/tamarackproxy/src/coordination/jobs/index.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/index.rs
@@ -32,6 +32,8 @@
 pub(super) struct RoomIndex {
     cells: Vec<Vec<u32>>,
     memory_bits: Vec<u64>,
+    /// Classes of processors with workers, by class of accelerators.
+    cpu_bits: [u64; ACCELERATOR_CLASSES],
     /// Cell and position of each worker.
     places: Vec<Option<(usize, usize)>>,
 }
@@ -41,6 +43,7 @@
         Self {
             cells: vec![Vec::new(); ACCELERATOR_CLASSES * CLASSES * CLASSES],
             memory_bits: vec![0; ACCELERATOR_CLASSES * CLASSES],
+            cpu_bits: [0; ACCELERATOR_CLASSES],
             places: Vec::new(),
         }
     }
@@ -64,13 +67,19 @@
                 self.places[moved as usize] = Some((old, position));
             }
             if self.cells[old].is_empty() {
-                self.memory_bits[old / CLASSES] &= !(1 << (old % CLASSES));
+                let row = old / CLASSES;
+                self.memory_bits[row] &= !(1 << (old % CLASSES));
+                if self.memory_bits[row] == 0 {
+                    self.cpu_bits[row / CLASSES] &= !(1 << (row % CLASSES));
+                }
             }
         }
         if let Some(cell) = cell {
             self.places[number] = Some((cell, self.cells[cell].len()));
             self.cells[cell].push(worker);
-            self.memory_bits[cell / CLASSES] |= 1 << (cell % CLASSES);
+            let row = cell / CLASSES;
+            self.memory_bits[row] |= 1 << (cell % CLASSES);
+            self.cpu_bits[row / CLASSES] |= 1 << (row % CLASSES);
         }
     }
 
@@ -83,8 +92,10 @@
         let mut found = Vec::new();
         let (accelerators, cpu, memory) = cell_of(demand);
         for accelerators in accelerators..ACCELERATOR_CLASSES {
-            for cpu in cpu..CLASSES {
-                let row = accelerators * CLASSES + cpu;
+            let mut rows = self.cpu_bits[accelerators] >> cpu << cpu;
+            while rows != 0 {
+                let row = accelerators * CLASSES + rows.trailing_zeros() as usize;
+                rows &= rows - 1;
                 let mut bits = self.memory_bits[row] >> memory << memory;
                 while bits != 0 {
                     let cell = &self.cells[row * CLASSES + bits.trailing_zeros() as usize];
--- a/crates/tamarackproxy/src/coordination/jobs/placement.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/placement.rs
@@ -12,6 +12,8 @@
 /// Jobs that one event tries to place, so that an event has a bounded cost;
 /// the rest follows with the next tick.
 const PLACEMENTS_PER_EVENT: usize = 32;
+/// Jobs that do not fit at which an event stops to try further teams.
+const MISSES_PER_EVENT: usize = 8;
 /// Parked teams that are tried again when room becomes free.
 const UNPARKED_PER_EVENT: usize = 4;
 /// Time in which a task may save its state before it is stopped, in
@@ -53,11 +55,12 @@
     /// Changes what a team's tasks use, and its place in the order.
     fn use_quota(&mut self, team: &TeamId, added: &Resources, removed: &Resources) {
         let Some(state) = self.teams.get_mut(team) else { return };
+        let freed = !removed.fits_in(added);
         let before = state.used.dominant_share(&state.quota);
         state.used = state.used.plus(added).minus(removed);
         for class in 0..3 {
             let was_waiting = self.order[class].remove(&(before, team.clone()));
-            if was_waiting || removed != &Resources::default() {
+            if was_waiting || freed {
                 self.parked[class].remove(team);
                 self.enter_order(team, class);
             }
@@ -84,10 +87,10 @@
         if !self.loaded {
             return;
         }
-        let mut tries = 0;
+        let (mut tries, mut misses) = (0, 0);
         for class in 0..3 {
             while let Some((share, team)) = self.order[class].first().cloned() {
-                if tries == PLACEMENTS_PER_EVENT {
+                if tries == PLACEMENTS_PER_EVENT || misses == MISSES_PER_EVENT {
                     self.more_to_place = true;
                     return;
                 }
@@ -106,6 +109,7 @@
                         self.order[class].remove(&(share, team));
                     }
                 } else {
+                    misses += 1;
                     self.order[class].remove(&(share, team.clone()));
                     self.parked[class].insert(team);
                 }
@@ -276,8 +280,8 @@
         if job.spec.repeatable || job.marked_started {
             return self.send_start(now, key, actions);
         }
-        let (segment, name) = (job.segment, job.spec.job.clone());
-        self.segments.mark_started(segment, &name);
+        let segment = self.segments.mark_started(job.segment, &job.spec);
+        job.segment = segment;
         self.store.pending.entry(segment).or_default().push(Pending::Start(key));
     }
 
--- a/crates/tamarackproxy/src/coordination/jobs/recovery.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/recovery.rs
@@ -25,7 +25,7 @@
         if self.term == term {
             return;
         }
-        self.lose_control(actions);
+        self.lose_control();
         self.term = term;
         if term.is_some() {
             self.list_segments(actions);
@@ -36,7 +36,7 @@
     }
 
     /// Drops all jobs; their records stay for the next controller.
-    pub(super) fn lose_control(&mut self, _actions: &mut Vec<JobsAction>) {
+    pub(super) fn lose_control(&mut self) {
         self.term = None;
         self.loaded = false;
         self.jobs.clear();
@@ -91,9 +91,19 @@
         if more && !items.is_empty() {
             return self.list_segments(actions);
         }
-        self.segments.open =
-            self.segments.by_number.last_key_value().map_or(0, |(&number, _)| number + 1);
-        self.loaded = true;
+        self.fence();
+    }
+
+    /// A former controller writes marks that a job was started to its last
+    /// segment or creates the next one. Both are written here before any job
+    /// is placed, so its late write collides.
+    fn fence(&mut self) {
+        let last = self.segments.by_number.last_key_value().map(|(&number, _)| number);
+        let open = last.map_or(0, |last| last + 1);
+        self.segments.open = open;
+        self.segments.by_number.insert(open, Segment::default());
+        self.segments.urgent.extend(last.into_iter().chain([open]));
+        self.store.fencing = 1 + u8::from(last.is_some());
     }
 
     fn read_segment(&mut self, now: ClockReading, item: &KeyValue) {
@@ -106,6 +116,12 @@
         self.segments.by_number.insert(number, segment);
         let term = self.term.unwrap_or_default().0 as u32;
         for recorded in record.jobs {
+            if let Some(&key) = self.names.get(&recorded.spec.job) {
+                // The mark moved the job; its former record is not removed yet.
+                let former = self.jobs[key].segment;
+                self.segments.remove(former, &recorded.spec.job);
+                self.forget(key);
+            }
             let mut job = Job::new(recorded.spec, number);
             job.marked_started = recorded.started;
             job.attempt = term.wrapping_mul(ATTEMPTS_PER_TERM);
@@ -122,6 +138,12 @@
         }
     }
 
+    fn forget(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.remove(key) {
+            self.names.remove(&job.spec.job);
+        }
+    }
+
     /// Takes over a task that a former controller started and whose worker
     /// reports it.
     pub(super) fn adopt(
--- a/crates/tamarackproxy/src/coordination/jobs/segments.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/segments.rs
@@ -63,12 +63,16 @@
         self.open
     }
 
-    pub fn mark_started(&mut self, number: u64, job: &JobId) {
-        let record = self.by_number.get_mut(&number).and_then(|segment| segment.jobs.get_mut(job));
-        if let Some(record) = record {
+    /// Moves a job to the open segment with the mark that it was started, so
+    /// that marks share the writes of submissions; returns the segment.
+    pub fn mark_started(&mut self, number: u64, spec: &JobSpec) -> u64 {
+        self.remove(number, &spec.job);
+        let open = self.add(spec);
+        let segment = self.by_number.get_mut(&open);
+        if let Some(record) = segment.and_then(|segment| segment.jobs.get_mut(&spec.job)) {
             record.started = true;
-            self.urgent.insert(number);
         }
+        open
     }
 
     pub fn remove(&mut self, number: u64, job: &JobId) {
--- a/crates/tamarackproxy/src/coordination/jobs/sizes.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/sizes.rs
@@ -4,9 +4,12 @@
 
 use super::{events::UsageReport, resources::Resources};
 
-/// Room above the measured use, in hundredths: reports lag, and use may rise
-/// until the next one.
-const HEADROOM_PERCENT: u64 = 125;
+/// Room above the measured memory, in hundredths: reports lag, and use may
+/// rise until the next one. Processors need none: a lack only slows tasks.
+const MEMORY_HEADROOM_PERCENT: u64 = 110;
+/// Growth of the memory set aside for an application after a task had no
+/// memory left, in hundredths.
+const OUT_OF_MEMORY_PERCENT: u64 = 150;
 /// Run time before a measured use may lower a reservation, in milliseconds:
 /// tasks grow at their start.
 const SETTLED_MS: u64 = 30_000;
@@ -36,6 +39,14 @@
         }
     }
 
+    /// Sets aside more for an application whose task had no memory left.
+    pub fn on_out_of_memory(&mut self, application: u32) {
+        if self.factors.len() < APPLICATIONS_MAX || self.factors.contains_key(&application) {
+            let factor = self.factors.entry(application).or_insert((100, 100));
+            factor.1 = scaled(factor.1, OUT_OF_MEMORY_PERCENT).min(FACTOR_PERCENT.1);
+        }
+    }
+
     /// Learns from a report; returns the new reservation of the task.
     pub fn on_report(
         &mut self,
@@ -44,8 +55,8 @@
         reserved: &Resources,
         report: &UsageReport,
     ) -> Resources {
-        let needed_cpu = scaled(report.used.cpu_millicores, HEADROOM_PERCENT);
-        let needed_memory = scaled(report.used.memory_bytes, HEADROOM_PERCENT);
+        let needed_cpu = report.used.cpu_millicores;
+        let needed_memory = scaled(report.used.memory_bytes, MEMORY_HEADROOM_PERCENT);
         let settled = report.ran_ms >= SETTLED_MS;
         if settled
             && (self.factors.len() < APPLICATIONS_MAX || self.factors.contains_key(&application))
--- a/crates/tamarackproxy/src/coordination/jobs/state.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/state.rs
@@ -61,6 +61,8 @@
     pub cancelled: bool,
     /// Workers on which it failed.
     pub failed_on: Vec<u32>,
+    /// Times that its worker had no memory left for it.
+    pub out_of_memory: u8,
     /// Worker that refused the last start.
     pub refused_by: Option<u32>,
     pub start_tries: u8,
@@ -83,6 +85,7 @@
             has_checkpoint: false,
             cancelled: false,
             failed_on: Vec::new(),
+            out_of_memory: 0,
             refused_by: None,
             start_tries: 0,
             marked_started: false,
@@ -115,6 +118,8 @@
     pub renewals_lost: u8,
     /// Whether a renewal is planned.
     pub renewing: bool,
+    /// Whether a start had no reply; nothing is placed until the next contact.
+    pub doubtful: bool,
     /// Whether the worker does not reply, so that its lease is left to end.
     pub cut_off: bool,
 }
@@ -128,6 +133,7 @@
         self.present
             && self.listed.accepts_tasks
             && !self.cut_off
+            && !self.doubtful
             && self.health.takes_tasks(now_ms, self.tasks.len())
     }
 }
--- a/crates/tamarackproxy/src/coordination/jobs/store.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/store.rs
@@ -59,6 +59,8 @@
     pub last_call: CallId,
     pub last_key: Option<Box<str>>,
     pub list_retry_ms: Option<u64>,
+    /// Writes left that shut a former controller out.
+    pub fencing: u8,
     write: Option<SegmentWrite>,
     next_write_ms: u64,
     next_clean_ms: u64,
@@ -100,7 +102,7 @@
         if self.store.call.is_some() {
             return None;
         }
-        if !self.loaded {
+        if !self.loaded && self.store.fencing == 0 {
             return self.store.list_retry_ms;
         }
         if let Some(write) = &self.store.write {
@@ -116,7 +118,7 @@
         if self.store_due_ms().is_none_or(|due_ms| now.monotonic_ms < due_ms) {
             return;
         }
-        if !self.loaded {
+        if !self.loaded && self.store.fencing == 0 {
             self.store.list_retry_ms = None;
             self.list_segments(actions);
         } else if self.store.write.is_some() {
@@ -229,8 +231,14 @@
         } else if version == segment.version && write.read_back {
             write.read_back = false;
             self.send_segment(actions);
+        } else if self.store.fencing > 0 {
+            // The former controller wrote once more; its record is read again.
+            let term = self.term;
+            self.lose_control();
+            self.term = term;
+            self.list_segments(actions);
         } else {
-            self.lose_control(actions);
+            self.lose_control();
             actions.push(JobsAction::Report { report: JobsReport::Fenced });
         }
     }
@@ -241,6 +249,10 @@
         if write.record.jobs.is_empty() && write.number != self.segments.open {
             self.segments.by_number.remove(&write.number);
         }
+        if self.store.fencing > 0 {
+            self.store.fencing -= 1;
+            self.loaded = self.store.fencing == 0;
+        }
         for pending in write.waiting {
             match pending {
                 Pending::Accept(request, key) => self.on_durable(request, key, actions),
--- a/crates/tamarackproxy/src/coordination/jobs/tasks.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/tasks.rs
@@ -18,9 +18,15 @@
 const FAULTY_WORKERS: usize = 3;
 /// Attempts of one job that may fail in total.
 const FAILURES_MAX: usize = 8;
+/// Run time after which a task shows that its worker does not fail
+/// everything, in milliseconds.
+const SURVIVAL_MS: u64 = 30_000;
 /// Share of the workers that may be in quarantine, in hundredths; more of
 /// them have a common cause that quarantine would only hide.
 const QUARANTINE_PERCENT: usize = 5;
+/// Ends without memory after which a job is at fault; each raises the memory
+/// set aside for its application.
+const OUT_OF_MEMORY_MAX: u8 = 5;
 /// Calls to start one attempt before another worker is tried.
 const START_TRIES: u8 = 3;
 /// Delay before a start is sent again, in milliseconds.
@@ -79,6 +85,7 @@
             // The command is idempotent, so sending it again is safe even if
             // the first one started the task.
             WorkerReply::Unknown if tries < START_TRIES => {
+                self.doubt(now, worker, actions);
                 self.plan(now.monotonic_ms + START_RETRY_MS, Timer::Start(key, attempt));
             }
             // The task may run; the worker's lease decides.
@@ -135,7 +142,7 @@
         match end {
             TaskEnd::Succeeded => self.finish(key, JobOutcome::Succeeded, actions),
             _ if job.cancelled => self.finish(key, JobOutcome::Cancelled, actions),
-            TaskEnd::Failed if !may_run_again || self.is_faulty(key) => {
+            TaskEnd::Failed | TaskEnd::OutOfMemory if !may_run_again || self.is_faulty(key) => {
                 self.finish(key, JobOutcome::Faulty, actions);
             }
             _ if !may_run_again => self.finish(key, JobOutcome::Unknown, actions),
@@ -169,6 +176,7 @@
         let healthy = |&&number: &&u32| !self.workers[number as usize].health.is_quarantined();
         failed_on.iter().filter(healthy).count() >= FAULTY_WORKERS
             || failed_on.len() >= FAILURES_MAX
+            || self.jobs[key].out_of_memory >= OUT_OF_MEMORY_MAX
     }
 
     /// Draws conclusions on worker and application from the end of a task.
@@ -199,14 +207,29 @@
                 let blameless = !blame.is_suspect();
                 blame.on_failure(number);
                 if blameless || worker.health.is_quarantined() {
-                    let verdict = worker.health.on_failure(now.monotonic_ms, application);
+                    let survivor = self.has_survivor(now, number);
+                    let health = &mut self.workers[number as usize].health;
+                    let verdict = health.on_failure(now.monotonic_ms, application, survivor);
                     self.on_verdict(now, number, verdict, actions);
                 }
             }
+            TaskEnd::OutOfMemory => {
+                self.jobs[key].out_of_memory += 1;
+                self.sizes.on_out_of_memory(application);
+            }
             TaskEnd::Checkpointed | TaskEnd::Stopped => {}
         }
     }
 
+    /// Tells whether a task has run on the worker for so long that the worker
+    /// does not fail everything.
+    fn has_survivor(&self, now: ClockReading, number: u32) -> bool {
+        self.workers[number as usize].tasks.iter().any(|&key| match self.jobs[key].phase {
+            JobPhase::Running { since_ms, .. } => now.monotonic_ms - since_ms >= SURVIVAL_MS,
+            _ => false,
+        })
+    }
+
     fn on_verdict(
         &mut self,
         now: ClockReading,
@@ -281,8 +304,19 @@
     fn on_contact(&mut self, now: ClockReading, number: u32) {
         let worker = &mut self.workers[number as usize];
         worker.renewals_lost = 0;
-        if std::mem::replace(&mut worker.cut_off, false) {
-            self.plan(now.monotonic_ms, Timer::Renew(number));
+        let was_doubtful = std::mem::replace(&mut worker.doubtful, false);
+        if std::mem::replace(&mut worker.cut_off, false) || was_doubtful {
+            self.reindex(now, number);
+        }
+    }
+
+    /// Nothing more is placed on a worker that did not reply to a start, until
+    /// a renewal shows that it is in touch.
+    fn doubt(&mut self, now: ClockReading, number: u32, actions: &mut Vec<JobsAction>) {
+        let worker = &mut self.workers[number as usize];
+        if !std::mem::replace(&mut worker.doubtful, true) && !worker.cut_off {
+            let command = WorkerCommand::RenewLease { lease_ms: LEASE_MS };
+            self.call_worker(number, CallKind::Renew, command, actions);
             self.reindex(now, number);
         }
     }
