Test the job engine; let new jobs of a parked team try at once

A team whose first job did not fit stayed parked for up to a second, also for jobs submitted later, and a job that may not return to some workers held back the others of its team. Both are fixed and guarded by tests.

--- a/crates/tamarackproxy/src/coordination/jobs/engine.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/engine.rs
@@ -412,6 +412,7 @@
         } else {
             waiting.push_back(key);
         }
+        self.parked[class].remove(&team);
         self.enter_order(&team, class);
     }
 
--- a/crates/tamarackproxy/src/coordination/jobs/events.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/events.rs
@@ -166,7 +166,7 @@
 }
 
 /// How a job ended.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum JobOutcome {
     /// the job finished its work
     Succeeded,
--- a/crates/tamarackproxy/src/coordination/jobs/placement.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/placement.rs
@@ -14,6 +14,8 @@
 const PLACEMENTS_PER_EVENT: usize = 32;
 /// Jobs that do not fit at which an event stops to try further teams.
 const MISSES_PER_EVENT: usize = 8;
+/// Jobs that may not go to some workers which an event passes over.
+const CHOOSY_PER_EVENT: usize = 8;
 /// Parked teams that are tried again when room becomes free.
 const UNPARKED_PER_EVENT: usize = 4;
 /// Time in which a task may save its state before it is stopped, in
@@ -110,6 +112,9 @@
                     }
                 } else {
                     misses += 1;
+                    if self.let_next_go_first(&team, class, key) {
+                        continue;
+                    }
                     self.order[class].remove(&(share, team.clone()));
                     self.parked[class].insert(team);
                 }
@@ -117,6 +122,30 @@
         }
     }
 
+    /// Moves a job that may not go to some workers behind the others of its
+    /// team, so that it does not hold them back; returns whether one that may
+    /// go anywhere follows.
+    fn let_next_go_first(&mut self, team: &TeamId, class: usize, key: JobKey) -> bool {
+        if !self.is_choosy(key) {
+            return false;
+        }
+        for _ in 0..CHOOSY_PER_EVENT {
+            let Some(state) = self.teams.get_mut(team) else { return false };
+            state.waiting[class].rotate_left(1);
+            match self.first_waiting(team, class) {
+                Some(next) if next == key => return false,
+                Some(next) if self.is_choosy(next) => {}
+                next => return next.is_some(),
+            }
+        }
+        false
+    }
+
+    fn is_choosy(&self, key: JobKey) -> bool {
+        let job = &self.jobs[key];
+        !job.failed_on.is_empty() || job.refused_by.is_some()
+    }
+
     /// First job that still waits; ended ones are dropped on the way.
     fn first_waiting(&mut self, team: &TeamId, class: usize) -> Option<JobKey> {
         let waiting = &mut self.teams.get_mut(team)?.waiting[class];
--- a/crates/tamarackproxy/src/coordination/jobs/tasks.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/tasks.rs
@@ -148,7 +148,7 @@
             _ if !may_run_again => self.finish(key, JobOutcome::Unknown, actions),
             _ => {
                 self.jobs[key].marked_started &= end != TaskEnd::Checkpointed;
-                self.enqueue(key, true);
+                self.enqueue(key, end != TaskEnd::Failed);
             }
         }
         self.relax_throttles(now, number, actions);
--- /dev/null
+++ b/crates/tamarackproxy/src/coordination/jobs/tests/failures.rs
@@ -0,0 +1,155 @@
+//! Failing workers, faulty jobs, lost workers and lost replies.
+
+use rstest::rstest;
+
+use super::driver::{Driver, host, job, workers};
+use crate::{
+    coordination::jobs::{JobOutcome, JobSpec, JobsEvent, JobsReport, LEASE_MS, TaskEnd},
+    state::ids::JobId,
+};
+
+fn of_application(name: &str, application: u32) -> JobSpec {
+    JobSpec { application: format!("app{application}").into(), ..job(name, 1) }
+}
+
+/// Only worker 0 takes tasks from now on.
+fn only_worker_0(driver: &mut Driver, count: u32) {
+    let mut listed = workers(count);
+    listed.iter_mut().skip(1).for_each(|worker| worker.accepts_tasks = false);
+    driver.handle(JobsEvent::WorkersListed { workers: listed });
+}
+
+/// Four applications that have succeeded, then worker 0 alone.
+fn with_known_applications() -> Driver {
+    let mut driver = Driver::new(4);
+    for application in 0..4 {
+        let name = format!("ok{application}");
+        driver.start(of_application(&name, application));
+        driver.end(&name, TaskEnd::Succeeded);
+    }
+    only_worker_0(&mut driver, 4);
+    driver
+}
+
+fn fail_on_worker_0(driver: &mut Driver, count: u32) {
+    for number in 0..count {
+        let name = format!("fails{number}");
+        if driver.start(of_application(&name, number % 4)).is_some() {
+            driver.end(&name, TaskEnd::Failed);
+        }
+    }
+}
+
+/// Guards against a worker that fails everything and keeps taking work because
+/// it always has room.
+#[test]
+fn jobs_failing_worker_is_quarantined_and_readmitted_by_a_test() {
+    let mut driver = with_known_applications();
+    fail_on_worker_0(&mut driver, 8);
+    assert_eq!(driver.quarantined(), [host(0)]);
+    let starts = driver.commands.len();
+    driver.advance(59_000);
+    assert_eq!(driver.commands.len(), starts, "nothing runs in quarantine");
+    driver.advance(3_000);
+    let test = driver.starts(&JobId::new("fails5")).len();
+    assert_eq!(test, 1, "one waiting job is the test");
+    driver.end("fails5", TaskEnd::Succeeded);
+    assert!(driver.reports.contains(&JobsReport::Readmitted { host: host(0) }));
+}
+
+/// Guards against tests of a broken worker without end.
+#[test]
+fn jobs_broken_worker_is_given_up_after_bounded_tests() {
+    let mut driver = with_known_applications();
+    fail_on_worker_0(&mut driver, 5);
+    for test in 0..20 {
+        let name = format!("test{test}");
+        driver.start(of_application(&name, test % 4));
+        driver.advance(60_000 << test.min(6));
+        if !driver.starts(&JobId::new(&name)).is_empty() {
+            driver.end(&name, TaskEnd::Failed);
+        }
+        if driver.reports.contains(&JobsReport::GivenUp { host: host(0) }) {
+            break;
+        }
+    }
+    assert!(driver.reports.contains(&JobsReport::GivenUp { host: host(0) }));
+    assert_eq!(driver.quarantined().len(), 6);
+}
+
+/// Guards against a faulty application that puts the fleet into quarantine.
+#[test]
+fn jobs_faulty_application_quarantines_no_worker() {
+    let mut driver = Driver::new(8);
+    for number in 0..10 {
+        let name = format!("bad{number}");
+        driver.start(job(&name, 1));
+        for _ in 0..3 {
+            driver.end(&name, TaskEnd::Failed);
+        }
+        assert_eq!(driver.ended.last(), Some(&(JobId::new(&name), JobOutcome::Faulty)));
+        let mut hosts: Vec<_> =
+            driver.starts(&JobId::new(&name)).into_iter().map(|(host, _)| host).collect();
+        hosts.sort();
+        hosts.dedup();
+        assert_eq!(hosts.len(), 3, "each attempt on another worker");
+    }
+    assert!(driver.reports.is_empty());
+}
+
+/// Guards against a common cause that empties the fleet.
+#[test]
+fn jobs_quarantine_is_limited() {
+    let mut driver = Driver::new(4);
+    for application in 0..4 {
+        let name = format!("ok{application}");
+        driver.start(of_application(&name, application));
+        driver.end(&name, TaskEnd::Succeeded);
+    }
+    for number in 0..60 {
+        let name = format!("j{number}");
+        driver.start(of_application(&name, number % 4));
+        let attempts = driver.starts(&JobId::new(&name)).len();
+        if attempts > 0 {
+            driver.end(&name, TaskEnd::Failed);
+        }
+    }
+    assert!(driver.quarantined().len() <= 1, "{:?}", driver.reports);
+}
+
+/// Guards against a second run while the first may go on, and against any
+/// second run of a job that may not be repeated.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn jobs_of_a_lost_worker_run_again_only_after_its_lease(#[case] repeatable: bool) {
+    let mut driver = Driver::new(2);
+    let name = JobId::new("job");
+    let lost = driver.start(JobSpec { repeatable, ..job("job", 5) }).expect("started");
+    driver.silent.insert(lost.clone());
+    driver.advance(LEASE_MS);
+    assert_eq!(driver.starts(&name).len(), 1);
+    driver.advance(2 * LEASE_MS);
+    let hosts: Vec<_> = driver.starts(&name).into_iter().map(|(host, _)| host).collect();
+    if repeatable {
+        assert!(hosts.len() == 2 && hosts[1] != lost);
+    } else {
+        assert_eq!(hosts, [lost]);
+        assert_eq!(driver.ended, [(name, JobOutcome::Unknown)]);
+    }
+}
+
+/// Guards against a worker that was out of touch for a moment and loses its
+/// tasks, or takes none any more.
+#[test]
+fn jobs_of_a_worker_that_returns_in_time_go_on() {
+    let mut driver = Driver::new(1);
+    driver.start(job("job", 5));
+    driver.silent.insert(host(0));
+    driver.advance(15_000);
+    driver.silent.clear();
+    driver.report("job", super::driver::size(5, 5), 15_000);
+    driver.advance(3 * LEASE_MS);
+    assert_eq!(driver.starts(&JobId::new("job")).len(), 1);
+    assert!(driver.start(job("next", 4)).is_some());
+}
