--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod figure;
 mod flood;
+pub mod jobs;
 pub mod key_values;
 pub mod once;
 mod request_sim;
@@ -32,6 +33,8 @@
     Wave,
     /// Time from a put to its revision in force, and what distribution costs.
     Config,
+    /// Urgent starts, lost work and quarantine of the job engine.
+    Jobs,
 }
 
 /// Command line of `tamarack-bench`.
@@ -55,6 +58,7 @@
     match name {
         BenchName::Flood => flood::run(options),
         BenchName::Slots => slots::run(options),
+        BenchName::Jobs => jobs::run(options.seed, options.seeds),
         BenchName::Once => once::run(options.seed, options.seeds),
         BenchName::Buffer => buffer::run(options),
         BenchName::Wave => wave::run(options),
--- a/crates/tamarackproxy/src/coordination/mod.rs
+++ b/crates/tamarackproxy/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod control;
 pub mod fleet;
+pub mod jobs;
 pub mod once;
 pub mod record;
 pub mod requests;
