Report the mean service time with each service's load

Cause: the buffer policy weighs demand by how long a request occupies a slot. Change: ServiceLoad carries the mean service time; sums over entry hosts weigh it by requests in flight. Conclusion: the fleet engine gets demand in slots.

--- a/crates/tamarackproxy/src/coordination/requests/events.rs
+++ b/crates/tamarackproxy/src/coordination/requests/events.rs
@@ -77,6 +77,9 @@
     pub queued: u32,
     /// Requests in flight.
     pub in_flight: u32,
+    /// Mean time for which a request occupies a slot, in milliseconds; 0 until
+    /// one has ended.
+    pub service_ms: u32,
 }
 
 /// Identifies a loan between its lender and borrower.
--- a/crates/tamarackproxy/src/coordination/requests/report.rs
+++ b/crates/tamarackproxy/src/coordination/requests/report.rs
@@ -126,6 +126,7 @@
                 idle_slots: service.targets.iter().map(|&target| self.idle_slots(target)).sum(),
                 queued: service.queue.len(),
                 in_flight: service.in_flight,
+                service_ms: service.service_time.mean_ms().unwrap_or(0.0).round() as u32,
             })
             .collect()
     }
--- a/crates/tamarackproxy/src/coordination/requests/tests/support.rs
+++ b/crates/tamarackproxy/src/coordination/requests/tests/support.rs
@@ -150,6 +150,6 @@
     RequestsEvent::RemoteLoad {
         data_centre: DataCentreId::new("remera"),
         gateway: peer("r1"),
-        loads: vec![ServiceLoad { service, idle_slots, queued: 0, in_flight: 0 }],
+        loads: vec![ServiceLoad { service, idle_slots, queued: 0, in_flight: 0, service_ms: 0 }],
     }
 }
--- a/crates/tamarackproxy/src/node/core/peers.rs
+++ b/crates/tamarackproxy/src/node/core/peers.rs
@@ -76,7 +76,8 @@
     }
 }
 
-/// Adds loads of several entry hosts by service.
+/// Adds loads of several entry hosts by service; the service time is the mean
+/// over requests in flight.
 fn sum_loads<'a, I>(loads: I) -> Vec<ServiceLoad>
 where
     I: IntoIterator<Item = &'a ServiceLoad>,
@@ -85,6 +86,11 @@
     for load in loads {
         match sums.get_mut(&load.service) {
             Some(sum) => {
+                let flights = u64::from(sum.in_flight) + u64::from(load.in_flight);
+                let weighted = u64::from(sum.service_ms) * u64::from(sum.in_flight)
+                    + u64::from(load.service_ms) * u64::from(load.in_flight);
+                let mean_ms = weighted.checked_div(flights).and_then(|ms| ms.try_into().ok());
+                sum.service_ms = mean_ms.unwrap_or(sum.service_ms.max(load.service_ms));
                 sum.idle_slots += load.idle_slots;
                 sum.queued += load.queued;
                 sum.in_flight += load.in_flight;
@@ -165,6 +171,7 @@
             data_centre: data_centre.clone(),
             in_flight: load.in_flight,
             queued: load.queued,
+            service_ms: load.service_ms,
         });
         let demand = demand.collect();
         self.on_fleet(FleetEvent::Demand { demand });
