--- a/crates/tamarackproxy/src/node/core/fleet.rs
+++ b/crates/tamarackproxy/src/node/core/fleet.rs
@@ -139,7 +139,8 @@
     pub(super) fn on_drain_query(&mut self, from: &EntryId, host: HostId, version: u64) {
         let seen = self.fleet_state.record(&host).map_or(0, |(seen, _)| *seen);
         if seen < version {
-            return;
+            // The record's push was lost; the query itself is a sign of leaving.
+            return self.on_requests(RequestsEvent::HostLeaving { host });
         }
         let in_flight = self.requests.in_flight_on(&host);
         let status = FleetMessage::DrainStatus { host, version, in_flight };
