Let the demo print the entry hosts' logs

Cause: a start that does not finish shows no reason. Conclusion: the logs go to standard error and leave the last line as it is.

--- a/crates/standins/src/demo/entries.rs
+++ b/crates/standins/src/demo/entries.rs
@@ -11,6 +11,7 @@
 use hyper::Method;
 use tamarackproxy::{
     node::{Node, NodeHandle},
+    observability::init_logging,
     state::settings::Settings,
 };
 
@@ -55,7 +56,11 @@
 
 impl Entries {
     /// Starts all entry hosts and waits until they are ready.
-    pub(super) async fn start(plan: &Arc<Plan>, site: &Site) -> anyhow::Result<Self> {
+    pub(super) async fn start(
+        plan: &Arc<Plan>,
+        site: &Site,
+        log_level: &str,
+    ) -> anyhow::Result<Self> {
         let mut entries = Self {
             plan: plan.clone(),
             settings: Vec::new(),
@@ -63,8 +68,11 @@
             callers: EntryAddresses::default(),
         };
         for place in &plan.entries {
-            let text = settings_text(plan, site, place)?;
+            let text = settings_text(plan, site, place, log_level)?;
             let settings = Settings::parse(&text).map_err(|errors| anyhow!("{errors}"))?;
+            if entries.settings.is_empty() && log_level != "off" {
+                init_logging(&settings.log).map_err(|error| anyhow!("{error}"))?;
+            }
             let node = Node::start(settings.clone()).map_err(|error| anyhow!("{error}"))?;
             entries.settings.push(settings);
             entries.nodes.push(Some(node));
@@ -129,13 +137,18 @@
 
 /// Writes the settings of an entry host: other data centres, the store and
 /// the platform are reached through relays.
-fn settings_text(plan: &Plan, site: &Site, place: &EntryPlace) -> anyhow::Result<String> {
+fn settings_text(
+    plan: &Plan,
+    site: &Site,
+    place: &EntryPlace,
+    log_level: &str,
+) -> anyhow::Result<String> {
     let ip = plan.layout.entry(place.data_centre, place.number);
     let relays = &site.platform_relays[place.data_centre];
     let mut text = format!(
         "[entry]\nname = {}\ndata_centre = {}\n\n\
          [listen]\ncallers = {ip}:{CALLER_PORT}\nadmin = {ip}:{ADMIN_PORT}\npeers = {ip}:{PEER_PORT}\n\n\
-         [store]\naddress = {}\n\n[platform]\naddress = {}\nlist_interval = 500ms\n\n[peers]\n",
+         [store]\naddress = {}\n\n[platform]\naddress = {}\nlist_interval = 500ms\n\n[log]\nlevel = {log_level}\n\n[peers]\n",
         place.entry,
         plan.data_centres[place.data_centre],
         relays.store.address(),
--- a/crates/standins/src/demo/options.rs
+++ b/crates/standins/src/demo/options.rs
@@ -66,4 +66,7 @@
     /// second octet of all addresses; by default from the process id
     #[options(no_short, meta = "OCTET")]
     pub network: Option<u8>,
+    /// level of the entry hosts' logs on standard error
+    #[options(no_short, meta = "LEVEL", default = "off")]
+    pub log: String,
 }
--- a/crates/standins/src/demo/run.rs
+++ b/crates/standins/src/demo/run.rs
@@ -48,7 +48,7 @@
 async fn run_all(options: &DemoOptions) -> anyhow::Result<bool> {
     let plan = Arc::new(Plan::new(options.deployment, Layout::new(options.network)?)?);
     let site = Site::start(&plan, options.seed)?;
-    let mut entries = Entries::start(&plan, &site).await?;
+    let mut entries = Entries::start(&plan, &site, &options.log).await?;
     wait_for_adoption(&plan, &site).await?;
     let addresses = entries.callers.lock().unwrap_or_else(PoisonError::into_inner).clone();
     print_addresses(options.deployment, options.fault, &plan, &addresses);
