Show attempt and host phases behind a cut request

Cause: the run alone does not show whether the drain was complete. Change: evidence lists the caller's attempt and the phases of the host. Conclusion: a cut request shows when its host drained and rebooted.

--- a/crates/standins/src/verdict/evidence.rs
+++ b/crates/standins/src/verdict/evidence.rs
@@ -1,7 +1,12 @@
 //! What stands behind the figures that break a promise.
 
+use tamarackproxy::state::records::HostPhase;
+
 use super::{Observations, hosts, requests};
-use crate::target::{BodyCheck, Cut};
+use crate::{
+    caller::AttemptRecord,
+    target::{BodyCheck, Cut, RunRecord},
+};
 
 /// Cases that are described of one kind.
 const CASES: usize = 5;
@@ -11,7 +16,8 @@
 pub(super) fn describe(observations: &Observations) -> Vec<String> {
     let mut lines = Vec::new();
     let runs = observations.runs.iter().filter(|run| run.cut == Some(Cut::PlannedStop));
-    add(&mut lines, "cut by a planned stop", runs);
+    let cut = runs.map(|run| (run, attempt_of(observations, run), phases(observations, run)));
+    add(&mut lines, "cut by a planned stop", cut);
     add(&mut lines, "ran more than once", requests::doubled(observations));
     add(&mut lines, "reported as not run, but ran", requests::false_not_run(observations));
     let crossed = requests::with_body(observations, BodyCheck::Crossed);
@@ -23,6 +29,17 @@
     lines
 }
 
+/// Returns the caller's attempt that led to a run.
+fn attempt_of<'a>(observations: &'a Observations, run: &RunRecord) -> Option<&'a AttemptRecord> {
+    observations.attempts.iter().find(|attempt| Some(attempt.attempt) == run.attempt)
+}
+
+/// Returns the phases of a run's host with their starts, in milliseconds.
+fn phases(observations: &Observations, run: &RunRecord) -> Vec<(u64, HostPhase)> {
+    let records = observations.records_of(&run.host);
+    records.map(|change| (change.at_ms, change.record.phase)).collect()
+}
+
 fn add<I>(lines: &mut Vec<String>, title: &str, cases: I)
 where
     I: IntoIterator,
