Add the workers' tasks to the platform

Cause: jobs need workers that run tasks under leases. Change: start, renew, throttle, checkpoint, stop and reports with a lag; reboots cut tasks; a worker can fail everything that it starts.

--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -8,15 +8,21 @@
 };
 
 use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use tamarackproxy::{protocol::caller::IDEMPOTENCY_KEY_HEADER, state::ids::HostId};
 
-use super::state::{PlatformState, RebootAnswer};
+use super::{
+    state::{PlatformState, RebootAnswer},
+    tasks::{self, TASKS_PREFIX},
+};
 use crate::{
     clock::Clock,
     net::{Body, Handler, Server, ServerOptions, full_body},
 };
 
+/// Largest body of a call about a task, in bytes.
+const TASK_BODY_MAX_BYTES: usize = 64 << 10;
 /// Interval at which ended reboots are looked for, in milliseconds.
 const ADVANCE_INTERVAL_MS: u64 = 20;
 
@@ -81,6 +87,14 @@
         _peer: SocketAddr,
     ) -> io::Result<Response<Body>> {
         let now_ms = self.clock.now_ms();
+        if request.uri().path().starts_with(TASKS_PREFIX) {
+            let (head, body) = request.into_parts();
+            let body = Limited::new(body, TASK_BODY_MAX_BYTES).collect().await;
+            let body = body.map_err(io::Error::other)?.to_bytes();
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            let answer = tasks::serve(&mut state, now_ms, &head.method, head.uri.path(), &body);
+            return Ok(reply(answer.status, answer.body));
+        }
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let path = request.uri().path();
         if request.method() == Method::GET && path == "/v1/hosts" {
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -10,6 +10,7 @@
     state::ids::HostId,
 };
 
+use super::workers::WorkersState;
 use crate::target::{Cut, TargetHost};
 
 /// Snapshots of the list that are kept; older ones are past any lag.
@@ -40,8 +41,13 @@
 /// What happened to a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostEventKind {
-    /// A reboot was asked for and began; it cut this many requests.
-    Rebooted { in_flight: usize },
+    /// A reboot was asked for and began; it cut what ran.
+    Rebooted {
+        /// Requests that were cut.
+        in_flight: usize,
+        /// Tasks that were cut.
+        tasks: usize,
+    },
     /// The host came back from a reboot or a failure.
     CameBack,
     /// The host failed without a plan.
@@ -82,6 +88,8 @@
     pub reboot_ms: u64,
     /// Calls to the list.
     pub list_calls: u64,
+    /// Tasks of all workers.
+    pub workers: WorkersState,
 }
 
 impl PlatformState {
@@ -101,6 +109,7 @@
             list_lag_ms,
             reboot_ms,
             list_calls: 0,
+            workers: WorkersState::default(),
         };
         state.record_list(0);
         state
@@ -137,7 +146,8 @@
         found.condition = Condition::Rebooting { until_ms };
         let in_flight = found.target.as_ref().map_or(0, |target| target.stop(Cut::PlannedStop));
         self.operations.insert(key.into(), host.clone());
-        self.record(now_ms, host, HostEventKind::Rebooted { in_flight });
+        let tasks = self.workers.stop_host(now_ms, host);
+        self.record(now_ms, host, HostEventKind::Rebooted { in_flight, tasks });
         RebootAnswer::Accepted
     }
 
@@ -158,6 +168,7 @@
         if let Some(target) = &found.target {
             target.stop(Cut::Died);
         }
+        self.workers.stop_host(now_ms, host);
         self.record(now_ms, host, HostEventKind::Died);
     }
 
--- /dev/null
+++ b/crates/standins/src/platform/workers.rs
@@ -0,0 +1,283 @@
+//! Tasks on workers, without sockets.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+use tamarackproxy::state::ids::HostId;
+
+/// Body of the call that starts a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartTask {
+    /// Name of the task, unique on its worker.
+    pub task: Box<str>,
+    /// Time after which the task ends unless its lease is renewed, in
+    /// milliseconds.
+    pub lease_ms: u64,
+    /// Processors that it may use, in thousandths of a core.
+    pub cpu_millicores: u64,
+    /// Memory that it may use, in bytes.
+    pub memory_bytes: u64,
+    /// Accelerators that it holds.
+    pub accelerators: u32,
+    /// Name of the checkpoint that it continues from.
+    #[serde(default)]
+    pub checkpoint: Option<Box<str>>,
+}
+
+/// State of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TaskState {
+    /// It runs.
+    Running,
+    /// It ended with success.
+    Done,
+    /// It failed by itself.
+    Failed,
+    /// It was stopped by a call.
+    Stopped,
+    /// Its lease lapsed.
+    LeaseLapsed,
+    /// Its host stopped.
+    HostStopped,
+}
+
+/// What a worker reports of a task; usage lags.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskReport {
+    /// Name of the task.
+    pub task: Box<str>,
+    /// State.
+    pub state: TaskState,
+    /// Processors in use, in thousandths of a core, as of the lag.
+    pub cpu_millicores: u64,
+    /// Memory in use, in bytes, as of the lag.
+    pub memory_bytes: u64,
+    /// Work done, as milliseconds of unthrottled running.
+    pub progress_ms: u64,
+}
+
+/// What a task really needs, in place of what was declared.
+#[derive(Clone, Copy, Debug)]
+pub struct TaskNature {
+    /// Work to do, as milliseconds of unthrottled running.
+    pub work_ms: u64,
+    /// Processors that it uses when it is not throttled, in thousandths.
+    pub cpu_millicores: u64,
+    /// Memory that it uses, in bytes.
+    pub memory_bytes: u64,
+    /// Whether it fails as soon as it starts, wherever it runs.
+    pub fails: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    nature: TaskNature,
+    lease_ms: u64,
+    lease_ends_ms: u64,
+    started_ms: u64,
+    /// Processors that it may use now.
+    limit_millicores: u64,
+    progress_ms: f64,
+    advanced_ms: u64,
+    state: TaskState,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Worker {
+    fails_everything: bool,
+    tasks: BTreeMap<Box<str>, Task>,
+}
+
+/// Why a call about a task has no effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskRefusal {
+    /// The worker has no such task.
+    Unknown,
+    /// The worker has a task of this name.
+    Exists,
+    /// The task has ended.
+    Ended,
+}
+
+/// Tasks of all workers; time is passed in.
+#[derive(Clone, Debug, Default)]
+pub struct WorkersState {
+    workers: HashMap<HostId, Worker>,
+    natures: HashMap<Box<str>, TaskNature>,
+    checkpoints: HashMap<Box<str>, u64>,
+    /// Starts of each task with host and time, to find tasks that ran twice.
+    pub starts: Vec<(Box<str>, HostId, u64)>,
+    /// Age of reported usage, in milliseconds.
+    pub usage_lag_ms: u64,
+}
+
+impl WorkersState {
+    /// Says what a task really needs; one without a nature runs as declared
+    /// for its lease's time.
+    pub fn set_nature(&mut self, task: &str, nature: TaskNature) {
+        self.natures.insert(task.into(), nature);
+    }
+
+    /// Lets a worker fail every task that it starts, or stops that.
+    pub fn set_failing(&mut self, host: &HostId, fails_everything: bool) {
+        self.workers.entry(host.clone()).or_default().fails_everything = fails_everything;
+    }
+
+    /// Starts a task under a lease; a checkpoint carries its progress over.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a name that the worker has already.
+    pub fn start(
+        &mut self,
+        now_ms: u64,
+        host: &HostId,
+        start: &StartTask,
+    ) -> Result<(), TaskRefusal> {
+        self.advance(now_ms, host);
+        let declared = TaskNature {
+            work_ms: start.lease_ms,
+            cpu_millicores: start.cpu_millicores,
+            memory_bytes: start.memory_bytes,
+            fails: false,
+        };
+        let nature = self.natures.get(&start.task).copied().unwrap_or(declared);
+        let saved = start.checkpoint.as_ref().and_then(|name| self.checkpoints.get(name));
+        let progress_ms = saved.copied().unwrap_or(0) as f64;
+        let worker = self.workers.entry(host.clone()).or_default();
+        if worker.tasks.contains_key(&start.task) {
+            return Err(TaskRefusal::Exists);
+        }
+        let fails = nature.fails || worker.fails_everything;
+        let task = Task {
+            nature,
+            lease_ms: start.lease_ms,
+            lease_ends_ms: now_ms + start.lease_ms,
+            started_ms: now_ms,
+            limit_millicores: start.cpu_millicores,
+            progress_ms,
+            advanced_ms: now_ms,
+            state: if fails { TaskState::Failed } else { TaskState::Running },
+        };
+        worker.tasks.insert(start.task.clone(), task);
+        self.starts.push((start.task.clone(), host.clone(), now_ms));
+        Ok(())
+    }
+
+    /// Renews the lease of a task.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a task that does not run.
+    pub fn renew(&mut self, now_ms: u64, host: &HostId, task: &str) -> Result<(), TaskRefusal> {
+        let task = self.running(now_ms, host, task)?;
+        task.lease_ends_ms = now_ms + task.lease_ms;
+        Ok(())
+    }
+
+    /// Limits the processors of a task, in thousandths of a core.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a task that does not run.
+    pub fn throttle(
+        &mut self,
+        now_ms: u64,
+        host: &HostId,
+        task: &str,
+        cpu_millicores: u64,
+    ) -> Result<(), TaskRefusal> {
+        self.running(now_ms, host, task)?.limit_millicores = cpu_millicores;
+        Ok(())
+    }
+
+    /// Saves the progress of a task and returns the name of the checkpoint;
+    /// the task goes on.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a task that does not run.
+    pub fn checkpoint(
+        &mut self,
+        now_ms: u64,
+        host: &HostId,
+        task: &str,
+    ) -> Result<Box<str>, TaskRefusal> {
+        let progress_ms = self.running(now_ms, host, task)?.progress_ms as u64;
+        let name: Box<str> = format!("{task}-{}", self.checkpoints.len() + 1).into();
+        self.checkpoints.insert(name.clone(), progress_ms);
+        Ok(name)
+    }
+
+    /// Stops a task.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a task that does not run.
+    pub fn stop(&mut self, now_ms: u64, host: &HostId, task: &str) -> Result<(), TaskRefusal> {
+        self.running(now_ms, host, task)?.state = TaskState::Stopped;
+        Ok(())
+    }
+
+    /// Ends all tasks of a host that stops and returns how many ran.
+    pub fn stop_host(&mut self, now_ms: u64, host: &HostId) -> usize {
+        self.advance(now_ms, host);
+        let tasks = self.workers.get_mut(host).into_iter().flat_map(|w| w.tasks.values_mut());
+        let running = tasks.filter(|task| task.state == TaskState::Running);
+        running.map(|task| task.state = TaskState::HostStopped).count()
+    }
+
+    /// Reports the tasks of a worker.
+    pub fn report(&mut self, now_ms: u64, host: &HostId) -> Vec<TaskReport> {
+        self.advance(now_ms, host);
+        let lag_ms = self.usage_lag_ms;
+        let tasks = self.workers.get(host).into_iter().flat_map(|worker| &worker.tasks);
+        let report = |name: &str, task: &Task| {
+            let is_seen = task.started_ms + lag_ms <= now_ms && task.state == TaskState::Running;
+            let usage = |amount| if is_seen { amount } else { 0 };
+            TaskReport {
+                task: name.into(),
+                state: task.state,
+                cpu_millicores: usage(task.nature.cpu_millicores.min(task.limit_millicores)),
+                memory_bytes: usage(task.nature.memory_bytes),
+                progress_ms: task.progress_ms as u64,
+            }
+        };
+        tasks.map(|(name, task)| report(name, task)).collect()
+    }
+
+    fn running(
+        &mut self,
+        now_ms: u64,
+        host: &HostId,
+        task: &str,
+    ) -> Result<&mut Task, TaskRefusal> {
+        self.advance(now_ms, host);
+        let worker = self.workers.get_mut(host).ok_or(TaskRefusal::Unknown)?;
+        let task = worker.tasks.get_mut(task).ok_or(TaskRefusal::Unknown)?;
+        if task.state == TaskState::Running { Ok(task) } else { Err(TaskRefusal::Ended) }
+    }
+
+    fn advance(&mut self, now_ms: u64, host: &HostId) {
+        let tasks = self.workers.get_mut(host).into_iter().flat_map(|w| w.tasks.values_mut());
+        tasks.filter(|task| task.state == TaskState::Running).for_each(|task| task.advance(now_ms));
+    }
+}
+
+impl Task {
+    /// Adds the work since the last call and ends the task if its work is
+    /// done or its lease has lapsed, whichever came first.
+    fn advance(&mut self, now_ms: u64) {
+        let speed =
+            (self.limit_millicores as f64 / self.nature.cpu_millicores.max(1) as f64).min(1.0);
+        let until_ms = now_ms.min(self.lease_ends_ms);
+        self.progress_ms += until_ms.saturating_sub(self.advanced_ms) as f64 * speed;
+        self.advanced_ms = now_ms;
+        if self.progress_ms >= self.nature.work_ms as f64 {
+            self.state = TaskState::Done;
+        } else if now_ms >= self.lease_ends_ms {
+            self.state = TaskState::LeaseLapsed;
+        }
+    }
+}
--- a/crates/standins/src/verdict/hosts.rs
+++ b/crates/standins/src/verdict/hosts.rs
@@ -27,7 +27,7 @@
 
 pub(super) fn judge(observations: &Observations) -> HostFigures {
     let cut = observations.host_events.iter().map(|event| match event.kind {
-        HostEventKind::Rebooted { in_flight } => in_flight as u64,
+        HostEventKind::Rebooted { in_flight, .. } => in_flight as u64,
         _ => 0,
     });
     HostFigures {
--- a/crates/standins/src/verdict/tests.rs
+++ b/crates/standins/src/verdict/tests.rs
@@ -104,7 +104,7 @@
             record("h2", 4_000, "booking", HostPhase::Active),
         ],
         host_events: vec![
-            event("h2", 2_600, HostEventKind::Rebooted { in_flight: 0 }),
+            event("h2", 2_600, HostEventKind::Rebooted { in_flight: 0, tasks: 0 }),
             event("h2", 3_600, HostEventKind::CameBack),
         ],
         services: vec![ServiceRule {
@@ -239,7 +239,7 @@
 #[test]
 fn request_cut_by_a_planned_reboot_is_counted() {
     let mut seen = clean();
-    seen.host_events[0].kind = HostEventKind::Rebooted { in_flight: 2 };
+    seen.host_events[0].kind = HostEventKind::Rebooted { in_flight: 2, tasks: 0 };
     assert_eq!(broken(&seen), ["cut_off_in_flight"]);
 }
 
