--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,12 +1,16 @@
 //! Measurements: each drives the library's decision code and returns figures.
 
+mod buffer;
+mod config;
 mod figure;
 mod flood;
+pub mod jobs;
 pub mod key_values;
 pub mod once;
 mod request_sim;
 mod slots;
 pub mod virtual_time;
+mod wave;
 
 pub use self::figure::{Bound, Figure};
 
@@ -23,6 +27,14 @@
     Slots,
     /// Charges under faults against the at-most-once engine.
     Once,
+    /// Buffer held against surges and rack failures.
+    Buffer,
+    /// Roll-out time of a maintenance wave.
+    Wave,
+    /// Time from a put to its revision in force, and what distribution costs.
+    Config,
+    /// Urgent starts, lost work and quarantine of the job engine.
+    Jobs,
 }
 
 /// Command line of `tamarack-bench`.
@@ -46,7 +58,11 @@
     match name {
         BenchName::Flood => flood::run(options),
         BenchName::Slots => slots::run(options),
+        BenchName::Jobs => jobs::run(options.seed, options.seeds),
         BenchName::Once => once::run(options.seed, options.seeds),
+        BenchName::Buffer => buffer::run(options),
+        BenchName::Wave => wave::run(options),
+        BenchName::Config => config::run(options),
     }
 }
 
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -3,11 +3,12 @@
 mod checks;
 mod deployment;
 mod store;
+pub mod surges;
 mod world;
 
 pub use self::{
     checks::Checks,
-    deployment::{Deployment, DeploymentSize},
+    deployment::{Deployment, DeploymentSize, WAVE},
     store::VirtualStore,
     world::{Acknowledgement, FleetWorld, HostTruth, Timing, WriteFault},
 };
--- a/crates/standins/tests/distribution.rs
+++ b/crates/standins/tests/distribution.rs
@@ -189,6 +189,29 @@
     }
 }
 
+/// Failed calls are repeated about once a second by each of four timers (seat,
+/// listing, control lease, watch), with an end and a tick each; ten events a
+/// second leave room for that.
+const RETRY_EVENTS_PER_SECOND: u64 = 10;
+
+/// Guards against timers that are due at once again and again while nothing
+/// can be done, which cost 60 times the events of normal running.
+#[rstest]
+fn configuration_outage_causes_few_events(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = settled(2, 4, seed);
+    let events_of = |cluster: &mut Cluster| {
+        let before = cluster.events();
+        cluster.run_ms(60_000);
+        cluster.events() - before
+    };
+    let at_rest = events_of(&mut cluster);
+    cluster.faults.store_down = true;
+    cluster.interrupt_watches(|_| true);
+    let during = events_of(&mut cluster);
+    let allowed = at_rest + 60 * RETRY_EVENTS_PER_SECOND * cluster.len() as u64;
+    assert!(during <= allowed, "{during} events in the outage, {at_rest} at rest");
+}
+
 /// Guards against host records that miss changes or removals, with lost
 /// messages and a restart between them.
 #[rstest]
--- a/crates/tamarackproxy/src/coordination/fleet/engine.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/engine.rs
@@ -9,11 +9,13 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
-    FleetAction, FleetEvent, FleetMessage, FleetReport, ServiceDemand,
+    FleetAction, FleetEvent, FleetMessage, FleetReport,
     backoff::Backoff,
     calls::{Call, Calls},
     control::ControlLease,
+    demand::{BufferPolicy, DemandHistory},
     drain::{Contact, Health, Progress},
+    reconcile::RECHECK_MS,
     view::FleetView,
 };
 use crate::{
@@ -23,7 +25,7 @@
         clock::ClockReading,
         document::Document,
         ids::{CallId, DataCentreId, EntryId, HostId, PoolId, ServiceId, Term, WaveId},
-        records::{BudgetRecord, WavePoolRecord, WaveRecord},
+        records::{BudgetRecord, HostRecord, WavePoolRecord, WaveRecord},
     },
 };
 
@@ -35,8 +37,13 @@
     pub dirty: bool,
     /// When the pool is reconciled next without a change.
     pub wake_ms: Option<u64>,
+    /// Hosts that need a step while the rest of the pool is unchanged, with
+    /// the monotonic time at which they need it.
+    pub due_hosts: BTreeMap<HostId, u64>,
     /// When each wave's shared record was read last.
     pub wave_read_ms: BTreeMap<WaveId, u64>,
+    /// When the pool's moves are planned next.
+    pub moves_ms: u64,
     /// Since when the pool holds more of a wave's grant than it can use.
     pub unused_since_ms: BTreeMap<WaveId, u64>,
 }
@@ -75,7 +82,8 @@
     pub(super) wave_pools: BTreeMap<(WaveId, PoolId), Stored<WavePoolRecord>>,
     pub(super) progress: BTreeMap<HostId, Progress>,
     pub(super) health: BTreeMap<HostId, Health>,
-    pub(super) demand: Vec<ServiceDemand>,
+    pub(super) histories: BTreeMap<ServiceId, DemandHistory>,
+    pub(super) policies: BTreeMap<PoolId, BufferPolicy>,
     pub(super) calls: Calls,
     pub(super) backoff: Backoff,
     pub(super) adoption_ms: u64,
@@ -104,7 +112,8 @@
             wave_pools: BTreeMap::new(),
             progress: BTreeMap::new(),
             health: BTreeMap::new(),
-            demand: Vec::new(),
+            histories: BTreeMap::new(),
+            policies: BTreeMap::new(),
             calls: Calls::default(),
             backoff: Backoff::default(),
             adoption_ms: 0,
@@ -123,8 +132,7 @@
                 self.mark_pools(&pools);
             }
             FleetEvent::HostRecordChanged { version, record } => {
-                let pools = self.view.learn(version, &record);
-                self.mark_pools(&pools);
+                self.on_host_record(now, version, &record);
             }
             FleetEvent::HostsListed { hosts } => {
                 let pools = self.view.replace_list(hosts);
@@ -138,7 +146,7 @@
                 self.rank_candidates();
                 self.mark_all();
             }
-            FleetEvent::Demand { demand } => self.demand = demand,
+            FleetEvent::Demand { demand } => self.on_demand(now, &demand),
             FleetEvent::Received { from, message } => self.on_message(now, from, message),
             FleetEvent::HealthChecked { host, healthy } => self.on_health(now, &host, healthy),
             FleetEvent::RebootAccepted { host, accepted } => self.on_reboot(&host, accepted),
@@ -159,7 +167,10 @@
     pub fn next_tick_ms(&self) -> Option<u64> {
         self.controls
             .values()
-            .flat_map(|control| [Some(control.lease.next_tick_ms()), control.wake_ms])
+            .flat_map(|control| {
+                let host_ms = control.due_hosts.values().min().copied();
+                [Some(control.lease.next_tick_ms()), control.wake_ms, host_ms]
+            })
             .flatten()
             .filter(|&at_ms| at_ms < u64::MAX)
             .min()
@@ -217,7 +228,15 @@
         }
     }
 
-    /// Shows a condition; returns whether it is new.
+    /// Asks for a step of one host at this time at the latest.
+    pub(super) fn wake_host(&mut self, pool: &PoolId, host: &HostId, at_ms: u64) {
+        if let Some(control) = self.controls.get_mut(pool) {
+            let known = control.due_hosts.entry(host.clone()).or_insert(at_ms);
+            *known = at_ms.min(*known);
+        }
+    }
+
+    /// Shows a condition.
     pub(super) fn report(
         &mut self,
         key: String,
@@ -235,6 +254,17 @@
         self.reports.remove(key);
     }
 
+    /// Takes one record; a change within one pool concerns mostly the host.
+    fn on_host_record(&mut self, now: ClockReading, version: u64, record: &HostRecord) {
+        let pools = self.view.learn(version, record);
+        if pools.len() > 1 {
+            self.mark_pools(&pools);
+        } else if !pools.is_empty() {
+            self.wake_host(&record.pool, &record.host, now.monotonic_ms);
+            self.wake_pool(&record.pool, now.monotonic_ms + RECHECK_MS);
+        }
+    }
+
     fn on_document(&mut self, document: Arc<Document>) {
         self.services.clear();
         for (service, section) in &document.services {
@@ -252,6 +282,8 @@
                 lease: ControlLease::new(format!("pool-{pool}"), self.entry.clone()),
                 dirty: true,
                 wake_ms: None,
+                due_hosts: BTreeMap::new(),
+                moves_ms: 0,
                 wave_read_ms: BTreeMap::new(),
                 unused_since_ms: BTreeMap::new(),
             });
@@ -356,16 +388,24 @@
     }
 
     fn reconcile_due(&mut self, now: ClockReading, actions: &mut Vec<FleetAction>) {
-        let due: Vec<PoolId> = self
+        let now_ms = now.monotonic_ms;
+        let whole = |control: &PoolControl| {
+            control.dirty || control.wake_ms.is_some_and(|at_ms| at_ms <= now_ms)
+        };
+        let due: Vec<(PoolId, bool)> = self
             .controls
             .iter()
             .filter(|(_, control)| {
-                control.dirty || control.wake_ms.is_some_and(|at_ms| at_ms <= now.monotonic_ms)
+                whole(control) || control.due_hosts.values().any(|&at_ms| at_ms <= now_ms)
             })
-            .map(|(pool, _)| pool.clone())
+            .map(|(pool, control)| (pool.clone(), whole(control)))
             .collect();
-        for pool in due {
-            self.reconcile(now, &pool, actions);
+        for (pool, whole) in due {
+            if whole {
+                self.reconcile(now, &pool, actions);
+            } else {
+                self.reconcile_hosts(now, &pool, actions);
+            }
         }
     }
 
--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -19,6 +19,9 @@
     ids::{CallerId, DataCentreId, EntryId, HostId, RequestId, ServiceId, TargetId},
 };
 
+/// Time before timers are due at which they are looked at, in milliseconds.
+const STALE_TIMERS_MS: u64 = 5;
+
 /// Decides about every request of one entry host.
 ///
 /// Costs, with `t` the service's targets in the data centre, `c` the callers
@@ -60,6 +63,8 @@
     pub(super) host_targets: HashMap<HostId, Vec<TargetKey>>,
     pub(super) requests: SlotMap<RequestKey, Request>,
     pub(super) request_keys: HashMap<RequestId, RequestKey>,
+    /// Highest id of a request so far.
+    pub(super) highest_id: RequestId,
     pub(super) attempts: SlotMap<AttemptKey, Attempt>,
     pub(super) abandoned: Abandoned,
     pub(super) loans_in: SlotMap<LoanKey, LoanIn>,
@@ -92,12 +97,13 @@
             host_targets: HashMap::new(),
             requests: SlotMap::with_key(),
             request_keys: HashMap::new(),
+            highest_id: RequestId(0),
             attempts: SlotMap::with_key(),
             abandoned: Abandoned::new(),
             loans_in: SlotMap::with_key(),
             loans_out: HashMap::new(),
             next_loan: LoanId(0),
-            timers: Timers::default(),
+            timers: Timers::new(),
             counters: RequestCounters::default(),
             actions: Vec::new(),
         }
@@ -143,12 +149,12 @@
         self.timers.next_ms()
     }
 
-    /// Drops timers whose request, attempt or loan has ended, so that they do
-    /// not wake the owner.
+    /// Drops timers whose request, attempt or loan has ended shortly before
+    /// they would wake the owner.
     fn drop_stale_timers(&mut self) {
         let (attempts, requests) = (&self.attempts, &self.requests);
         let (loans_in, loans_out) = (&self.loans_in, &self.loans_out);
-        self.timers.drop_stale(|timer| match timer {
+        self.timers.drop_stale(self.now_ms + STALE_TIMERS_MS, |timer| match timer {
             Timer::AttemptOver(attempt) => !attempts.contains_key(attempt),
             Timer::Deadline(request) => requests
                 .get(request)
@@ -168,7 +174,7 @@
                 Timer::LoanOutOver(loan) => self.loan_out_over(loan),
                 Timer::Borrow(service) => {
                     if let Some(state) = self.services.get_mut(service) {
-                        state.borrow_timer = false;
+                        state.borrow_at_ms = None;
                     }
                     self.pump(service);
                 }
