--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -194,7 +194,7 @@
             self.send(&lender, message);
             return;
         };
-        let ends_at_ms = terms.asked_at_ms + terms.duration_ms;
+        let ends_at_ms = terms.asked_at_ms.saturating_add(terms.duration_ms);
         let loan = self.loans_in.insert(LoanIn {
             lender,
             id: terms.loan,
@@ -220,8 +220,8 @@
         let service = &self.services[target.service];
         let mut loans = target.slots.loans.iter().filter_map(|&loan| self.loans_in.get(loan));
         let duplicate = loans.any(|loan| loan.id == terms.loan && loan.lender == *lender);
-        let in_time = terms.asked_at_ms >= service.accepted_from_ms
-            && terms.asked_at_ms + terms.duration_ms > self.now_ms;
+        let in_time = (service.accepted_from_ms..=self.now_ms).contains(&terms.asked_at_ms)
+            && terms.asked_at_ms.saturating_add(terms.duration_ms) > self.now_ms;
         let usable = target.accepts_work && !target.health.is_leaving(self.now_ms);
         let able = self.seat.is_some() && !self.stopping;
         able && usable && in_time && !duplicate && !service.queue.is_empty()
--- a/crates/tamarackproxy/src/coordination/requests/tests.rs
+++ b/crates/tamarackproxy/src/coordination/requests/tests.rs
@@ -6,6 +6,7 @@
 mod flood;
 mod leaving;
 mod outcomes;
+mod outcomes_model;
 mod retry;
 mod slots;
 mod slots_model;
