Forward a request soon after its peers were asked

A request that waited for slots of its peers was forwarded only when another event of its service came, at the latest after 75 ms. A timer now serves the queue after 3 ms.

--- a/crates/tamarackproxy/src/coordination/requests/admission.rs
+++ b/crates/tamarackproxy/src/coordination/requests/admission.rs
@@ -4,6 +4,7 @@
     RequestEngine, RequestMeta, RequestsAction,
     keys::{CallerKey, RequestKey, ServiceKey},
     queue::{Entry, class_index},
+    routing::FORWARD_PATIENCE_MS,
     state::{Request, Stage},
     timers::Timer,
 };
@@ -160,6 +161,9 @@
         if self.requests.get(key).is_some_and(|request| matches!(request.stage, Stage::Waiting(_)))
         {
             self.timers.add(deadline_at_ms, Timer::Deadline(key));
+            if !self.services[service].remotes.is_empty() {
+                self.borrow_later(service, self.now_ms + FORWARD_PATIENCE_MS);
+            }
         }
     }
 
--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -30,7 +30,8 @@
 /// costs O(1); a cancellation costs O(log c), amortised. `TargetsChanged`,
 /// `SeatChanged` and `ServicesChanged` cost as much as the data centre has
 /// targets (times seats, if the share changes); messages between peers cost
-/// O(t); `Stopping` costs O(w).
+/// O(t) and their loans; while peers want slots, the end of an attempt also
+/// costs O(peers); `Stopping` costs O(w).
 ///
 /// ```
 /// use tamarackproxy::{
--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -103,7 +103,8 @@
         self.borrow_later(key, self.now_ms + BORROW_REPEAT_MS);
     }
 
-    fn borrow_later(&mut self, key: ServiceKey, at_ms: u64) {
+    /// Serves the queue again at a time, and asks peers then if it is time.
+    pub(super) fn borrow_later(&mut self, key: ServiceKey, at_ms: u64) {
         let service = &mut self.services[key];
         if service.borrow_at_ms.is_none_or(|other| at_ms < other) {
             service.borrow_at_ms = Some(at_ms);
--- a/crates/tamarackproxy/src/coordination/requests/routing.rs
+++ b/crates/tamarackproxy/src/coordination/requests/routing.rs
@@ -21,7 +21,7 @@
 const REMOTE_LOAD_MAX_AGE_MS: u64 = 3_000;
 /// Time that a request waits for slots of peers before it is forwarded, in
 /// milliseconds: more than a round of messages in the data centre takes.
-const FORWARD_PATIENCE_MS: u64 = 3;
+pub(super) const FORWARD_PATIENCE_MS: u64 = 3;
 /// Time after which the usable slots are counted again, in milliseconds.
 const CAPACITY_MAX_AGE_MS: u64 = 10;
 
