--- a/crates/tamarackproxy/src/coordination/requests/admission.rs
+++ b/crates/tamarackproxy/src/coordination/requests/admission.rs
@@ -161,7 +161,8 @@
         if self.requests.get(key).is_some_and(|request| matches!(request.stage, Stage::Waiting(_)))
         {
             self.timers.add(deadline_at_ms, Timer::Deadline(key));
-            if !self.services[service].remotes.is_empty() {
+            let remotes = &self.services[service].remotes;
+            if remotes.iter().any(|remote| remote.load.idle_slots > 0) {
                 self.borrow_later(service, self.now_ms + FORWARD_PATIENCE_MS);
             }
         }
