--- a/crates/tamarackproxy/src/coordination/requests/admission.rs
+++ b/crates/tamarackproxy/src/coordination/requests/admission.rs
@@ -4,6 +4,7 @@
     RequestEngine, RequestMeta, RequestsAction,
     keys::{CallerKey, RequestKey, ServiceKey},
     queue::{Entry, class_index},
+    routing::FORWARD_PATIENCE_MS,
     state::{Request, Stage},
     timers::Timer,
 };
@@ -160,6 +161,10 @@
         if self.requests.get(key).is_some_and(|request| matches!(request.stage, Stage::Waiting(_)))
         {
             self.timers.add(deadline_at_ms, Timer::Deadline(key));
+            let remotes = &self.services[service].remotes;
+            if remotes.iter().any(|remote| remote.load.idle_slots > 0) {
+                self.borrow_later(service, self.now_ms + FORWARD_PATIENCE_MS);
+            }
         }
     }
 
--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -103,7 +103,8 @@
         self.borrow_later(key, self.now_ms + BORROW_REPEAT_MS);
     }
 
-    fn borrow_later(&mut self, key: ServiceKey, at_ms: u64) {
+    /// Serves the queue again at a time, and asks peers then if it is time.
+    pub(super) fn borrow_later(&mut self, key: ServiceKey, at_ms: u64) {
         let service = &mut self.services[key];
         if service.borrow_at_ms.is_none_or(|other| at_ms < other) {
             service.borrow_at_ms = Some(at_ms);
@@ -194,7 +195,7 @@
             self.send(&lender, message);
             return;
         };
-        let ends_at_ms = terms.asked_at_ms + terms.duration_ms;
+        let ends_at_ms = terms.asked_at_ms.saturating_add(terms.duration_ms);
         let loan = self.loans_in.insert(LoanIn {
             lender,
             id: terms.loan,
@@ -220,8 +221,8 @@
         let service = &self.services[target.service];
         let mut loans = target.slots.loans.iter().filter_map(|&loan| self.loans_in.get(loan));
         let duplicate = loans.any(|loan| loan.id == terms.loan && loan.lender == *lender);
-        let in_time = terms.asked_at_ms >= service.accepted_from_ms
-            && terms.asked_at_ms + terms.duration_ms > self.now_ms;
+        let in_time = (service.accepted_from_ms..=self.now_ms).contains(&terms.asked_at_ms)
+            && terms.asked_at_ms.saturating_add(terms.duration_ms) > self.now_ms;
         let usable = target.accepts_work && !target.health.is_leaving(self.now_ms);
         let able = self.seat.is_some() && !self.stopping;
         able && usable && in_time && !duplicate && !service.queue.is_empty()
