Keep the available instances of each service until its pool changes

Change: counts are kept with the generation of the pool and the version of the budget that they belong to.

--- a/crates/tamarackproxy/src/coordination/fleet/engine.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/engine.rs
@@ -15,6 +15,7 @@
     control::ControlLease,
     demand::{BufferPolicy, DemandHistory},
     drain::{Contact, Health, Progress},
+    racks::RackCounts,
     reconcile::RECHECK_MS,
     view::FleetView,
 };
@@ -24,7 +25,9 @@
     state::{
         clock::ClockReading,
         document::Document,
-        ids::{CallId, DataCentreId, EntryId, HostId, PoolId, ServiceId, Term, WaveId},
+        ids::{
+            CallId, DataCentreId, EntryId, HostId, PoolId, RecordVersion, ServiceId, Term, WaveId,
+        },
         records::{BudgetRecord, HostRecord, WavePoolRecord, WaveRecord},
     },
 };
@@ -48,6 +51,14 @@
     pub unused_since_ms: BTreeMap<WaveId, u64>,
 }
 
+/// Available instances of a service, as of one state of its pool and budget.
+#[derive(Clone, Debug)]
+pub(super) struct Available {
+    generation: u64,
+    version: RecordVersion,
+    pub counts: RackCounts,
+}
+
 /// Counters of the engine's work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FleetCounts {
@@ -78,6 +89,7 @@
     pub(super) contacts: BTreeMap<DataCentreId, Contact>,
     pub(super) controls: BTreeMap<PoolId, PoolControl>,
     pub(super) budgets: BTreeMap<ServiceId, Stored<BudgetRecord>>,
+    pub(super) available: BTreeMap<ServiceId, Available>,
     pub(super) waves: BTreeMap<WaveId, Stored<WaveRecord>>,
     pub(super) wave_pools: BTreeMap<(WaveId, PoolId), Stored<WavePoolRecord>>,
     pub(super) progress: BTreeMap<HostId, Progress>,
@@ -108,6 +120,7 @@
             contacts: BTreeMap::new(),
             controls: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            available: BTreeMap::new(),
             waves: BTreeMap::new(),
             wave_pools: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -236,6 +249,26 @@
         }
     }
 
+    /// Counts the available instances of the pool's services anew where the
+    /// hosts or the budget have changed.
+    pub(super) fn refresh_available(&mut self, pool: &PoolId) {
+        let generation = self.view.generation(pool);
+        for service in self.services.get(pool).into_iter().flatten() {
+            let Some(Stored { record, version }) = self.budgets.get(service) else {
+                continue;
+            };
+            let fresh = self
+                .available
+                .get(service)
+                .is_some_and(|known| known.generation == generation && known.version == *version);
+            if !fresh {
+                let counts = self.view.available_by_rack(pool, record);
+                let available = Available { generation, version: *version, counts };
+                self.available.insert(service.clone(), available);
+            }
+        }
+    }
+
     /// Shows a condition.
     pub(super) fn report(
         &mut self,
@@ -288,6 +321,8 @@
                 unused_since_ms: BTreeMap::new(),
             });
         }
+        // The hosts of a service may be those of another pool now.
+        self.available.clear();
         self.document = Some(document);
         self.rank_candidates();
         self.mark_all();
--- a/crates/tamarackproxy/src/coordination/fleet/plan.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/plan.rs
@@ -278,7 +278,7 @@
                 let budget = self.budget(service)?;
                 let mut room = Room {
                     limits: self.budget_limits(service),
-                    available: self.view.available_by_rack(pool, budget),
+                    available: self.available.get(service)?.counts.clone(),
                     stopped: budget.reservations.len(),
                 };
                 for record in &started {
--- a/crates/tamarackproxy/src/coordination/fleet/reconcile.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/reconcile.rs
@@ -14,7 +14,7 @@
     clock::ClockReading,
     document::Document,
     ids::{HostId, OperationId, PoolId, ServiceId, Term, WaveId},
-    records::{BudgetRecord, HostPhase, HostRecord, Reservation, WaveStop},
+    records::{HostPhase, HostRecord, Reservation, WaveStop},
 };
 
 /// Interval at which a pool with a running wave or a rejected write looks
@@ -115,6 +115,7 @@
             self.wake_pool(pool, now.monotonic_ms + RECHECK_MS);
             return;
         }
+        self.refresh_available(pool);
         let mut wants = Wants::default();
         let unsettled = self.unsettled_hosts(pool);
         if !unsettled.is_empty() {
@@ -160,6 +161,7 @@
         due.iter().for_each(|host| {
             control.due_hosts.remove(host);
         });
+        self.refresh_available(pool);
         let mut wants = Wants::default();
         for facts in self.unsettled_among(pool, due.iter()) {
             self.step(now, &document, term, &facts, &mut wants, actions);
@@ -317,12 +319,12 @@
             return;
         }
         for service in self.services.get(pool).cloned().unwrap_or_default() {
-            let (Some(section), Some(budget)) =
-                (document.budgets.get(&service), self.budget(&service))
+            let (Some(section), Some(known)) =
+                (document.budgets.get(&service), self.available.get(&service))
             else {
                 continue;
             };
-            let available = self.available(pool, budget);
+            let available = known.counts.total();
             let min_available = section.min_available;
             let key = format!("budget/{service}");
             if available < min_available {
@@ -334,10 +336,6 @@
         }
     }
 
-    fn available(&self, pool: &PoolId, budget: &BudgetRecord) -> u32 {
-        self.view.available_by_rack(pool, budget).total()
-    }
-
     /// Starts the wanted writes; what cannot start now is wanted again by the
     /// reconciliation that the reply of the present write brings about.
     fn submit(
--- a/crates/tamarackproxy/src/coordination/fleet/steps.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/steps.rs
@@ -142,11 +142,12 @@
     pub(super) fn budgets_allow(&self, facts: &Facts) -> bool {
         let rack = facts.rack();
         facts.unreserved().all(|service| {
-            self.budget(service).is_some_and(|budget| {
-                let available = self.view.available_by_rack(&facts.record.pool, budget);
-                let stopped = budget.reservations.len();
-                self.budget_limits(service).allows_stop(&available, stopped, &rack)
-            })
+            let (Some(budget), Some(known)) = (self.budget(service), self.available.get(service))
+            else {
+                return false;
+            };
+            let stopped = budget.reservations.len();
+            self.budget_limits(service).allows_stop(&known.counts, stopped, &rack)
         })
     }
 
@@ -154,10 +155,9 @@
     /// reservations; a failure after a reservation can break them.
     pub(super) fn budgets_hold(&self, pool: &PoolId) -> bool {
         self.services.get(pool).into_iter().flatten().all(|service| {
-            self.budget(service).is_some_and(|budget| {
-                let available = self.view.available_by_rack(pool, budget);
-                self.budget_limits(service).holds(&available)
-            })
+            self.available
+                .get(service)
+                .is_some_and(|known| self.budget_limits(service).holds(&known.counts))
         })
     }
 
--- a/crates/tamarackproxy/src/coordination/fleet/view.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/view.rs
@@ -27,6 +27,7 @@
     hosts: BTreeMap<HostId, HostView>,
     pools: BTreeMap<PoolId, BTreeSet<HostId>>,
     sizes: BTreeMap<PoolId, BTreeMap<DataCentreId, u32>>,
+    generations: BTreeMap<PoolId, u64>,
     listed: BTreeMap<HostId, ListedHost>,
     unrecorded: BTreeSet<HostId>,
     records_read: bool,
@@ -63,6 +64,7 @@
         }
         let mut changed = self.remove(&record.host);
         changed.insert(record.pool.clone());
+        *self.generations.entry(record.pool.clone()).or_default() += 1;
         self.pools.entry(record.pool.clone()).or_default().insert(record.host.clone());
         *self
             .sizes
@@ -79,6 +81,7 @@
         let Some(HostView { record, .. }) = self.hosts.remove(host) else {
             return BTreeSet::new();
         };
+        *self.generations.entry(record.pool.clone()).or_default() += 1;
         if let Some(hosts) = self.pools.get_mut(&record.pool) {
             hosts.remove(host);
         }
@@ -139,6 +142,11 @@
         self.sizes.get(pool).and_then(|sizes| sizes.get(data_centre)).copied().unwrap_or(0)
     }
 
+    /// Returns a number that grows with each change of the pool's hosts.
+    pub fn generation(&self, pool: &PoolId) -> u64 {
+        self.generations.get(pool).copied().unwrap_or(0)
+    }
+
     /// Returns the entry of a host in the platform's list.
     pub fn listed(&self, host: &HostId) -> Option<&ListedHost> {
         self.listed.get(host)
--- a/crates/tamarackproxy/src/coordination/fleet/writes.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/writes.rs
@@ -341,6 +341,7 @@
         if !self.still_holds(now, &write.pool, write.term, in_record) {
             return None;
         }
+        self.refresh_available(&write.pool);
         let limit = self.max_parallel(&wave);
         let candidates = self.candidates(now, &write.pool, &wave, limit).len() as u32;
         let share = self.pool_share(now, &write.pool, write.term, &wave, &record, candidates);
