Refuse submissions while the store is down

A submitter waited without answer for as long as the store was out of reach. After about 5 s of failed calls it hears that the job may be kept and can be submitted again under the same name.

--- a/crates/tamarackproxy/src/coordination/jobs/engine.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/engine.rs
@@ -349,6 +349,9 @@
         if self.jobs.len() >= JOBS_MAX {
             return Err(JobRefusal::Full);
         }
+        if self.store_is_down() {
+            return Err(JobRefusal::StoreUnavailable);
+        }
         Ok(())
     }
 
--- a/crates/tamarackproxy/src/coordination/jobs/events.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/events.rs
@@ -145,7 +145,7 @@
 }
 
 /// Why a job is not accepted; the message names the remedy.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum JobRefusal {
     /// this entry host does not control the pool's jobs; repeat the submission
     NotController,
--- a/crates/tamarackproxy/src/coordination/jobs/store.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/store.rs
@@ -4,7 +4,7 @@
 
 use super::{
     engine::JobEngine,
-    events::{JobOutcome, JobsAction, JobsReport},
+    events::{JobOutcome, JobRefusal, JobsAction, JobsReport},
     segments::SegmentRecord,
     state::{JobKey, JobPhase},
 };
@@ -23,6 +23,8 @@
 const CLEAN_MS: u64 = 250;
 /// Delays after a failed call, in milliseconds: the first and the longest.
 const BACKOFF_MS: (u64, u64) = (50, 2_000);
+/// Failed calls in a row after which submissions are refused: about 5 s.
+const FAILURES_MAX: u32 = 7;
 /// Keys read with one call.
 pub(super) const LIST_PAGE: u32 = 50;
 
@@ -31,6 +33,8 @@
 pub(super) enum Pending {
     /// A submission is answered.
     Accept(RequestId, JobKey),
+    /// A submission was answered as unavailable and may still be kept.
+    Keep(JobKey),
     /// The start of a job that may not be repeated is sent.
     Start(JobKey),
 }
@@ -194,20 +198,41 @@
                 self.on_segment_read(now, present, actions);
             }
             (StoreCall::Write, Err(StoreError::NotSent | StoreError::Throttled)) => {
-                self.retry_segment(now, false);
+                self.retry_segment(now, false, actions);
             }
-            _ => self.retry_segment(now, true),
+            _ => self.retry_segment(now, true, actions),
         }
     }
 
-    fn retry_segment(&mut self, now: ClockReading, read_back: bool) {
+    /// Tells whether submissions are refused because of the store.
+    pub(super) fn store_is_down(&self) -> bool {
+        self.store.failures >= FAILURES_MAX
+    }
+
+    fn retry_segment(&mut self, now: ClockReading, read_back: bool, actions: &mut Vec<JobsAction>) {
         let retry_ms = self.backoff_until(now);
+        if self.store_is_down() {
+            self.refuse_waiting(actions);
+        }
         if let Some(write) = &mut self.store.write {
             write.read_back = read_back;
             write.retry_ms = Some(retry_ms);
         }
     }
 
+    /// Answers submissions that wait for the store; their write may still take
+    /// effect, and a repeat under the same name is accepted then.
+    fn refuse_waiting(&mut self, actions: &mut Vec<JobsAction>) {
+        let written = self.store.write.iter_mut().flat_map(|write| &mut write.waiting);
+        for pending in written.chain(self.store.pending.values_mut().flatten()) {
+            if let Pending::Accept(request, key) = *pending {
+                let refusal = JobRefusal::StoreUnavailable;
+                actions.push(JobsAction::Refused { request, refusal });
+                *pending = Pending::Keep(key);
+            }
+        }
+    }
+
     /// Finds out whether the present value is this write, the state before
     /// it, or the work of another controller.
     fn on_segment_read(
@@ -255,14 +280,17 @@
         }
         for pending in write.waiting {
             match pending {
-                Pending::Accept(request, key) => self.on_durable(request, key, actions),
+                Pending::Accept(request, key) => {
+                    actions.push(JobsAction::Accepted { request });
+                    self.on_durable(key, actions);
+                }
+                Pending::Keep(key) => self.on_durable(key, actions),
                 Pending::Start(key) => self.on_marked(now, key, actions),
             }
         }
     }
 
-    fn on_durable(&mut self, request: RequestId, key: JobKey, actions: &mut Vec<JobsAction>) {
-        actions.push(JobsAction::Accepted { request });
+    fn on_durable(&mut self, key: JobKey, actions: &mut Vec<JobsAction>) {
         let Some(job) = self.jobs.get(key) else { return };
         if job.cancelled {
             self.finish(key, JobOutcome::Cancelled, actions);
--- a/crates/tamarackproxy/src/coordination/jobs/tests/driver.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/tests/driver.rs
@@ -80,6 +80,7 @@
     pub now_ms: u64,
     pub lose_replies: bool,
     pub hold_writes: bool,
+    pub store_down: bool,
     pub held: Vec<(CallId, StoreRequest)>,
     /// Workers that do not reply.
     pub silent: BTreeSet<HostId>,
@@ -139,6 +140,7 @@
             now_ms: 1_000,
             lose_replies: false,
             hold_writes: false,
+            store_down: false,
             held: Vec::new(),
             silent: BTreeSet::new(),
             commands: Vec::new(),
@@ -238,9 +240,13 @@
                     self.held.push((call, request));
                     return;
                 }
-                let reply = self.store.borrow_mut().apply(&request);
-                let lost = self.lose_replies && writes;
-                let result = if lost { Err(StoreError::Unknown) } else { Ok(reply) };
+                let result = if self.store_down {
+                    Err(StoreError::NotSent)
+                } else {
+                    let reply = self.store.borrow_mut().apply(&request);
+                    let lost = self.lose_replies && writes;
+                    if lost { Err(StoreError::Unknown) } else { Ok(reply) }
+                };
                 events.push_back(JobsEvent::StoreReplied { call, result });
             }
         }
--- a/crates/tamarackproxy/src/coordination/jobs/tests/records.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/tests/records.rs
@@ -7,7 +7,7 @@
 use super::driver::{Driver, job, size};
 use crate::{
     coordination::jobs::{
-        JobOutcome, JobSpec, JobsEvent, JobsReport, LEASE_MS, TaskEnd, UsageReport,
+        JobOutcome, JobRefusal, JobSpec, JobsEvent, JobsReport, LEASE_MS, TaskEnd, UsageReport,
     },
     state::ids::JobId,
 };
@@ -51,6 +51,22 @@
     assert_eq!(driver.store.borrow().writes - before, 1);
 }
 
+/// Guards against submitters that hang, or hear of success, while the store
+/// is down, and against a job that is lost although it may be kept.
+#[test]
+fn jobs_submitted_while_the_store_is_down_are_refused() {
+    let mut driver = Driver::new(1);
+    driver.store_down = true;
+    driver.submit(job("first", 1));
+    driver.advance(10_000);
+    driver.submit(job("second", 1));
+    assert_eq!(driver.refused, [JobRefusal::StoreUnavailable; 2]);
+    driver.store_down = false;
+    driver.advance(5_000);
+    driver.submit(job("first", 1));
+    assert_eq!((driver.accepted.len(), driver.starts(&JobId::new("first")).len()), (1, 1));
+}
+
 /// Guards against a controller that runs a job twice, or loses it, after the
 /// former one died.
 #[rstest]
