--- a/crates/tamarackproxy/src/coordination/jobs/tasks.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/tasks.rs
@@ -67,12 +67,8 @@
         }
         let (tries, cancelled) = (job.start_tries, job.cancelled);
         match reply {
-            WorkerReply::Done => {
-                self.on_started(now, key, worker);
-                if cancelled {
-                    self.stop_task(now, key, actions);
-                }
-            }
+            // A cancelled task is asked to stop until it has ended.
+            WorkerReply::Done => self.on_started(now, key, worker),
             WorkerReply::Refused if cancelled => {
                 self.release(now, key);
                 self.finish(key, JobOutcome::Cancelled, actions);
--- a/crates/tamarackproxy/src/coordination/jobs/tests/failures.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/tests/failures.rs
@@ -4,7 +4,9 @@
 
 use super::driver::{Driver, host, job, workers};
 use crate::{
-    coordination::jobs::{JobOutcome, JobSpec, JobsEvent, JobsReport, LEASE_MS, TaskEnd},
+    coordination::jobs::{
+        JobOutcome, JobSpec, JobsEvent, JobsReport, LEASE_MS, TaskEnd, WorkerCommand,
+    },
     state::ids::JobId,
 };
 
@@ -77,13 +79,15 @@
     assert_eq!(driver.quarantined().len(), 6);
 }
 
-/// Guards against a faulty application that puts the fleet into quarantine.
-#[test]
-fn jobs_faulty_application_quarantines_no_worker() {
+/// Guards against faulty applications that put the fleet into quarantine.
+#[rstest]
+#[case(1)]
+#[case(5)]
+fn jobs_faulty_applications_quarantine_no_worker(#[case] applications: u32) {
     let mut driver = Driver::new(8);
-    for number in 0..10 {
+    for number in 0..20 {
         let name = format!("bad{number}");
-        driver.start(job(&name, 1));
+        driver.start(of_application(&name, number % applications));
         for _ in 0..3 {
             driver.end(&name, TaskEnd::Failed);
         }
@@ -139,6 +143,48 @@
     }
 }
 
+/// Guards against a cancellation that overtakes the start and has no effect.
+#[test]
+fn jobs_cancelled_while_starting_are_stopped_until_they_end() {
+    let mut driver = Driver::new(1);
+    let name = JobId::new("job");
+    driver.silent.insert(host(0));
+    driver.start(job("job", 5));
+    driver.handle(JobsEvent::Cancelled { jobs: vec![name.clone()] });
+    driver.silent.clear();
+    let stops = |driver: &Driver| {
+        let is_stop = |command: &WorkerCommand| matches!(command, WorkerCommand::Stop { .. });
+        driver.commands.iter().filter(|(_, command)| is_stop(command)).count()
+    };
+    assert_eq!(stops(&driver), 1);
+    driver.advance(1_100);
+    assert_eq!(stops(&driver), 3, "again every half second");
+    driver.end("job", TaskEnd::Stopped);
+    assert_eq!(driver.ended, [(name, JobOutcome::Cancelled)]);
+    driver.advance(5_000);
+    assert_eq!(stops(&driver), 3);
+}
+
+/// Guards against the end of an earlier lease that is taken for the end of a
+/// renewed one.
+#[test]
+fn jobs_of_a_worker_lost_twice_wait_for_its_last_lease() {
+    let mut driver = Driver::new(2);
+    let name = JobId::new("job");
+    let lost = driver.start(job("job", 5)).expect("started");
+    driver.silent.insert(lost.clone());
+    driver.advance(15_000);
+    driver.silent.clear();
+    driver.report("job", super::driver::size(5, 5), 15_000);
+    driver.advance(12_000);
+    driver.silent.insert(lost);
+    let last_contact_ms = driver.now_ms;
+    driver.advance(LEASE_MS);
+    assert_eq!(driver.starts(&name).len(), 1, "contact at {last_contact_ms} ms");
+    driver.advance(2 * LEASE_MS);
+    assert_eq!(driver.starts(&name).len(), 2);
+}
+
 /// Guards against a worker that was out of touch for a moment and loses its
 /// tasks, or takes none any more.
 #[test]
