--- a/crates/standins/src/bench/once/mod.rs
+++ b/crates/standins/src/bench/once/mod.rs
@@ -21,6 +21,7 @@
 
 mod callers;
 mod cluster;
+mod cost;
 mod counts;
 mod faults;
 mod setup;
@@ -36,6 +37,11 @@
 /// Charges of one schedule of the measurement.
 const CHARGES: u32 = 100_000;
 
+/// Bound of the ratio of the cost of a charge with 300,000 and with 20,000
+/// claims kept. A cost that grows with the claims would be 15; the allowance
+/// is for caches that hold less of the larger table and for its growth.
+const COST_RATIO_MAX: f64 = 4.0;
+
 /// Schedules of the measurement: no faults, single faults at about the rate of
 /// one of each kind in some minutes, every fault at once, and changes of seats
 /// in addition.
@@ -66,6 +72,11 @@
             figures.extend(figures_of(name, seed, &counts));
         }
     }
+    let (few_ns, many_ns) = cost::costs_ns();
+    figures.push(Figure::new("once", "charge_cost_20000_claims", few_ns, "ns"));
+    figures.push(Figure::new("once", "charge_cost_300000_claims", many_ns, "ns"));
+    let ratio = Figure::new("once", "charge_cost_ratio", many_ns / few_ns, "ratio");
+    figures.push(ratio.with_bound(Bound::AtMost(COST_RATIO_MAX)));
     figures
 }
 
