Run jobs on workers: control by gateways, administration API, ctl

Cause: the job engine was not connected to the daemon. Change: one job engine for each pool, controlled through a lease by a gateway; submissions, cancellations and explanations are passed on to the controller; worker calls, polls of busy workers and lease renewals over the platform's interface; POST, DELETE and GET below /admin/v1/jobs and tamarackctl jobs. Conclusion: jobs are submitted through any entry host.

--- a/crates/standins/src/matrix/world.rs
+++ b/crates/standins/src/matrix/world.rs
@@ -405,7 +405,17 @@
                     self.observations.puts.push(AcceptedPut { at_ms, position, section, line });
                 }
             }
-            Effect::Connect { .. }
+            Effect::CallWorker { pool, call, .. } => {
+                let reply = tamarackproxy::coordination::jobs::WorkerReply::Unknown;
+                let input = Input::WorkerReplied { pool, call, reply };
+                self.schedule(node, STORE_TIMEOUT_MS, input);
+            }
+            Effect::ListTasks { pool, host } => {
+                let input = Input::TasksListed { pool, host, tasks: None };
+                self.schedule(node, STORE_TIMEOUT_MS, input);
+            }
+            Effect::JobAnswered { .. }
+            | Effect::Connect { .. }
             | Effect::Abort { .. }
             | Effect::TargetsKnown { .. }
             | Effect::WaitEnded { .. } => {}
--- a/crates/tamarackproxy/src/coordination/jobs/mod.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod index;
 mod placement;
 mod recovery;
+mod report;
 mod resources;
 mod segments;
 mod sizes;
--- a/crates/tamarackproxy/src/ctl/arguments.rs
+++ b/crates/tamarackproxy/src/ctl/arguments.rs
@@ -44,6 +44,8 @@
     Document(DocumentArguments),
     /// tell why a host or a request waits
     Explain(ExplainArguments),
+    /// list, submit and cancel jobs
+    Jobs(JobsArguments),
     /// report on service-level burn
     Report(ReportArguments),
 }
@@ -78,6 +80,55 @@
     pub name: String,
 }
 
+/// Arguments of `jobs`.
+#[derive(Debug, Options)]
+pub struct JobsArguments {
+    /// print this help
+    pub help: bool,
+    /// what to do with jobs
+    #[options(command, required)]
+    pub command: Option<JobsCommand>,
+}
+
+/// What to do with jobs.
+#[derive(Debug, Options)]
+pub enum JobsCommand {
+    /// list the records of accepted jobs
+    List(NoArguments),
+    /// submit the job that a JSON file describes
+    Submit(SubmitArguments),
+    /// cancel a job
+    Cancel(JobArguments),
+    /// tell where a job stands
+    Explain(JobArguments),
+}
+
+/// Arguments of `jobs submit`.
+#[derive(Debug, Options)]
+pub struct SubmitArguments {
+    /// print this help
+    pub help: bool,
+    /// pool whose workers run the job
+    #[options(free, required)]
+    pub pool: String,
+    /// file with the job in JSON
+    #[options(free, required)]
+    pub file: PathBuf,
+}
+
+/// Pool and name of a job.
+#[derive(Debug, Options)]
+pub struct JobArguments {
+    /// print this help
+    pub help: bool,
+    /// pool of the job
+    #[options(free, required)]
+    pub pool: String,
+    /// name of the job
+    #[options(free, required)]
+    pub job: String,
+}
+
 /// Arguments of `report`.
 #[derive(Debug, Options)]
 pub struct ReportArguments {
--- a/crates/tamarackproxy/src/ctl/client.rs
+++ b/crates/tamarackproxy/src/ctl/client.rs
@@ -47,12 +47,20 @@
         self.call(Method::PUT, path, body.into()).await
     }
 
-    /// Posts an empty body to a path below `/admin/v1/`.
-    pub(super) async fn post<B>(&self, path: &str) -> Result<B, ControlError>
+    /// Posts a body to a path below `/admin/v1/`.
+    pub(super) async fn post<B>(&self, path: &str, body: Bytes) -> Result<B, ControlError>
     where
         B: DeserializeOwned,
     {
-        self.call(Method::POST, path, Bytes::new()).await
+        self.call(Method::POST, path, body).await
+    }
+
+    /// Deletes what a path below `/admin/v1/` names.
+    pub(super) async fn delete<B>(&self, path: &str) -> Result<B, ControlError>
+    where
+        B: DeserializeOwned,
+    {
+        self.call(Method::DELETE, path, Bytes::new()).await
     }
 
     async fn call<B>(&self, method: Method, path: &str, body: Bytes) -> Result<B, ControlError>
--- a/crates/tamarackproxy/src/ctl/document.rs
+++ b/crates/tamarackproxy/src/ctl/document.rs
@@ -73,7 +73,7 @@
         }
         DocumentCommand::Revert(arguments) => {
             let path = format!("document/revert/{}", arguments.revision);
-            let position: Position = client.post(&path).await?;
+            let position: Position = client.post(&path, bytes::Bytes::new()).await?;
             Ok(format!("accepted as revision {}\n", position.revision))
         }
         DocumentCommand::History(arguments) => history(client, arguments, json).await,
--- a/crates/tamarackproxy/src/ctl/run.rs
+++ b/crates/tamarackproxy/src/ctl/run.rs
@@ -12,7 +12,7 @@
     Arguments, ControlError,
     arguments::{
         Command, DocumentArguments, DocumentCommand, ExplainArguments, InitArguments,
-        ReportArguments,
+        JobsArguments, JobsCommand, ReportArguments,
     },
     check::{check, read},
     client::AdminClient,
@@ -89,6 +89,7 @@
     let (path, columns): (&str, &[&str]) = match command {
         Command::Status(_) => return status(client, json).await,
         Command::Report(arguments) => return burn_report(client, arguments, json).await,
+        Command::Jobs(arguments) => return jobs(client, arguments, json).await,
         Command::Explain(arguments) => return explain(client, arguments, json).await,
         Command::Document(arguments) => {
             let command = arguments.command.ok_or(ControlError::NoCommand)?;
@@ -157,7 +158,41 @@
     if json {
         return to_json(&body);
     }
-    Ok(format!("{}\n", body["explanation"].as_str().unwrap_or("-")))
+    Ok(format!("{}\n", explanation(&body)))
+}
+
+async fn jobs(
+    client: &AdminClient,
+    arguments: JobsArguments,
+    json: bool,
+) -> Result<String, ControlError> {
+    let body: Value = match arguments.command.ok_or(ControlError::NoCommand)? {
+        JobsCommand::List(_) => {
+            let rows = client.rows("jobs").await?;
+            return if json {
+                to_json(&rows)
+            } else {
+                Ok(Table::new(&["key", "version", "record"]).with_rows(&rows).to_string())
+            };
+        }
+        JobsCommand::Submit(arguments) => {
+            let body = read(&arguments.file)?;
+            client.post(&format!("jobs/{}", arguments.pool), body.into()).await?
+        }
+        JobsCommand::Cancel(arguments) => {
+            client.delete(&format!("jobs/{}/{}", arguments.pool, arguments.job)).await?
+        }
+        JobsCommand::Explain(arguments) => {
+            let path = format!("explain/job/{}/{}", arguments.pool, arguments.job);
+            client.get(&path).await?
+        }
+    };
+    if json { to_json(&body) } else { Ok(format!("{}\n", explanation(&body))) }
+}
+
+/// Returns the text of an explanation.
+fn explanation(body: &Value) -> &str {
+    body["explanation"].as_str().unwrap_or("-")
 }
 
 async fn burn_report(
--- a/crates/tamarackproxy/src/node/admin.rs
+++ b/crates/tamarackproxy/src/node/admin.rs
@@ -11,14 +11,16 @@
     coordination::{
         burn::{BURN_PREFIX, BurnLedger, BurnReport},
         configuration::{OperatorCall, Position, PutError},
+        jobs::JobSpec,
     },
     protocol::{
         admin::PutRequest,
+        jobs::JobRequest,
         store::{KeyValue, StoreReply, StoreRequest},
     },
     state::{
         document::Document,
-        ids::{Revision, TeamId},
+        ids::{IdError, PoolId, Revision, TeamId},
     },
     transport::{
         admin_server::{AdminInput, AdminRequest, AdminResponse},
@@ -51,6 +53,34 @@
     AdminResponse::problem(StatusCode::NOT_FOUND, "not-found", &detail)
 }
 
+/// Reads a request about jobs: POST of a job, DELETE of one, GET of its
+/// explanation, below `jobs/<pool>` or `explain/job/<pool>`.
+fn job_request(
+    team: &TeamId,
+    path: &str,
+    request: &AdminRequest,
+) -> Option<Result<(PoolId, JobRequest), Box<str>>> {
+    let segments: Vec<&str> = path.split('/').collect();
+    let name = |text: &str| text.parse().map_err(|error: IdError| error.to_string().into());
+    let parsed = match (&request.method, segments.as_slice()) {
+        (&Method::POST, ["jobs", pool]) => name(pool).and_then(|pool| {
+            let spec: JobSpec = serde_json::from_slice(&request.body)
+                .map_err(|error| format!("the body is not a job: {error}"))?;
+            Ok((pool, JobRequest::Submit(JobSpec { team: team.clone(), ..spec })))
+        }),
+        (&Method::DELETE, ["jobs", pool, job]) => name(pool).and_then(|pool| {
+            let job = job.parse().map_err(|error: IdError| error.to_string())?;
+            Ok((pool, JobRequest::Cancel { job, team: team.clone() }))
+        }),
+        (&Method::GET, ["explain", "job", pool, job]) => name(pool).and_then(|pool| {
+            let job = job.parse().map_err(|error: IdError| error.to_string())?;
+            Ok((pool, JobRequest::Explain(job)))
+        }),
+        _ => return None,
+    };
+    Some(parsed)
+}
+
 fn put_status(error: &PutError) -> StatusCode {
     match error {
         PutError::NotOwner { .. } => StatusCode::FORBIDDEN,
@@ -141,12 +171,25 @@
             self.admin.puts.insert(call, reply);
             return self.input(Input::Revert { call, team, revision });
         }
+        if let Some(request) = job_request(&team, path, request) {
+            let call = self.admin.next_call();
+            self.admin.puts.insert(call, reply);
+            match request {
+                Ok((pool, request)) => {
+                    let request = Box::new(request);
+                    self.input(Input::JobRequest { call, pool, request });
+                }
+                Err(message) => self.on_job_answered(call, Err(message)),
+            }
+            return;
+        }
         if path == "report" {
             return self.answer_report(reply);
         }
         let records = match path {
             "budgets" => Some("budget/"),
             "waves" => Some("wave/"),
+            "jobs" => Some("jobs/"),
             "document/history" => Some("document/history/"),
             _ => None,
         };
@@ -203,6 +246,19 @@
         let _ = reply.send(response);
     }
 
+    pub(super) fn on_job_answered(
+        &mut self,
+        call: OperatorCall,
+        result: Result<Box<str>, Box<str>>,
+    ) {
+        let Some(reply) = self.admin.puts.remove(&call) else { return };
+        let response = match result {
+            Ok(text) => AdminResponse::json(&json!({ "explanation": text })),
+            Err(text) => AdminResponse::problem(StatusCode::CONFLICT, "job-refused", &text),
+        };
+        let _ = reply.send(response);
+    }
+
     fn wait_for(
         &mut self,
         revision: Revision,
--- a/crates/tamarackproxy/src/node/core/configuration.rs
+++ b/crates/tamarackproxy/src/node/core/configuration.rs
@@ -88,6 +88,7 @@
             self.on_seats(SeatsEvent::SeatsConfigured { seats });
         }
         self.publish_seat();
+        self.configure_jobs(&document);
         self.on_fleet(FleetEvent::DocumentChanged { document });
         self.publish_targets();
         self.publish_in_force();
--- a/crates/tamarackproxy/src/node/core/effect.rs
+++ b/crates/tamarackproxy/src/node/core/effect.rs
@@ -6,6 +6,7 @@
 use crate::{
     coordination::{
         configuration::{OperatorCall, Position, PutError},
+        jobs::{WorkerCallId, WorkerCommand},
         seats::EntryAddress,
     },
     protocol::{
@@ -13,7 +14,7 @@
         peer::{ForwardRequest, PeerMessage},
         store::StoreRequest,
     },
-    state::ids::{CallId, EntryId, HostId, OperationId, RequestId, TargetId},
+    state::ids::{CallId, EntryId, HostId, OperationId, PoolId, RequestId, TargetId},
 };
 
 /// Engine that made a call to the store.
@@ -29,6 +30,8 @@
     Fleet,
     /// Service-level burn.
     Burn,
+    /// Jobs.
+    Jobs,
 }
 
 /// One thing to do, in the order in which the core returns them.
@@ -68,6 +71,19 @@
     Reboot { host: HostId, operation: OperationId },
     /// Checks the health of instances; ends with `Input::HealthChecked`.
     CheckHealth { host: HostId, addresses: Vec<SocketAddr>, asked_by: Option<EntryId> },
+    /// Calls a worker; ends with `Input::WorkerReplied`. A renewal concerns all
+    /// of `tasks`.
+    CallWorker {
+        pool: PoolId,
+        call: WorkerCallId,
+        host: HostId,
+        command: WorkerCommand,
+        tasks: Vec<Box<str>>,
+    },
+    /// Reads a worker's tasks; ends with `Input::TasksListed`.
+    ListTasks { pool: PoolId, host: HostId },
+    /// An operator's request about jobs ended.
+    JobAnswered { call: OperatorCall, result: Result<Box<str>, Box<str>> },
     /// A put or revert ended.
     PutEnded { call: OperatorCall, result: Result<Position, PutError> },
     /// A waiting reader may read, or its time ran out.
--- a/crates/tamarackproxy/src/node/core/fleet.rs
+++ b/crates/tamarackproxy/src/node/core/fleet.rs
@@ -172,6 +172,7 @@
             }
         }
         self.set_leaving(leaving);
+        self.list_workers(&hosts);
         self.on_fleet(FleetEvent::HostsListed { hosts });
     }
 
--- a/crates/tamarackproxy/src/node/core/input.rs
+++ b/crates/tamarackproxy/src/node/core/input.rs
@@ -3,15 +3,17 @@
 use crate::{
     coordination::{
         configuration::{OperatorCall, SectionEdit},
+        jobs::{WorkerCallId, WorkerReply},
         requests::AttemptResult,
     },
     protocol::{
         http::{CallerRequest, TargetResponse},
+        jobs::JobRequest,
         peer::{ForwardFailure, ForwardRequest, ForwardResponse, Hello, PeerMessage},
-        platform::ListedHost,
+        platform::{ListedHost, TaskReport},
         store::{StoreError, StoreReply, WatchEvent},
     },
-    state::ids::{CallId, EntryId, HostId, RequestId, Revision, TeamId},
+    state::ids::{CallId, EntryId, HostId, PoolId, RequestId, Revision, TeamId},
 };
 
 use super::Engine;
@@ -54,6 +56,12 @@
     Revert { call: OperatorCall, team: TeamId, revision: Revision },
     /// An operator's read waits for a revision.
     WaitFor { call: OperatorCall, revision: Revision },
+    /// A call to a worker ended.
+    WorkerReplied { pool: PoolId, call: WorkerCallId, reply: WorkerReply },
+    /// A worker's tasks were read, or not.
+    TasksListed { pool: PoolId, host: HostId, tasks: Option<Vec<TaskReport>> },
+    /// An operator asks something about jobs.
+    JobRequest { call: OperatorCall, pool: PoolId, request: Box<JobRequest> },
     /// Time passed.
     Tick,
     /// The process stops gracefully.
--- a/crates/tamarackproxy/src/node/core/mod.rs
+++ b/crates/tamarackproxy/src/node/core/mod.rs
@@ -8,6 +8,7 @@
 mod effect;
 mod fleet;
 mod input;
+mod jobs;
 mod once;
 mod peers;
 mod pending;
@@ -31,12 +32,15 @@
     pending::End,
 };
 
-use self::{fleet::FleetState, once::KeptResponses, peers::Peers, pending::Pending};
+use self::{
+    fleet::FleetState, jobs::JobsState, once::KeptResponses, peers::Peers, pending::Pending,
+};
 use crate::{
     coordination::{
         burn::BurnEngine,
         configuration::{ConfigurationEngine, ConfigurationEvent, Position},
         fleet::{FleetEngine, FleetEvent},
+        jobs::JobsEvent,
         once::{OnceEngine, OnceEvent},
         requests::{AttemptResult, RequestEngine, RequestsEvent},
         seats::{EntryAddress, PAUSE_LIMIT_MS, SeatEngine, SeatsEvent},
@@ -84,6 +88,7 @@
     kept: KeptResponses,
     peers: Peers,
     fleet_state: FleetState,
+    jobs: JobsState,
     watches: BTreeMap<Box<str>, u64>,
     watch_generation: u64,
     /// Attempts whose target has no address any more; they end with the
@@ -139,6 +144,7 @@
             kept: KeptResponses::new(settings.limits.kept_responses_bytes),
             peers: Peers::new(Hello { entry: entry.clone(), data_centre: data_centre.clone() }),
             fleet_state: FleetState::default(),
+            jobs: JobsState::default(),
             watches: BTreeMap::new(),
             watch_generation: 0,
             late_ends: Vec::new(),
@@ -186,6 +192,7 @@
                 }
                 Engine::Fleet => self.on_fleet(FleetEvent::StoreReplied { call, result }),
                 Engine::Burn => self.burn.store_replied(self.now, call, result),
+                Engine::Jobs => self.on_jobs_store_reply(call, result),
             },
             Input::Watched { prefix, generation, event } => {
                 self.on_watched(prefix, generation, event);
@@ -207,6 +214,13 @@
                 let until_ms = self.now.monotonic_ms + READ_WAIT_MS;
                 self.on_configuration(ConfigurationEvent::WaitFor { call, revision, until_ms });
             }
+            Input::WorkerReplied { pool, call, reply } => {
+                self.on_pool_jobs(&pool, JobsEvent::WorkerReplied { call, reply });
+            }
+            Input::TasksListed { pool, host, tasks } => self.on_tasks(&pool, &host, tasks),
+            Input::JobRequest { call, pool, request } => {
+                self.on_job_request(call, pool, *request);
+            }
             Input::Tick => self.tick(),
             Input::Stop => self.stop(),
         }
@@ -221,6 +235,7 @@
             self.configuration.next_tick_ms(),
             self.fleet.next_tick_ms().filter(|_| self.peers.is_gateway()),
             self.burn.next_tick_ms(),
+            self.next_jobs_tick_ms(),
         ];
         let earliest = self.now.monotonic_ms + TICK_MIN_MS;
         let latest = self.now.monotonic_ms + TICK_MAX_MS;
@@ -239,6 +254,7 @@
             self.poll_host_list();
             self.on_fleet(FleetEvent::Tick);
         }
+        self.tick_jobs();
         self.tick_peers();
         self.tick_burn();
         if self.is_stopping {
--- a/crates/tamarackproxy/src/node/core/peers.rs
+++ b/crates/tamarackproxy/src/node/core/peers.rs
@@ -65,6 +65,12 @@
         self.gateways.iter().find(|(name, _)| name == data_centre).map(|(_, entry)| entry)
     }
 
+    /// Returns the gateway of this data centre if it is another entry host.
+    pub(super) fn local_gateway(&self) -> Option<&EntryId> {
+        let seated = self.live.iter().filter_map(|peer| Some((peer.seat?, &peer.entry)));
+        seated.min().map(|(_, entry)| entry)
+    }
+
     /// Tells whether this entry host holds the lowest live seat.
     pub(super) fn is_gateway(&self) -> bool {
         let Some(own) = self.own_seat() else { return false };
@@ -137,6 +143,7 @@
                 self.on_drain_query(&from, host, version);
             }
             PeerMessage::Fleet(message) => self.on_fleet(FleetEvent::Received { from, message }),
+            PeerMessage::Jobs(message) => self.on_jobs_message(message),
             PeerMessage::HealthQuery { host } => self.check_health(host, Some(from)),
             PeerMessage::HealthStatus { host, healthy } => self.on_health(host, healthy, None),
             PeerMessage::ListedLeaving { hosts } => self.set_leaving(hosts),
--- a/crates/tamarackproxy/src/node/event_loop.rs
+++ b/crates/tamarackproxy/src/node/event_loop.rs
@@ -300,6 +300,21 @@
             Effect::CheckHealth { host, addresses, asked_by } => {
                 self.check_health(host, addresses, asked_by);
             }
+            Effect::CallWorker { pool, call, host, command, tasks } => {
+                let platform = Rc::clone(&self.platform);
+                self.spawn(async move {
+                    let reply = platform.command(&host, &command, &tasks).await;
+                    Input::WorkerReplied { pool, call, reply }
+                });
+            }
+            Effect::ListTasks { pool, host } => {
+                let platform = Rc::clone(&self.platform);
+                self.spawn(async move {
+                    let tasks = platform.list_tasks(&host).await;
+                    Input::TasksListed { pool, host, tasks }
+                });
+            }
+            Effect::JobAnswered { call, result } => self.on_job_answered(call, result),
             Effect::PutEnded { call, result } => self.on_put_ended(call, result),
             Effect::WaitEnded { call, reached } => self.on_wait_ended(call, reached),
         }
--- a/crates/tamarackproxy/src/protocol/peer.rs
+++ b/crates/tamarackproxy/src/protocol/peer.rs
@@ -10,7 +10,10 @@
         requests::{RequestsMessage, ServiceLoad},
         seats::SeatsMessage,
     },
-    protocol::caller::{Outcome, Refusal},
+    protocol::{
+        caller::{Outcome, Refusal},
+        jobs::JobsMessage,
+    },
     state::{
         document::Urgency,
         ids::{CallerId, DataCentreId, EntryId, HostId, ServiceId},
@@ -46,6 +49,8 @@
     Configuration(ConfigurationMessage),
     /// For the fleet engine.
     Fleet(FleetMessage),
+    /// For the jobs of a pool.
+    Jobs(JobsMessage),
     /// Asks an entry host of the host's data centre to check its health.
     HealthQuery {
         /// The host.
