Keep timers for asking peers from multiplying

Each timer that fired set the next one, also if an earlier one had already fired, so their number grew with each request that waited. Only the timer that was set last serves the queue now.

--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -173,12 +173,7 @@
                 Timer::Deadline(request) => self.deadline_passed(request),
                 Timer::LoanInOver(loan) => self.loan_in_over(loan),
                 Timer::LoanOutOver(loan) => self.loan_out_over(loan),
-                Timer::Borrow(service) => {
-                    if let Some(state) = self.services.get_mut(service) {
-                        state.borrow_at_ms = None;
-                    }
-                    self.pump(service);
-                }
+                Timer::Borrow(service) => self.borrow_due(service),
                 Timer::ReviewLoans(service) => self.review_loans(service),
                 Timer::TellHeld(service) => self.tell_held(service),
                 Timer::Probe(target) => {
--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -112,6 +112,16 @@
         }
     }
 
+    /// Serves the queue when a timer of `borrow_later` fires. Timers that were
+    /// set before an earlier one are ignored: each would set another.
+    pub(super) fn borrow_due(&mut self, key: ServiceKey) {
+        let service = &mut self.services[key];
+        if service.borrow_at_ms.is_some_and(|at_ms| at_ms <= self.now_ms) {
+            service.borrow_at_ms = None;
+            self.pump(key);
+        }
+    }
+
     /// Notes that a peer wants slots, and gives back those that are its own.
     pub(super) fn lend(&mut self, to: EntryId, service: &ServiceId, wanted: u16, asked_at_ms: u64) {
         let Some(&key) = self.service_keys.get(service) else { return };
--- a/crates/tamarackproxy/src/coordination/requests/tests/flood.rs
+++ b/crates/tamarackproxy/src/coordination/requests/tests/flood.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::support::{Bench, SERVICE, dispatched, ends, services};
+use super::support::{Bench, SERVICE, dispatched, ends, peer, remote_load, services};
 use crate::{
     coordination::requests::{
         AttemptResult, CallerLimits, Explanation, RequestMeta, RequestsAction, RequestsEvent,
@@ -183,6 +183,29 @@
     assert_eq!(serve(&mut bench, 0, 1), [20_000]);
 }
 
+/// Guards against timers that multiply while requests wait: each request would
+/// then add to the work of every later millisecond.
+#[test]
+fn flood_does_not_multiply_timers() {
+    let mut bench = Bench::new(&["h1"], 1);
+    bench.event(RequestsEvent::PeersChanged { peers: vec![peer("e2")] });
+    bench.saturate();
+    bench.event(remote_load(1));
+    for id in 0..50 {
+        let meta = RequestMeta { deadline_at_ms: bench.now_ms + 30_000, ..bench.meta() };
+        bench.submit(id, meta);
+        bench.advance(4);
+    }
+    let end_ms = bench.now_ms + 1_000;
+    let mut wakes = 0;
+    while let Some(at_ms) = bench.engine.next_tick_ms().filter(|&at_ms| at_ms < end_ms) {
+        bench.now_ms = at_ms;
+        bench.event(RequestsEvent::Tick);
+        wakes += 1;
+    }
+    assert!(wakes < 40, "{wakes} in a second");
+}
+
 /// Guards against a slow target that gets as much work as the others.
 #[test]
 fn flood_spares_a_slow_target() {
