Read a record again after a write with unknown effect; stop jobs in a drain

Cause: after a lost reply whose read back failed, the known record may be older than the stored one. The drain had no step for jobs. Change: such records are forgotten and read again; with_job_stops makes a drain wait for JobsStopped.

--- a/crates/standins/src/fleet/world/mod.rs
+++ b/crates/standins/src/fleet/world/mod.rs
@@ -468,7 +468,7 @@
                     self.schedule(at_ms, query);
                 }
             }
-            FleetAction::Send { .. } => {}
+            FleetAction::Send { .. } | FleetAction::StopJobs { .. } => {}
             FleetAction::Reboot { host, operation } => {
                 self.schedule(at_ms, Happening::Reboot { node, host, operation });
             }
--- a/crates/tamarackproxy/src/coordination/fleet/calls.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/calls.rs
@@ -203,21 +203,35 @@
             }
             UpdateStep::Failed(failure) => {
                 self.calls.release_key(&write.key);
-                self.on_failure(now, &failure);
+                self.on_failure(now, &write.key, &failure);
                 None
             }
             UpdateStep::Decide(_) => None,
         }
     }
 
-    fn on_failure(&mut self, now: ClockReading, failure: &UpdateFailure) {
-        if let UpdateFailure::Corrupt { key, message } = failure {
-            log::error!("record {key} cannot be decoded: {message}; restore it from its history");
+    fn on_failure(&mut self, now: ClockReading, key: &str, failure: &UpdateFailure) {
+        match failure {
+            UpdateFailure::Corrupt { key, message } => log::error!(
+                "record {key} cannot be decoded: {message}; restore it from its history"
+            ),
+            // The known record may be older than the one in the store, so it
+            // is read again before the next decision.
+            UpdateFailure::Unknown => self.forget_record(key),
+            UpdateFailure::Unavailable => {}
         }
         let delay_ms = self.backoff.fail(now.monotonic_ms, &mut self.rng);
         log::debug!("a store update failed ({failure}); the next one starts in {delay_ms} ms");
     }
 
+    fn forget_record(&mut self, key: &str) {
+        if let Some(service) = key.strip_prefix("budget/") {
+            self.budgets.remove(service);
+        } else if key.starts_with("wave/") {
+            self.wave_pools.retain(|(wave, pool), _| &*wave_pool_key(wave, pool) != key);
+        }
+    }
+
     fn count_call(&mut self, request: &StoreRequest) {
         match request {
             StoreRequest::CompareAndSwap { .. } | StoreRequest::CompareAndDelete { .. } => {
--- a/crates/tamarackproxy/src/coordination/fleet/drain.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/drain.rs
@@ -55,6 +55,7 @@
     /// Latest version and requests in flight that each seat holder stated.
     statuses: BTreeMap<EntryId, (u64, u32)>,
     next_ms: u64,
+    jobs_stopped: bool,
     reboot_accepted: bool,
     checking: bool,
     healthy_in_row: u32,
@@ -72,7 +73,7 @@
 pub(super) enum Drain {
     /// Every seat has acknowledged, with nothing in flight.
     Complete,
-    /// This many seats have not.
+    /// This many seats have not; none if only jobs are left to stop.
     Waits { seats: u32 },
 }
 
@@ -136,6 +137,19 @@
         self.wake_host(&pool, host, 0);
     }
 
+    pub(super) fn on_jobs_stopped(&mut self, host: &HostId, version: u64) {
+        let Some(view) = self.view.host(host) else {
+            return;
+        };
+        let pool = view.record.pool.clone();
+        if let Some(progress) = self.progress.get_mut(host)
+            && progress.version == version
+        {
+            progress.jobs_stopped = true;
+        }
+        self.wake_host(&pool, host, 0);
+    }
+
     pub(super) fn on_reboot(&mut self, host: &HostId, accepted: bool) {
         let Some(view) = self.view.host(host) else {
             return;
@@ -203,6 +217,7 @@
         let Some(holders) = self.seats.get(&record.data_centre).cloned() else {
             return Drain::Waits { seats: 1 };
         };
+        let stops_jobs = self.stops_jobs;
         let progress = self.progress_of(&record.host, version);
         let waiting: Vec<EntryId> = holders
             .into_iter()
@@ -211,11 +226,14 @@
                 !matches!(progress.statuses.get(holder), Some(&(seen, 0)) if seen >= version)
             })
             .collect();
-        if waiting.is_empty() {
+        if waiting.is_empty() && (progress.jobs_stopped || !stops_jobs) {
             return Drain::Complete;
         }
         if now.monotonic_ms >= progress.next_ms {
             progress.next_ms = now.monotonic_ms + DRAIN_QUERY_MS;
+            if stops_jobs && !progress.jobs_stopped {
+                actions.push(FleetAction::StopJobs { host: record.host.clone(), version });
+            }
             for to in &waiting {
                 let message = FleetMessage::DrainQuery { host: record.host.clone(), version };
                 actions.push(FleetAction::Send { to: to.clone(), message });
--- a/crates/tamarackproxy/src/coordination/fleet/engine.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/engine.rs
@@ -101,6 +101,7 @@
     pub(super) adoption_ms: u64,
     pub(super) reports: BTreeMap<Box<str>, FleetReport>,
     pub(super) counts: FleetCounts,
+    pub(super) stops_jobs: bool,
     stopping: bool,
 }
 
@@ -132,10 +133,19 @@
             adoption_ms: 0,
             reports: BTreeMap::new(),
             counts: FleetCounts::default(),
+            stops_jobs: false,
             stopping: false,
         }
     }
 
+    /// Waits for [`FleetEvent::JobsStopped`] before a host reboots or changes
+    /// pool; without it, jobs are left to the drain of the services.
+    #[must_use]
+    pub fn with_job_stops(mut self) -> Self {
+        self.stops_jobs = true;
+        self
+    }
+
     /// Takes an event and appends the resulting actions.
     pub fn handle(&mut self, now: ClockReading, event: FleetEvent, actions: &mut Vec<FleetAction>) {
         match event {
@@ -162,6 +172,7 @@
             FleetEvent::Demand { demand } => self.on_demand(now, &demand),
             FleetEvent::Received { from, message } => self.on_message(now, from, message),
             FleetEvent::HealthChecked { host, healthy } => self.on_health(now, &host, healthy),
+            FleetEvent::JobsStopped { host, version } => self.on_jobs_stopped(&host, version),
             FleetEvent::RebootAccepted { host, accepted } => self.on_reboot(&host, accepted),
             FleetEvent::StoreReplied { call, result } => {
                 self.on_store_replied(now, call, result, actions);
--- a/crates/tamarackproxy/src/coordination/fleet/events.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/events.rs
@@ -62,6 +62,9 @@
     Received { from: EntryId, message: FleetMessage },
     /// The health check of a host ended.
     HealthChecked { host: HostId, healthy: bool },
+    /// Every job on the host has been stopped or checkpointed, as of this
+    /// version of its record.
+    JobsStopped { host: HostId, version: u64 },
     /// The platform accepted the reboot, or refused or lost the call.
     RebootAccepted { host: HostId, accepted: bool },
     /// A call to the store ended.
@@ -77,6 +80,9 @@
 pub enum FleetAction {
     /// Sends a message to a seat holder of any data centre.
     Send { to: EntryId, message: FleetMessage },
+    /// Stops or checkpoints the jobs on a host that drains; only with
+    /// [`FleetEngine::with_job_stops`](super::FleetEngine::with_job_stops).
+    StopJobs { host: HostId, version: u64 },
     /// Asks the platform to reboot the host; idempotent by operation id.
     Reboot { host: HostId, operation: OperationId },
     /// Checks the health of a host.
