Count known failures before stops and fence inherited hosts

Cause: a failure known in the same pass as a reserved stop was counted after the stop began, and a delayed host write of a replaced controller could still take effect (both found by breaking the checks by hand: no test failed). Change: suspected hosts are stepped first and a failure to be counted holds stops back; a host that a predecessor reserved or brought into its phase gets the present term first. Tests delay each write beyond a takeover and fail two hosts visibly at each write.

--- a/crates/standins/src/fleet/world/effects.rs
+++ b/crates/standins/src/fleet/world/effects.rs
@@ -14,6 +14,16 @@
 
 impl FleetWorld {
     pub(super) fn on_call(&mut self, node: usize, call: CallId, request: &StoreRequest) {
+        if let (Some((number, WriteFault::DelayWrite(delay_ms))), true) =
+            (self.write_fault, is_write(request))
+            && number == self.checks.writes + 1
+        {
+            self.write_fault = None;
+            self.pause(node, delay_ms);
+            let request = Box::new(request.clone());
+            self.schedule(self.now_ms + delay_ms, Happening::Call { node, call, request });
+            return;
+        }
         let down =
             self.now_ms < self.store_down_until_ms || self.is_cut(&self.nodes[node].data_centre);
         let result = if down { Err(StoreError::NotSent) } else { self.execute(node, request) };
@@ -38,6 +48,11 @@
         }
         self.on_write(key, version.0);
         self.checks.writes += 1;
+        if let Some((_, hosts)) =
+            self.visible_failure.take_if(|(number, _)| *number == self.checks.writes)
+        {
+            hosts.iter().for_each(|host| self.fail_host_visibly(host));
+        }
         match self.write_fault {
             Some((number, fault)) if number == self.checks.writes => {
                 self.inject(node, fault);
@@ -52,7 +67,7 @@
 
     pub(super) fn inject(&mut self, node: usize, fault: WriteFault) {
         match fault {
-            WriteFault::LoseReply => {}
+            WriteFault::LoseReply | WriteFault::DelayWrite(_) => {}
             WriteFault::KillWriter => self.kill(node),
             WriteFault::PauseWriter(duration_ms) => self.pause(node, duration_ms),
             WriteFault::StoreDown(duration_ms) => self.store_down(duration_ms),
@@ -171,3 +186,8 @@
         }
     }
 }
+
+/// Tells whether a call writes a host, budget or wave record.
+fn is_write(request: &StoreRequest) -> bool {
+    matches!(request, StoreRequest::CompareAndSwap { key, .. } if !key.starts_with("control"))
+}
--- a/crates/standins/src/fleet/world/mod.rs
+++ b/crates/standins/src/fleet/world/mod.rs
@@ -78,6 +78,9 @@
     KillWriter,
     /// The writer is paused for this long, in milliseconds.
     PauseWriter(u64),
+    /// The write is delayed and its writer paused for this long, in
+    /// milliseconds; it takes effect only if nothing else changed the record.
+    DelayWrite(u64),
     /// The store is unavailable for this long, in milliseconds, beginning with
     /// the reply.
     StoreDown(u64),
@@ -137,6 +140,8 @@
     pub reports: Vec<(u64, FleetReport)>,
     /// Fault at the effective write with this number, counted from 1.
     pub write_fault: Option<(u64, WriteFault)>,
+    /// Hosts that fail visibly at the effective write with this number.
+    pub visible_failure: Option<(u64, Vec<HostId>)>,
     /// Data centres without contact to the others, the store and the platform.
     pub cut: BTreeSet<DataCentreId>,
     /// Demand that is reported every second; none if empty.
@@ -171,6 +176,7 @@
             checks: Checks::default(),
             reports: Vec::new(),
             write_fault: None,
+            visible_failure: None,
             cut: BTreeSet::new(),
             demand: Vec::new(),
             document: Arc::new(deployment.document),
@@ -342,6 +348,17 @@
         }
     }
 
+    /// Makes a host fail at once and shows it to every engine at once.
+    pub fn fail_host_visibly(&mut self, host: &HostId) {
+        self.fail_host(host);
+        for node in 0..self.candidates {
+            for _ in 0..3 {
+                let event = FleetEvent::HealthChecked { host: host.clone(), healthy: false };
+                self.deliver(node, event);
+            }
+        }
+    }
+
     /// Makes a failed host run again.
     pub fn repair_host(&mut self, host: &HostId) {
         if let Some(truth) = self.hosts.get_mut(host) {
--- a/crates/standins/tests/fleet_faults.rs
+++ b/crates/standins/tests/fleet_faults.rs
@@ -66,6 +66,7 @@
 #[case::wave_controller_dies(WriteFault::KillWriter)]
 #[case::wave_controller_pauses(WriteFault::PauseWriter(40_000))]
 #[case::wave_controller_pauses_within_lease(WriteFault::PauseWriter(5_000))]
+#[case::wave_delayed_write(WriteFault::DelayWrite(40_000))]
 #[case::wave_store_down(WriteFault::StoreDown(30_000))]
 fn wave_survives_fault_at_each_write(#[case] fault: WriteFault) {
     for number in 1..=writes_of_one_wave() {
@@ -95,6 +96,24 @@
     }
 }
 
+/// Guards against a failure that is known between the reservation and the
+/// drain of another host and does not hold the drain back.
+#[test]
+fn budget_holds_when_a_host_fails_visibly_at_each_write() {
+    for number in 1..=writes_of_one_wave() {
+        let mut world = world_with(2, |_| {});
+        let later = HostId::new(format!("h{:04}", number % 16));
+        let first = HostId::new(format!("h{:04}", (number + 6) % 16));
+        world.visible_failure = Some((number, vec![first, later]));
+        let what = format!("visible failures at write {number}");
+        world.run_until(HOUR_MS, |_| false);
+        let hosts: Vec<HostId> = world.hosts.keys().cloned().collect();
+        hosts.iter().for_each(|host| world.repair_host(host));
+        assert!(world.run_until(HOUR_MS * 3, settled), "{what}: {:?}", world.reports);
+        assert!(world.checks.hold(), "{what}: {:?}", world.checks);
+    }
+}
+
 /// Guards against a planned stop that takes away the room that the loss of a
 /// rack has used up.
 #[test]
--- a/crates/standins/tests/fleet_moves.rs
+++ b/crates/standins/tests/fleet_moves.rs
@@ -64,6 +64,7 @@
 #[case::one_pool_lost_reply(WriteFault::LoseReply)]
 #[case::one_pool_controller_dies(WriteFault::KillWriter)]
 #[case::one_pool_controller_pauses(WriteFault::PauseWriter(40_000))]
+#[case::one_pool_delayed_write(WriteFault::DelayWrite(40_000))]
 #[case::one_pool_store_down(WriteFault::StoreDown(30_000))]
 fn moves_survive_fault_at_each_write(#[case] fault: WriteFault) {
     let mut calm = quiet_world(1);
--- a/crates/tamarackproxy/src/coordination/fleet/reconcile.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/reconcile.rs
@@ -27,6 +27,8 @@
     pub hosts: Vec<(HostId, HostChange)>,
     pub budgets: BTreeMap<ServiceId, Vec<BudgetChange>>,
     pub waves: BTreeMap<WaveId, Vec<WavePoolChange>>,
+    /// Whether a failure is to be counted, before which no host is stopped.
+    pub failure: bool,
 }
 
 impl Wants {
@@ -76,6 +78,15 @@
         self.reserved.iter().find_map(|(_, known)| known.as_ref())
     }
 
+    /// Tells whether a predecessor may have a write of the host's record on its
+    /// way: it reserved the host or brought it into its phase.
+    pub fn is_inherited(&self, term: Term) -> bool {
+        let reserved = self.reserved.iter().filter_map(|(_, known)| known.as_ref());
+        self.record.term != term
+            && (self.record.phase != HostPhase::Active
+                || reserved.into_iter().any(|known| known.term != term))
+    }
+
     /// Pool that the host is reserved to move to.
     pub(super) fn next_pool(&self) -> Option<&PoolId> {
         self.reservation().and_then(|known| known.next_pool.as_ref())
@@ -222,7 +233,8 @@
         self.unsettled_among(pool, hosts)
     }
 
-    /// Returns those of the given hosts of the pool that need a step.
+    /// Returns those of the given hosts of the pool that need a step, the
+    /// suspected ones first, so that failures count before hosts are stopped.
     fn unsettled_among<'a>(
         &self,
         pool: &PoolId,
@@ -230,12 +242,14 @@
     ) -> Vec<Facts> {
         let services: &[ServiceId] = self.services.get(pool).map_or(&[], |known| known);
         let waves: &[WaveId] = self.pool_waves.get(pool).map_or(&[], |known| known);
-        hosts
+        let mut unsettled: Vec<Facts> = hosts
             .filter_map(|host| self.view.host(host))
             .filter(|view| view.record.pool == *pool)
             .filter_map(|view| self.facts(view, services, waves))
             .filter(|facts| !self.calls.is_busy(&host_key(facts.host())))
-            .collect()
+            .collect();
+        unsettled.sort_by_key(|facts| !self.is_suspect(facts.host()));
+        unsettled
     }
 
     fn facts(&self, view: &HostView, services: &[ServiceId], waves: &[WaveId]) -> Option<Facts> {
--- a/crates/tamarackproxy/src/coordination/fleet/steps.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/steps.rs
@@ -39,6 +39,10 @@
         wants: &mut Wants,
         actions: &mut Vec<FleetAction>,
     ) {
+        if facts.is_inherited(term) {
+            wants.host(facts.host(), HostChange::Fence);
+            return;
+        }
         match facts.record.phase {
             HostPhase::Active => self.step_active(now, document, term, facts, wants, actions),
             HostPhase::Draining => self.step_draining(now, document, facts, wants, actions),
@@ -88,7 +92,7 @@
         self.recover_in_waves(facts, wants);
         // A write that is on its way may end the reservation that the known
         // record still shows; its reply brings about the next step.
-        if self.budgets_busy(&facts.record.pool) {
+        if self.budgets_busy(&facts.record.pool) || wants.failure {
             return;
         }
         match (&facts.stop, facts.next_pool().cloned()) {
@@ -181,6 +185,7 @@
     }
 
     fn reserve_failure(&mut self, facts: &Facts, wants: &mut Wants) {
+        wants.failure = true;
         let operation = facts.operation().unwrap_or_else(|| OperationId(self.rng.random()));
         for service in facts.unreserved() {
             let change = BudgetChange::Reserve {
