--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,7 +1,16 @@
 //! Measurements: each drives the library's decision code and returns figures.
 
+mod buffer;
 mod config;
 mod figure;
+mod flood;
+pub mod jobs;
+pub mod key_values;
+pub mod once;
+mod request_sim;
+mod slots;
+pub mod virtual_time;
+mod wave;
 
 pub use self::figure::{Bound, Figure};
 
@@ -12,8 +21,20 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString, VariantNames)]
 #[strum(serialize_all = "kebab-case")]
 pub enum BenchName {
+    /// What the other work keeps during a flood.
+    Flood,
+    /// Overruns and use of the slots that entry hosts share.
+    Slots,
+    /// Charges under faults against the at-most-once engine.
+    Once,
+    /// Buffer held against surges and rack failures.
+    Buffer,
+    /// Roll-out time of a maintenance wave.
+    Wave,
     /// Time from a put to its revision in force, and what distribution costs.
     Config,
+    /// Urgent starts, lost work and quarantine of the job engine.
+    Jobs,
 }
 
 /// Command line of `tamarack-bench`.
@@ -35,6 +56,12 @@
 /// Runs one measurement.
 pub fn run(name: BenchName, options: &BenchOptions) -> Vec<Figure> {
     match name {
+        BenchName::Flood => flood::run(options),
+        BenchName::Slots => slots::run(options),
+        BenchName::Jobs => jobs::run(options.seed, options.seeds),
+        BenchName::Once => once::run(options.seed, options.seeds),
+        BenchName::Buffer => buffer::run(options),
+        BenchName::Wave => wave::run(options),
         BenchName::Config => config::run(options),
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,7 +2,18 @@
 //! measurements that drive the library's decision code.
 //!
 //! Stand-ins record what happened and inject faults; they decide nothing.
+//! Each listens on loopback TCP addresses, runs on the current-thread
+//! runtime that starts it and stops when its handle is dropped.
 
 pub mod bench;
+pub mod caller;
+pub mod clock;
+pub mod demo;
 pub mod fleet;
+pub mod matrix;
+pub mod net;
+pub mod platform;
 pub mod sim;
+pub mod store;
+pub mod target;
+pub mod verdict;
--- a/crates/tamarackproxy/src/coordination/fleet/engine.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/engine.rs
@@ -9,11 +9,14 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
-    FleetAction, FleetEvent, FleetMessage, FleetReport, ServiceDemand,
+    FleetAction, FleetEvent, FleetMessage, FleetReport,
     backoff::Backoff,
     calls::{Call, Calls},
     control::ControlLease,
+    demand::{BufferPolicy, DemandHistory},
     drain::{Contact, Health, Progress},
+    racks::RackCounts,
+    reconcile::RECHECK_MS,
     view::FleetView,
 };
 use crate::{
@@ -22,8 +25,10 @@
     state::{
         clock::ClockReading,
         document::Document,
-        ids::{CallId, DataCentreId, EntryId, HostId, PoolId, ServiceId, Term, WaveId},
-        records::{BudgetRecord, WavePoolRecord, WaveRecord},
+        ids::{
+            CallId, DataCentreId, EntryId, HostId, PoolId, RecordVersion, ServiceId, Term, WaveId,
+        },
+        records::{BudgetRecord, HostRecord, WavePoolRecord, WaveRecord},
     },
 };
 
@@ -35,12 +40,25 @@
     pub dirty: bool,
     /// When the pool is reconciled next without a change.
     pub wake_ms: Option<u64>,
+    /// Hosts that need a step while the rest of the pool is unchanged, with
+    /// the monotonic time at which they need it.
+    pub due_hosts: BTreeMap<HostId, u64>,
     /// When each wave's shared record was read last.
     pub wave_read_ms: BTreeMap<WaveId, u64>,
+    /// When the pool's moves are planned next.
+    pub moves_ms: u64,
     /// Since when the pool holds more of a wave's grant than it can use.
     pub unused_since_ms: BTreeMap<WaveId, u64>,
 }
 
+/// Available instances of a service, as of one state of its pool and budget.
+#[derive(Clone, Debug)]
+pub(super) struct Available {
+    generation: u64,
+    version: RecordVersion,
+    pub counts: RackCounts,
+}
+
 /// Counters of the engine's work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FleetCounts {
@@ -71,11 +89,13 @@
     pub(super) contacts: BTreeMap<DataCentreId, Contact>,
     pub(super) controls: BTreeMap<PoolId, PoolControl>,
     pub(super) budgets: BTreeMap<ServiceId, Stored<BudgetRecord>>,
+    pub(super) available: BTreeMap<ServiceId, Available>,
     pub(super) waves: BTreeMap<WaveId, Stored<WaveRecord>>,
     pub(super) wave_pools: BTreeMap<(WaveId, PoolId), Stored<WavePoolRecord>>,
     pub(super) progress: BTreeMap<HostId, Progress>,
     pub(super) health: BTreeMap<HostId, Health>,
-    pub(super) demand: Vec<ServiceDemand>,
+    pub(super) histories: BTreeMap<ServiceId, DemandHistory>,
+    pub(super) policies: BTreeMap<PoolId, BufferPolicy>,
     pub(super) calls: Calls,
     pub(super) backoff: Backoff,
     pub(super) adoption_ms: u64,
@@ -100,11 +120,13 @@
             contacts: BTreeMap::new(),
             controls: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            available: BTreeMap::new(),
             waves: BTreeMap::new(),
             wave_pools: BTreeMap::new(),
             progress: BTreeMap::new(),
             health: BTreeMap::new(),
-            demand: Vec::new(),
+            histories: BTreeMap::new(),
+            policies: BTreeMap::new(),
             calls: Calls::default(),
             backoff: Backoff::default(),
             adoption_ms: 0,
@@ -123,8 +145,7 @@
                 self.mark_pools(&pools);
             }
             FleetEvent::HostRecordChanged { version, record } => {
-                let pools = self.view.learn(version, &record);
-                self.mark_pools(&pools);
+                self.on_host_record(now, version, &record);
             }
             FleetEvent::HostsListed { hosts } => {
                 let pools = self.view.replace_list(hosts);
@@ -138,7 +159,7 @@
                 self.rank_candidates();
                 self.mark_all();
             }
-            FleetEvent::Demand { demand } => self.demand = demand,
+            FleetEvent::Demand { demand } => self.on_demand(now, &demand),
             FleetEvent::Received { from, message } => self.on_message(now, from, message),
             FleetEvent::HealthChecked { host, healthy } => self.on_health(now, &host, healthy),
             FleetEvent::RebootAccepted { host, accepted } => self.on_reboot(&host, accepted),
@@ -159,7 +180,10 @@
     pub fn next_tick_ms(&self) -> Option<u64> {
         self.controls
             .values()
-            .flat_map(|control| [Some(control.lease.next_tick_ms()), control.wake_ms])
+            .flat_map(|control| {
+                let host_ms = control.due_hosts.values().min().copied();
+                [Some(control.lease.next_tick_ms()), control.wake_ms, host_ms]
+            })
             .flatten()
             .filter(|&at_ms| at_ms < u64::MAX)
             .min()
@@ -217,7 +241,35 @@
         }
     }
 
-    /// Shows a condition; returns whether it is new.
+    /// Asks for a step of one host at this time at the latest.
+    pub(super) fn wake_host(&mut self, pool: &PoolId, host: &HostId, at_ms: u64) {
+        if let Some(control) = self.controls.get_mut(pool) {
+            let known = control.due_hosts.entry(host.clone()).or_insert(at_ms);
+            *known = at_ms.min(*known);
+        }
+    }
+
+    /// Counts the available instances of the pool's services anew where the
+    /// hosts or the budget have changed.
+    pub(super) fn refresh_available(&mut self, pool: &PoolId) {
+        let generation = self.view.generation(pool);
+        for service in self.services.get(pool).into_iter().flatten() {
+            let Some(Stored { record, version }) = self.budgets.get(service) else {
+                continue;
+            };
+            let fresh = self
+                .available
+                .get(service)
+                .is_some_and(|known| known.generation == generation && known.version == *version);
+            if !fresh {
+                let counts = self.view.available_by_rack(pool, record);
+                let available = Available { generation, version: *version, counts };
+                self.available.insert(service.clone(), available);
+            }
+        }
+    }
+
+    /// Shows a condition.
     pub(super) fn report(
         &mut self,
         key: String,
@@ -235,6 +287,17 @@
         self.reports.remove(key);
     }
 
+    /// Takes one record; a change within one pool concerns mostly the host.
+    fn on_host_record(&mut self, now: ClockReading, version: u64, record: &HostRecord) {
+        let pools = self.view.learn(version, record);
+        if pools.len() > 1 {
+            self.mark_pools(&pools);
+        } else if !pools.is_empty() {
+            self.wake_host(&record.pool, &record.host, now.monotonic_ms);
+            self.wake_pool(&record.pool, now.monotonic_ms + RECHECK_MS);
+        }
+    }
+
     fn on_document(&mut self, document: Arc<Document>) {
         self.services.clear();
         for (service, section) in &document.services {
@@ -252,10 +315,14 @@
                 lease: ControlLease::new(format!("pool-{pool}"), self.entry.clone()),
                 dirty: true,
                 wake_ms: None,
+                due_hosts: BTreeMap::new(),
+                moves_ms: 0,
                 wave_read_ms: BTreeMap::new(),
                 unused_since_ms: BTreeMap::new(),
             });
         }
+        // The hosts of a service may be those of another pool now.
+        self.available.clear();
         self.document = Some(document);
         self.rank_candidates();
         self.mark_all();
@@ -356,16 +423,24 @@
     }
 
     fn reconcile_due(&mut self, now: ClockReading, actions: &mut Vec<FleetAction>) {
-        let due: Vec<PoolId> = self
+        let now_ms = now.monotonic_ms;
+        let whole = |control: &PoolControl| {
+            control.dirty || control.wake_ms.is_some_and(|at_ms| at_ms <= now_ms)
+        };
+        let due: Vec<(PoolId, bool)> = self
             .controls
             .iter()
             .filter(|(_, control)| {
-                control.dirty || control.wake_ms.is_some_and(|at_ms| at_ms <= now.monotonic_ms)
+                whole(control) || control.due_hosts.values().any(|&at_ms| at_ms <= now_ms)
             })
-            .map(|(pool, _)| pool.clone())
+            .map(|(pool, control)| (pool.clone(), whole(control)))
             .collect();
-        for pool in due {
-            self.reconcile(now, &pool, actions);
+        for (pool, whole) in due {
+            if whole {
+                self.reconcile(now, &pool, actions);
+            } else {
+                self.reconcile_hosts(now, &pool, actions);
+            }
         }
     }
 
--- a/crates/tamarackproxy/src/coordination/fleet/view.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::racks::RackCounts;
 use crate::{
     protocol::platform::{ListedHost, ListedState},
     state::{
@@ -26,6 +27,7 @@
     hosts: BTreeMap<HostId, HostView>,
     pools: BTreeMap<PoolId, BTreeSet<HostId>>,
     sizes: BTreeMap<PoolId, BTreeMap<DataCentreId, u32>>,
+    generations: BTreeMap<PoolId, u64>,
     listed: BTreeMap<HostId, ListedHost>,
     unrecorded: BTreeSet<HostId>,
     records_read: bool,
@@ -62,6 +64,7 @@
         }
         let mut changed = self.remove(&record.host);
         changed.insert(record.pool.clone());
+        *self.generations.entry(record.pool.clone()).or_default() += 1;
         self.pools.entry(record.pool.clone()).or_default().insert(record.host.clone());
         *self
             .sizes
@@ -78,6 +81,7 @@
         let Some(HostView { record, .. }) = self.hosts.remove(host) else {
             return BTreeSet::new();
         };
+        *self.generations.entry(record.pool.clone()).or_default() += 1;
         if let Some(hosts) = self.pools.get_mut(&record.pool) {
             hosts.remove(host);
         }
@@ -96,6 +100,11 @@
     /// in it.
     pub fn replace_list(&mut self, hosts: Vec<ListedHost>) -> BTreeSet<PoolId> {
         self.list_read = true;
+        let unchanged = hosts.len() == self.listed.len()
+            && hosts.iter().all(|new| self.listed.get(&new.host) == Some(new));
+        if unchanged {
+            return BTreeSet::new();
+        }
         let listed: BTreeMap<HostId, ListedHost> =
             hosts.into_iter().map(|listed| (listed.host.clone(), listed)).collect();
         let differs = |host: &HostId| {
@@ -133,6 +142,11 @@
         self.sizes.get(pool).and_then(|sizes| sizes.get(data_centre)).copied().unwrap_or(0)
     }
 
+    /// Returns a number that grows with each change of the pool's hosts.
+    pub fn generation(&self, pool: &PoolId) -> u64 {
+        self.generations.get(pool).copied().unwrap_or(0)
+    }
+
     /// Returns the entry of a host in the platform's list.
     pub fn listed(&self, host: &HostId) -> Option<&ListedHost> {
         self.listed.get(host)
@@ -156,15 +170,11 @@
 
     /// Counts the available instances of a service by rack: hosts of its pool
     /// that are active, not known as lost, and not in the budget.
-    pub fn available_by_rack(
-        &self,
-        pool: &PoolId,
-        budget: &BudgetRecord,
-    ) -> BTreeMap<RackKey, u32> {
-        let mut racks = BTreeMap::new();
+    pub fn available_by_rack(&self, pool: &PoolId, budget: &BudgetRecord) -> RackCounts {
+        let mut racks = RackCounts::default();
         for view in self.hosts_of(pool).filter(|view| self.is_available(view, budget)) {
             let record = &view.record;
-            *racks.entry((record.data_centre.clone(), record.rack.clone())).or_default() += 1;
+            racks.add((record.data_centre.clone(), record.rack.clone()));
         }
         racks
     }
--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -1,7 +1,6 @@
 //! The request engine: state, events and timers.
 
-use std::collections::HashMap;
-
+use hashbrown::HashMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
@@ -11,8 +10,8 @@
     keys::{AttemptKey, CallerKey, LoanKey, RequestKey, ServiceKey, TargetKey},
     limits::Caller,
     report::RequestCounters,
-    slots::{LoanIn, LoanOut},
-    state::{Abandoned, Attempt, Request, Service, Target},
+    slots::{LoanIn, LoanOut, LoanTerms},
+    state::{Abandoned, Attempt, Request, Service, Stage, Target},
     timers::{Timer, Timers},
 };
 use crate::state::{
@@ -20,6 +19,9 @@
     ids::{CallerId, DataCentreId, EntryId, HostId, RequestId, ServiceId, TargetId},
 };
 
+/// Time before timers are due at which they are looked at, in milliseconds.
+const STALE_TIMERS_MS: u64 = 5;
+
 /// Decides about every request of one entry host.
 ///
 /// Costs, with `t` the service's targets in the data centre, `c` the callers
@@ -28,7 +30,8 @@
 /// costs O(1); a cancellation costs O(log c), amortised. `TargetsChanged`,
 /// `SeatChanged` and `ServicesChanged` cost as much as the data centre has
 /// targets (times seats, if the share changes); messages between peers cost
-/// O(t); `Stopping` costs O(w).
+/// O(t) and their loans; while peers want slots, the end of an attempt also
+/// costs O(peers); `Stopping` costs O(w).
 ///
 /// ```
 /// use tamarackproxy::{
@@ -46,8 +49,10 @@
     pub(super) rng: ChaCha8Rng,
     pub(super) now_ms: u64,
     pub(super) seat: Option<SeatShare>,
-    /// Number of seats at the last share, kept while there is none.
+    /// Number of seats that was heard last.
     pub(super) seats: Option<u16>,
+    /// Until when gained slots are held back, in monotonic milliseconds.
+    pub(super) settling_until_ms: u64,
     pub(super) peers: Vec<EntryId>,
     pub(super) stopping: bool,
     pub(super) services: SlotMap<ServiceKey, Service>,
@@ -59,6 +64,8 @@
     pub(super) host_targets: HashMap<HostId, Vec<TargetKey>>,
     pub(super) requests: SlotMap<RequestKey, Request>,
     pub(super) request_keys: HashMap<RequestId, RequestKey>,
+    /// Highest id of a request so far.
+    pub(super) highest_id: RequestId,
     pub(super) attempts: SlotMap<AttemptKey, Attempt>,
     pub(super) abandoned: Abandoned,
     pub(super) loans_in: SlotMap<LoanKey, LoanIn>,
@@ -79,6 +86,7 @@
             now_ms: 0,
             seat: None,
             seats: None,
+            settling_until_ms: 0,
             peers: Vec::new(),
             stopping: false,
             services: SlotMap::with_key(),
@@ -90,12 +98,13 @@
             host_targets: HashMap::new(),
             requests: SlotMap::with_key(),
             request_keys: HashMap::new(),
+            highest_id: RequestId(0),
             attempts: SlotMap::with_key(),
             abandoned: Abandoned::new(),
             loans_in: SlotMap::with_key(),
             loans_out: HashMap::new(),
             next_loan: LoanId(0),
-            timers: Timers::default(),
+            timers: Timers::new(),
             counters: RequestCounters::default(),
             actions: Vec::new(),
         }
@@ -118,6 +127,7 @@
             RequestsEvent::TargetsChanged { targets } => self.targets_changed(targets),
             RequestsEvent::HostLeaving { host } => self.host_leaving(&host, true),
             RequestsEvent::SeatChanged { seat } => self.seat_changed(seat),
+            RequestsEvent::SeatsConfigured { seats } => self.seats_configured(seats),
             RequestsEvent::PeersChanged { peers } => {
                 self.peers = peers.into_iter().filter(|peer| *peer != self.entry).collect();
             }
@@ -131,6 +141,7 @@
             RequestsEvent::Stopping => self.stop(),
             RequestsEvent::Tick => {}
         }
+        self.drop_stale_timers();
         std::mem::take(&mut self.actions)
     }
 
@@ -139,6 +150,22 @@
         self.timers.next_ms()
     }
 
+    /// Drops timers whose request, attempt or loan has ended shortly before
+    /// they would wake the owner.
+    fn drop_stale_timers(&mut self) {
+        let (attempts, requests) = (&self.attempts, &self.requests);
+        let (loans_in, loans_out) = (&self.loans_in, &self.loans_out);
+        self.timers.drop_stale(self.now_ms + STALE_TIMERS_MS, |timer| match timer {
+            Timer::AttemptOver(attempt) => !attempts.contains_key(attempt),
+            Timer::Deadline(request) => requests
+                .get(request)
+                .is_none_or(|request| matches!(request.stage, Stage::Running(_))),
+            Timer::LoanInOver(loan) => !loans_in.contains_key(loan),
+            Timer::LoanOutOver(loan) => !loans_out.contains_key(&loan),
+            _ => false,
+        });
+    }
+
     fn fire_timers(&mut self) {
         while let Some(timer) = self.timers.pop_due(self.now_ms) {
             match timer {
@@ -148,11 +175,12 @@
                 Timer::LoanOutOver(loan) => self.loan_out_over(loan),
                 Timer::Borrow(service) => {
                     if let Some(state) = self.services.get_mut(service) {
-                        state.borrow_timer = false;
+                        state.borrow_at_ms = None;
                     }
                     self.pump(service);
                 }
                 Timer::ReviewLoans(service) => self.review_loans(service),
+                Timer::TellHeld(service) => self.tell_held(service),
                 Timer::Probe(target) => {
                     if let Some(service) = self.targets.get(target).map(|t| t.service) {
                         self.pump(service);
@@ -169,9 +197,13 @@
                 self.lend(from, &service, wanted, asked_at_ms);
             }
             RequestsMessage::Lend { loan, target, slots, duration_ms, asked_at_ms } => {
-                self.loan_received(from, loan, &target, slots, asked_at_ms + duration_ms);
+                let terms = LoanTerms { loan, slots, asked_at_ms, duration_ms };
+                self.loan_received(from, &target, terms);
+            }
+            RequestsMessage::Held { service, asked_before_ms, loans } => {
+                self.held_by(&from, &service, asked_before_ms, &loans);
             }
-            RequestsMessage::Return { loan, slots } => self.loan_returned(&from, loan, slots),
+            RequestsMessage::Return { loan, kept } => self.loan_returned(&from, loan, kept),
             RequestsMessage::Leaving { host } => self.host_leaving(&host, false),
         }
     }
@@ -188,7 +220,7 @@
             let key = self.caller_key(&limits.caller);
             self.callers[key].apply(limits);
         }
-        self.refresh_bases(false);
+        self.refresh_bases();
     }
 
     /// Returns the key of a service and adds it if it is new.
--- a/crates/tamarackproxy/src/coordination/requests/health.rs
+++ b/crates/tamarackproxy/src/coordination/requests/health.rs
@@ -26,6 +26,8 @@
 const LATENCY_STALE_MS: u64 = 5_000;
 /// Ratio to the service's mean latency above which a target counts as slow.
 const SLOW_RATIO: f64 = 2.0;
+/// Ratio to the service's mean latency below which a target is as good as any.
+const SLOWNESS_MIN: f64 = 1.25;
 /// Factor of the concurrency share after an answer of a slow target.
 const CONCURRENCY_DECREASE: f64 = 0.95;
 /// Factor of the concurrency share after a timeout.
@@ -130,16 +132,17 @@
         self.standing != Standing::Admitted
     }
 
-    /// Whether it may receive a request now that `in_flight` run there; a
-    /// probe must be repeatable.
+    /// Whether it may receive a request now that `in_flight` run there. The
+    /// first probe is a repeatable request, or any if there is none for long.
     pub fn accepts(&self, now_ms: u64, in_flight: u16, repeatable: bool) -> bool {
         match self.standing {
             _ if self.is_leaving(now_ms) => false,
             Standing::Admitted => true,
             Standing::Ejected { until_ms, .. } => {
-                now_ms >= until_ms && in_flight == 0 && repeatable
+                let probe_at_ms = if repeatable { until_ms } else { until_ms + EJECT_MAX_MS };
+                in_flight == 0 && now_ms >= probe_at_ms
             }
-            Standing::Probed { .. } => in_flight == 0 && repeatable,
+            Standing::Probed { .. } => in_flight == 0,
         }
     }
 
@@ -149,8 +152,16 @@
         limit.clamp(1, available.max(1))
     }
 
+    /// Ratio of the target's latency to the usual one, 1 unless it is clearly
+    /// slower: small differences are noise, and following them would send
+    /// everything to one target.
+    pub fn slowness(&self, now_ms: u64, usual_ms: f64) -> f64 {
+        let ratio = self.latency_ms(now_ms, usual_ms) / usual_ms;
+        if ratio < SLOWNESS_MIN { 1.0 } else { ratio }
+    }
+
     /// Expected latency, or `usual_ms` if nothing recent is known.
-    pub fn latency_ms(&self, now_ms: u64, usual_ms: f64) -> f64 {
+    fn latency_ms(&self, now_ms: u64, usual_ms: f64) -> f64 {
         match self.latency_ms {
             Some(latency) if now_ms < self.answered_at_ms + LATENCY_STALE_MS => latency,
             _ => usual_ms,
@@ -176,8 +187,8 @@
             (self.concurrency_share * CONCURRENCY_TIMEOUT_DECREASE).max(CONCURRENCY_MIN);
     }
 
-    /// Adds a result. `others` is the share of the whole service, and
-    /// `may_eject` tells whether enough targets remain.
+    /// Adds a result. `all` is the share of the whole service, and `may_eject`
+    /// tells whether enough targets remain.
     pub fn add_result(&mut self, now_ms: u64, failed: bool, all: ErrorShare, may_eject: bool) {
         self.errors.add(now_ms, failed);
         match self.standing {
--- a/crates/tamarackproxy/src/coordination/requests/loans.rs
+++ b/crates/tamarackproxy/src/coordination/requests/loans.rs
@@ -5,89 +5,157 @@
 use super::{
     LoanId, RequestEngine, RequestsMessage,
     keys::{LoanKey, ServiceKey, TargetKey},
-    slots::{DRIFT_PERCENT, LOAN_DURATION_MS, LoanIn, LoanOut},
+    slots::{ATTEMPT_GRACE_MS, DRIFT_PERCENT, LOAN_DURATION_MS, LoanIn, LoanOut, LoanTerms},
     timers::Timer,
 };
 use crate::state::ids::{EntryId, ServiceId, TargetId};
 
-/// Time between two rounds of asking peers, in milliseconds.
+/// Shortest time between two rounds of asking peers, in milliseconds.
 const BORROW_INTERVAL_MS: u64 = 8;
-/// Rounds in which all peers are asked; with the interval this asks every
-/// peer within 32 ms, which leaves the rest of 50 ms for the messages.
-const BORROW_ROUNDS: usize = 4;
-/// Peers asked in one round at least.
-const BORROW_PEERS_MIN: usize = 3;
+/// Time after which peers are asked again although nothing has changed, in
+/// milliseconds.
+const BORROW_REPEAT_MS: u64 = 75;
+/// Time for which a lender remembers that a peer wants slots, in milliseconds.
+/// A slot that becomes idle is lent at once, without being asked for again.
+const INTEREST_MS: u64 = 100;
 /// Most slots asked for at once.
 const BORROW_MAX: u32 = 256;
+/// Time between two lists of the loans held, in milliseconds. A message that
+/// is lost keeps its slots out of use for about this long and for
+/// `LEND_DELAY_MAX_MS`.
+const HELD_INTERVAL_MS: u64 = 200;
+/// Age of a request for slots beyond which a loan is no longer accepted once
+/// the loans held were listed, in milliseconds: the time for which lenders
+/// remember the request, and several rounds of messages.
+const LEND_DELAY_MAX_MS: u64 = INTEREST_MS + 20;
 /// Time between two reviews of idle loans, in milliseconds.
-const REVIEW_INTERVAL_MS: u64 = 15;
+const REVIEW_INTERVAL_MS: u64 = 10;
+
+/// The last round of asking peers for slots.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Asks {
+    at_ms: u64,
+    wanted: u16,
+    received: u16,
+}
+
+impl Asks {
+    /// When peers are asked again: soon if they have lent what was wanted or
+    /// many more requests wait, and otherwise to repeat the request.
+    fn due_ms(&self, waiting: u32) -> u64 {
+        let wanted = u32::from(self.wanted);
+        let changed = self.received >= self.wanted || waiting >= 2 * wanted && wanted < BORROW_MAX;
+        self.at_ms + if changed { BORROW_INTERVAL_MS } else { BORROW_REPEAT_MS }
+    }
+}
+
+/// A peer that wants slots of a service.
+#[derive(Clone, Debug)]
+pub(super) struct Interest {
+    peer: EntryId,
+    wanted: u16,
+    asked_at_ms: u64,
+    until_ms: u64,
+}
+
+/// Takes slots in turn from each target until there are `count`.
+fn take_evenly(free: &mut [(TargetKey, u16)], count: u16) -> Vec<(TargetKey, u16)> {
+    let mut taken: Vec<(TargetKey, u16)> = free.iter().map(|&(target, _)| (target, 0)).collect();
+    let mut left = count;
+    while left > 0 && free.iter().any(|&(_, slots)| slots > 0) {
+        for ((_, slots), (_, given)) in free.iter_mut().zip(&mut taken) {
+            if left > 0 && *slots > 0 {
+                (*slots, *given, left) = (*slots - 1, *given + 1, left - 1);
+            }
+        }
+    }
+    taken.retain(|&(_, given)| given > 0);
+    taken
+}
 
 impl RequestEngine {
-    /// Asks some peers for slots, if requests wait and it is time.
+    /// Asks the peers for slots, if requests wait and it is time.
     pub(super) fn borrow(&mut self, key: ServiceKey) {
         if self.peers.is_empty() || self.seat.is_none() || self.stopping {
             return;
         }
         let service = &mut self.services[key];
-        if service.borrow_timer || service.queue.is_empty() {
+        let waiting = service.queue.len();
+        if waiting == 0 {
             return;
         }
-        let due = service.asked_at_ms.map_or(0, |asked| asked + BORROW_INTERVAL_MS);
-        service.borrow_timer = true;
-        self.timers.add(due.max(self.now_ms + BORROW_INTERVAL_MS), Timer::Borrow(key));
-        if due > self.now_ms {
+        let due_ms = service.asks.map_or(0, |asks| asks.due_ms(waiting));
+        if due_ms > self.now_ms {
+            self.borrow_later(key, due_ms);
             return;
         }
-        service.asked_at_ms = Some(self.now_ms);
-        let count = self.peers.len().div_ceil(BORROW_ROUNDS).max(BORROW_PEERS_MIN);
-        let count = count.min(self.peers.len());
-        let wanted = service.queue.len().min(BORROW_MAX).div_ceil(count as u32) as u16;
-        let message = RequestsMessage::Borrow {
-            service: service.id.clone(),
-            wanted,
-            asked_at_ms: self.now_ms,
-        };
-        let first = service.next_peer;
-        service.next_peer = (first + count) % self.peers.len();
-        for offset in 0..count {
-            let peer = self.peers[(first + offset) % self.peers.len()].clone();
+        let wanted = waiting.min(BORROW_MAX) as u16;
+        service.asks = Some(Asks { at_ms: self.now_ms, wanted, received: 0 });
+        if !service.held_timer {
+            service.held_timer = true;
+            self.timers.add(self.now_ms + HELD_INTERVAL_MS, Timer::TellHeld(key));
+        }
+        let service = service.id.clone();
+        let message = RequestsMessage::Borrow { service, wanted, asked_at_ms: self.now_ms };
+        for peer in self.peers.clone() {
             self.send(&peer, message.clone());
         }
+        self.borrow_later(key, self.now_ms + BORROW_REPEAT_MS);
+    }
+
+    /// Serves the queue again at a time, and asks peers then if it is time.
+    pub(super) fn borrow_later(&mut self, key: ServiceKey, at_ms: u64) {
+        let service = &mut self.services[key];
+        if service.borrow_at_ms.is_none_or(|other| at_ms < other) {
+            service.borrow_at_ms = Some(at_ms);
+            self.timers.add(at_ms, Timer::Borrow(key));
+        }
     }
 
-    /// Lends idle slots to a peer, unless own requests wait for them.
+    /// Notes that a peer wants slots, and gives back those that are its own.
     pub(super) fn lend(&mut self, to: EntryId, service: &ServiceId, wanted: u16, asked_at_ms: u64) {
         let Some(&key) = self.service_keys.get(service) else { return };
         self.recall(key, &to);
-        let state = &self.services[key];
-        if self.seat.is_none() || self.stopping || !state.queue.is_empty() {
+        let interests = &mut self.services[key].interests;
+        interests.retain(|interest| interest.peer != to);
+        let until_ms = self.now_ms + INTEREST_MS;
+        interests.push(Interest { peer: to, wanted, asked_at_ms, until_ms });
+        self.lend_idle(key);
+    }
+
+    /// Lends idle slots to the peers that want some, unless own requests wait.
+    pub(super) fn lend_idle(&mut self, key: ServiceKey) {
+        let state = &mut self.services[key];
+        if state.interests.is_empty() || !state.queue.is_empty() {
             return;
         }
-        let targets = state.targets.clone();
-        if targets.is_empty() {
+        state.interests.retain(|interest| interest.until_ms > self.now_ms && interest.wanted > 0);
+        if self.seat.is_none() || self.stopping || state.interests.is_empty() {
             return;
         }
-        let offset = self.rng.random_range(0..targets.len());
-        let order = || targets.iter().cycle().skip(offset).take(targets.len());
-        let free: Vec<(TargetKey, u16)> =
-            order().map(|&target| (target, self.lendable(target))).filter(|t| t.1 > 0).collect();
-        let total: u16 = free.iter().map(|&(_, slots)| slots).sum();
-        let mut left = wanted.min(total);
-        let (mut given, mut level) = (vec![0; free.len()], 0);
-        while left > 0 {
-            level += 1;
-            for (given, &(_, slots)) in given.iter_mut().zip(&free) {
-                if left > 0 && slots >= level {
-                    *given = level;
-                    left -= 1;
-                }
-            }
-        }
-        for ((target, _), slots) in free.into_iter().zip(given) {
-            if slots > 0 {
-                self.give(&to, target, slots, asked_at_ms);
+        let targets = &self.services[key].targets;
+        let offset = self.rng.random_range(0..targets.len().max(1));
+        let mut free: Vec<(TargetKey, u16)> = targets
+            .iter()
+            .cycle()
+            .skip(offset)
+            .take(targets.len())
+            .map(|&target| (target, self.lendable(target)))
+            .filter(|&(_, slots)| slots > 0)
+            .collect();
+        let mut interests = std::mem::take(&mut self.services[key].interests);
+        let peers = interests.len();
+        for (index, interest) in interests.iter_mut().enumerate() {
+            let left: u16 = free.iter().map(|&(_, slots)| slots).sum();
+            let part = left.div_ceil((peers - index) as u16).min(interest.wanted);
+            interest.wanted -= part;
+            for (target, slots) in take_evenly(&mut free, part) {
+                self.give(&interest.peer, target, slots, interest.asked_at_ms);
             }
         }
+        // The next slot goes to another peer first.
+        interests.rotate_left(1);
+        self.services[key].interests = interests;
     }
 
     /// Slots of a target that may be lent now.
@@ -107,46 +175,114 @@
         target.slots.lent += slots;
         let id = target.id.clone();
         let ends_at_ms = self.now_ms + LOAN_DURATION_MS * (100 + DRIFT_PERCENT) / 100;
-        let record = LoanOut { borrower: to.clone(), target: key, slots, ends_at_ms };
+        let record = LoanOut { borrower: to.clone(), target: key, slots, asked_at_ms, ends_at_ms };
         self.loans_out.insert(loan, record);
         self.timers.add(ends_at_ms, Timer::LoanOutOver(loan));
         let duration_ms = LOAN_DURATION_MS;
         self.send(to, RequestsMessage::Lend { loan, target: id, slots, duration_ms, asked_at_ms });
     }
 
-    pub(super) fn loan_received(
-        &mut self,
-        lender: EntryId,
-        id: LoanId,
-        target: &TargetId,
-        slots: u16,
-        ends_at_ms: u64,
-    ) {
+    pub(super) fn loan_received(&mut self, lender: EntryId, target: &TargetId, terms: LoanTerms) {
         let key = self.target_keys.get(target).copied();
-        let wanted = key.is_some_and(|key| {
-            let target = &self.targets[key];
-            self.seat.is_some()
-                && !self.stopping
-                && target.accepts_work
-                && !target.health.is_leaving(self.now_ms)
-                && !self.services[target.service].queue.is_empty()
-        });
-        let known = self.loans_in.values().any(|loan| loan.id == id && loan.lender == lender);
-        let (Some(key), true, false) = (key, wanted && ends_at_ms > self.now_ms, known) else {
-            self.send(&lender, RequestsMessage::Return { loan: id, slots });
+        if let Some(service) = key.map(|key| self.targets[key].service)
+            && let Some(asks) = &mut self.services[service].asks
+        {
+            asks.received = asks.received.saturating_add(terms.slots);
+        }
+        let wanted = key.is_some_and(|key| self.wants_loan(key, &lender, terms));
+        let (Some(key), true) = (key, wanted) else {
+            let message = RequestsMessage::Return { loan: terms.loan, kept: 0 };
+            self.send(&lender, message);
             return;
         };
-        let loan = LoanIn { lender, id, target: key, slots, used: 0, ends_at_ms, recalled: false };
-        let loan = self.loans_in.insert(loan);
+        let ends_at_ms = terms.asked_at_ms.saturating_add(terms.duration_ms);
+        let loan = self.loans_in.insert(LoanIn {
+            lender,
+            id: terms.loan,
+            target: key,
+            slots: terms.slots,
+            used: 0,
+            ends_at_ms,
+            recalled: false,
+        });
         self.timers.add(ends_at_ms, Timer::LoanInOver(loan));
         let target = &mut self.targets[key];
         target.slots.loans.push(loan);
         let service = target.service;
-        self.services[service].capacity.counted_at_ms = None;
+        let state = &mut self.services[service];
+        state.capacity.counted_at_ms = None;
         self.pump(service);
         self.schedule_review(service);
     }
 
+    /// Whether a loan that arrives is used.
+    fn wants_loan(&self, key: TargetKey, lender: &EntryId, terms: LoanTerms) -> bool {
+        let target = &self.targets[key];
+        let service = &self.services[target.service];
+        let mut loans = target.slots.loans.iter().filter_map(|&loan| self.loans_in.get(loan));
+        let duplicate = loans.any(|loan| loan.id == terms.loan && loan.lender == *lender);
+        let in_time = (service.accepted_from_ms..=self.now_ms).contains(&terms.asked_at_ms)
+            && terms.asked_at_ms.saturating_add(terms.duration_ms) > self.now_ms;
+        let usable = target.accepts_work && !target.health.is_leaving(self.now_ms);
+        let able = self.seat.is_some() && !self.stopping;
+        able && usable && in_time && !duplicate && !service.queue.is_empty()
+    }
+
+    /// Lists to every peer the loans that are held from it, as long as loans
+    /// that were asked for may exist.
+    pub(super) fn tell_held(&mut self, key: ServiceKey) {
+        let asked_before_ms = self.now_ms.saturating_sub(LEND_DELAY_MAX_MS);
+        let service = &mut self.services[key];
+        service.accepted_from_ms = asked_before_ms;
+        let last_loan_ends_ms = service.asks.map_or(0, |asks| asks.at_ms + LOAN_DURATION_MS);
+        service.held_timer = self.now_ms < last_loan_ends_ms;
+        if service.held_timer {
+            self.timers.add(self.now_ms + HELD_INTERVAL_MS, Timer::TellHeld(key));
+        }
+        let id = service.id.clone();
+        let held: Vec<&LoanIn> =
+            self.loans_of(key).into_iter().filter_map(|loan| self.loans_in.get(loan)).collect();
+        let messages: Vec<(EntryId, RequestsMessage)> = self
+            .peers
+            .iter()
+            .map(|peer| {
+                let loans = held.iter().filter(|loan| loan.lender == *peer);
+                let loans = loans.map(|loan| (loan.id, loan.slots)).collect();
+                let service = id.clone();
+                (peer.clone(), RequestsMessage::Held { service, asked_before_ms, loans })
+            })
+            .collect();
+        for (peer, message) in messages {
+            self.send(&peer, message);
+        }
+    }
+
+    /// Takes back what a borrower does not hold and will not accept.
+    pub(super) fn held_by(
+        &mut self,
+        borrower: &EntryId,
+        service: &ServiceId,
+        asked_before_ms: u64,
+        held: &[(LoanId, u16)],
+    ) {
+        let concerned = |loan: &LoanOut| {
+            loan.borrower == *borrower
+                && loan.asked_at_ms < asked_before_ms
+                && self.targets.get(loan.target).is_some_and(|t| t.id.service == *service)
+        };
+        let kept =
+            |id: LoanId| held.iter().find(|(other, _)| *other == id).map_or(0, |&(_, slots)| slots);
+        let missing: Vec<(LoanId, u16)> = self
+            .loans_out
+            .iter()
+            .filter(|(id, loan)| concerned(loan) && kept(**id) < loan.slots)
+            .map(|(&id, _)| (id, kept(id)))
+            .collect();
+        for (id, kept) in missing {
+            self.loan_returned(borrower, id, kept);
+        }
+    }
+
     fn schedule_review(&mut self, key: ServiceKey) {
         let service = &mut self.services[key];
         if !service.review_timer {
@@ -159,7 +295,7 @@
     pub(super) fn review_loans(&mut self, key: ServiceKey) {
         let service = &mut self.services[key];
         service.review_timer = false;
-        let busy = !service.queue.is_empty() && !self.stopping;
+        let busy = !service.queue.is_empty() && !self.stopping && self.seat.is_some();
         let mut held = false;
         for loan in self.loans_of(key) {
             let kept = busy && !self.loan_is_useless(loan);
@@ -178,12 +314,16 @@
         targets.flat_map(|&target| self.targets[target].slots.loans.iter().copied()).collect()
     }
 
-    /// Whether nothing more starts on a loan: it was recalled or its target
-    /// leaves.
+    /// Whether nothing more starts on a loan: it was recalled, its target
+    /// leaves, or it ends too soon.
     fn loan_is_useless(&self, key: LoanKey) -> bool {
         let Some(loan) = self.loans_in.get(key) else { return true };
         let target = &self.targets[loan.target];
-        loan.recalled || !target.accepts_work || target.health.is_leaving(self.now_ms)
+        let least_ms = self.services[target.service].least_attempt_ms() + ATTEMPT_GRACE_MS;
+        loan.ends_at_ms < self.now_ms + least_ms
+            || loan.recalled
+            || !target.accepts_work
+            || target.health.is_leaving(self.now_ms)
     }
 
     /// Gives a peer back what it needs itself: idle slots now and the others
@@ -204,7 +344,7 @@
         loan.slots = loan.used;
         let (lender, id, used) = (loan.lender.clone(), loan.id, loan.used);
         if idle > 0 {
-            self.send(&lender, RequestsMessage::Return { loan: id, slots: idle });
+            self.send(&lender, RequestsMessage::Return { loan: id, kept: used });
         }
         if used == 0 {
             self.drop_loan_in(key);
@@ -231,12 +371,12 @@
         self.drop_loan_in(key);
     }
 
-    pub(super) fn loan_returned(&mut self, from: &EntryId, id: LoanId, slots: u16) {
+    pub(super) fn loan_returned(&mut self, from: &EntryId, id: LoanId, kept: u16) {
         let Some(loan) = self.loans_out.get_mut(&id) else { return };
         if loan.borrower != *from {
             return;
         }
-        let returned = slots.min(loan.slots);
+        let returned = loan.slots.saturating_sub(kept);
         loan.slots -= returned;
         let (key, over) = (loan.target, loan.slots == 0);
         if over {
--- a/crates/tamarackproxy/src/coordination/requests/state.rs
+++ b/crates/tamarackproxy/src/coordination/requests/state.rs
@@ -1,15 +1,16 @@
 //! What the engine keeps of services, targets, requests and attempts.
 
-use std::collections::HashMap;
+use hashbrown::HashMap;
 
 use super::{
-    RequestMeta, ServiceLimits, ServiceLoad,
+    RequestMeta, SeatShare, ServiceLimits, ServiceLoad,
     health::{ErrorShare, TargetHealth},
     keys::{AttemptKey, CallerKey, EntryKey, RequestKey, ServiceKey, TargetKey},
-    limits::RunningMean,
+    limits::ServiceTime,
+    loans::{Asks, Interest},
     queue::ServiceQueue,
     retry::RetryBudget,
-    slots::{SlotSource, TargetSlots},
+    slots::{ATTEMPT_MAX_MS, SlotSource, TargetSlots},
 };
 use crate::{
     protocol::caller::Refusal,
@@ -19,6 +20,11 @@
 /// Slot time that is assumed before the first answer, in milliseconds.
 const SLOT_TIME_UNKNOWN_MS: f64 = 20.0;
 
+/// Shortest time that an attempt on a loan is given, in milliseconds.
+const LOAN_ATTEMPT_MIN_MS: u64 = 1_000;
+/// Same, in mean slot times.
+const LOAN_ATTEMPT_SLOT_TIMES: f64 = 8.0;
+
 /// One service.
 #[derive(Debug)]
 pub(super) struct Service {
@@ -30,22 +36,26 @@
     pub queue: ServiceQueue,
     pub retries: RetryBudget,
     pub errors: ErrorShare,
-    /// Mean latency of answers by class.
-    pub slot_time_ms: [RunningMean; 3],
-    /// Mean latency of all answers.
-    pub latency_ms: RunningMean,
+    /// Time from dispatch to answer by class.
+    pub class_time: [ServiceTime; 3],
+    /// Time from dispatch to answer of all classes.
+    pub service_time: ServiceTime,
     /// Requests in flight, forwarded ones not included.
     pub in_flight: u32,
     /// Slots that this entry host may use, counted now and then.
     pub capacity: Capacity,
     /// Load of other data centres.
     pub remotes: Vec<Remote>,
-    /// When peers were last asked for slots.
-    pub asked_at_ms: Option<u64>,
-    pub borrow_timer: bool,
+    /// When and for what peers were last asked for slots.
+    pub asks: Option<Asks>,
+    /// Peers that want slots.
+    pub interests: Vec<Interest>,
+    /// When peers may be asked again, if a timer is set for it.
+    pub borrow_at_ms: Option<u64>,
+    /// Loans that were asked for before this are no longer accepted.
+    pub accepted_from_ms: u64,
+    pub held_timer: bool,
     pub review_timer: bool,
-    /// Position in the list of peers for the next round of asking.
-    pub next_peer: usize,
 }
 
 impl Service {
@@ -57,21 +67,41 @@
             queue: ServiceQueue::default(),
             retries: RetryBudget::new(),
             errors: ErrorShare::default(),
-            slot_time_ms: [RunningMean::default(); 3],
-            latency_ms: RunningMean::default(),
+            class_time: [ServiceTime::default(); 3],
+            service_time: ServiceTime::default(),
             in_flight: 0,
             capacity: Capacity::default(),
             remotes: Vec::new(),
-            asked_at_ms: None,
-            borrow_timer: false,
+            asks: None,
+            interests: Vec::new(),
+            borrow_at_ms: None,
+            accepted_from_ms: 0,
+            held_timer: false,
             review_timer: false,
-            next_peer: 0,
         }
     }
 
     /// Expected slot time of a class, in milliseconds, if any answer is known.
     pub fn expected_ms(&self, class: usize) -> Option<f64> {
-        self.slot_time_ms[class].get().or(self.latency_ms.get())
+        self.class_time[class].mean_ms().or(self.service_time.mean_ms())
+    }
+
+    /// Time that most requests of a class need, in milliseconds.
+    pub fn ample_ms(&self, class: usize) -> f64 {
+        let time = self.class_time[class];
+        if time.mean_ms().is_some() { time.ample_ms() } else { self.service_time.ample_ms() }
+    }
+
+    /// Shortest time that an attempt on a loan is given, in milliseconds,
+    /// unless the request's deadline is sooner.
+    pub fn least_attempt_ms(&self) -> u64 {
+        let slot_times_ms = LOAN_ATTEMPT_SLOT_TIMES * self.service_time.mean_ms().unwrap_or(0.0);
+        LOAN_ATTEMPT_MIN_MS.max(slot_times_ms as u64).min(ATTEMPT_MAX_MS)
+    }
+
+    /// Usual latency of a target, in milliseconds, at least a tenth of one.
+    pub fn usual_ms(&self) -> f64 {
+        self.service_time.mean_ms().unwrap_or(1.0).max(0.1)
     }
 
     /// Expected slot time by class in microseconds, for fair queueing.
@@ -104,12 +134,23 @@
     pub outstanding_then: u32,
 }
 
+/// Share of a target's slots with what it was computed from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct BaseShare {
+    /// Slots and connections of the target and the seat, if all are known.
+    pub basis: Option<(u16, u16, SeatShare)>,
+    /// Slots of the share.
+    pub slots: u16,
+}
+
 /// One target.
 #[derive(Debug)]
 pub(super) struct Target {
     pub id: TargetId,
     pub service: ServiceKey,
     pub slots: TargetSlots,
+    /// The seat's share of the slots.
+    pub share: BaseShare,
     pub health: TargetHealth,
     /// Whether the fleet state lists the target in this data centre.
     pub listed: bool,
--- a/crates/tamarackproxy/src/coordination/requests/tests.rs
+++ b/crates/tamarackproxy/src/coordination/requests/tests.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
+mod answers;
+mod flood;
 mod leaving;
 mod outcomes;
+mod outcomes_model;
+mod retry;
 mod slots;
 mod slots_model;
--- a/crates/tamarackproxy/src/coordination/requests/timers.rs
+++ b/crates/tamarackproxy/src/coordination/requests/timers.rs
@@ -23,6 +23,8 @@
     Borrow(ServiceKey),
     /// Idle loans of the service are returned.
     ReviewLoans(ServiceKey),
+    /// Lenders are told which loans of the service are held.
+    TellHeld(ServiceKey),
     /// An ejected target may be probed.
     Probe(TargetKey),
     /// Slots gained by a change of the number of seats are free.
@@ -30,26 +32,51 @@
 }
 
 /// Due times in order.
-#[derive(Debug, Default)]
-pub(super) struct Timers(BinaryHeap<Reverse<(u64, Timer)>>);
+#[derive(Debug)]
+pub(super) struct Timers {
+    heap: BinaryHeap<Reverse<(u64, Timer)>>,
+    /// Time of the first, kept beside the heap since every event looks at it.
+    next_ms: u64,
+}
 
 impl Timers {
+    /// Makes an empty list.
+    pub fn new() -> Self {
+        Self { heap: BinaryHeap::new(), next_ms: u64::MAX }
+    }
+
     /// Adds a timer.
     pub fn add(&mut self, at_ms: u64, timer: Timer) {
-        self.0.push(Reverse((at_ms, timer)));
+        self.heap.push(Reverse((at_ms, timer)));
+        self.next_ms = self.next_ms.min(at_ms);
     }
 
     /// Removes and returns a timer that is due.
     pub fn pop_due(&mut self, now_ms: u64) -> Option<Timer> {
-        let Reverse((at_ms, _)) = self.0.peek()?;
-        if *at_ms > now_ms {
-            return None;
+        (self.next_ms <= now_ms).then(|| self.pop()).flatten()
+    }
+
+    fn pop(&mut self) -> Option<Timer> {
+        let popped = self.heap.pop();
+        self.next_ms = self.heap.peek().map_or(u64::MAX, |Reverse((at_ms, _))| *at_ms);
+        popped.map(|Reverse((_, timer))| timer)
+    }
+
+    /// Drops the next timers that are due by `until_ms`, for as long as they
+    /// are of no use any more.
+    pub fn drop_stale<F>(&mut self, until_ms: u64, is_stale: F)
+    where
+        F: Fn(Timer) -> bool,
+    {
+        while self.next_ms <= until_ms
+            && self.heap.peek().is_some_and(|&Reverse((_, timer))| is_stale(timer))
+        {
+            self.pop();
         }
-        self.0.pop().map(|Reverse((_, timer))| timer)
     }
 
     /// Time of the next timer.
     pub fn next_ms(&self) -> Option<u64> {
-        self.0.peek().map(|Reverse((at_ms, _))| *at_ms)
+        (!self.heap.is_empty()).then_some(self.next_ms)
     }
 }
--- a/crates/tamarackproxy/src/node/peers.rs
+++ b/crates/tamarackproxy/src/node/core/peers.rs
@@ -1,24 +1,18 @@
 //! Other entry hosts: links, seats, gateways and exchanged load.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
-use tokio::sync::mpsc;
-
-use super::{event_loop::EventLoop, input::TaskEnd};
+use super::{Effect, NodeCore};
 use crate::{
     coordination::{
         configuration::ConfigurationEvent,
         fleet::{FleetEvent, FleetMessage, ServiceDemand},
         once::OnceEvent,
         requests::{RequestsEvent, RequestsMessage, ServiceLoad},
-        seats::{EntryAddress, LivePeer, SeatsEvent},
+        seats::{LivePeer, SeatsEvent, SeatsMessage},
     },
     protocol::peer::{Hello, PeerMessage},
-    state::{
-        ids::{DataCentreId, EntryId, ServiceId, Term},
-        settings::Settings,
-    },
-    transport::{peer_client::PeerLink, peer_server::PeerInput},
+    state::ids::{DataCentreId, EntryId, ServiceId, Term},
 };
 
 /// Interval at which load is sent to peers and gateways, in milliseconds.
@@ -29,79 +23,36 @@
 /// What this entry host knows of the others.
 pub(super) struct Peers {
     hello: Hello,
-    /// Addresses from settings, which go before those from the store.
-    settled: HashMap<EntryId, EntryAddress>,
-    links: HashMap<EntryId, PeerLink>,
     pub(super) live: Vec<LivePeer>,
     pub(super) gateways: Vec<(DataCentreId, EntryId)>,
     pub(super) seat: Option<(u16, Term)>,
     /// Seat that is held but must not be used until it is confirmed.
     pub(super) is_suspended: bool,
+    /// Time until which the seat is not used after a pause, unless a peer
+    /// shows earlier that nothing was missed, in milliseconds.
+    pub(super) catching_up_until_ms: Option<u64>,
     loads: BTreeMap<EntryId, (u64, Vec<ServiceLoad>)>,
     next_load_ms: u64,
 }
 
 impl Peers {
-    pub(super) fn new(settings: &Settings) -> Self {
-        let settled = settings.peers.iter().map(|peer| {
-            let address = EntryAddress {
-                entry: peer.entry.clone(),
-                data_centre: peer.data_centre.clone(),
-                peer_address: peer.address.to_string().into(),
-            };
-            (peer.entry.clone(), address)
-        });
+    pub(super) fn new(hello: Hello) -> Self {
         Self {
-            hello: Hello {
-                entry: settings.entry.clone(),
-                data_centre: settings.data_centre.clone(),
-            },
-            settled: settled.collect(),
-            links: HashMap::new(),
+            hello,
             live: Vec::new(),
             gateways: Vec::new(),
             seat: None,
             is_suspended: false,
+            catching_up_until_ms: None,
             loads: BTreeMap::new(),
             next_load_ms: 0,
         }
     }
 
-    pub(super) fn link(&self, entry: &EntryId) -> Option<&PeerLink> {
-        self.links.get(entry)
-    }
-
-    /// Opens links to new addresses and closes those to forgotten ones.
-    pub(super) fn connect(
-        &mut self,
-        entries: Vec<EntryAddress>,
-        ends: &mpsc::UnboundedSender<TaskEnd>,
-    ) {
-        let mut wanted: HashMap<EntryId, EntryAddress> =
-            entries.into_iter().map(|entry| (entry.entry.clone(), entry)).collect();
-        wanted.extend(self.settled.clone());
-        wanted.remove(&self.hello.entry);
-        self.links.retain(|entry, link| {
-            let address = wanted.get(entry).map(|entry| &*entry.peer_address);
-            address.is_some_and(|address| *address == link.address().to_string())
-        });
-        for (entry, address) in wanted {
-            let Ok(socket_address) = address.peer_address.parse() else { continue };
-            if self.links.contains_key(&entry) {
-                continue;
-            }
-            let (ends, peer) = (ends.clone(), entry.clone());
-            let refused = move || {
-                let _ = ends.send(TaskEnd::PeerRefused { peer: peer.clone() });
-            };
-            let link = PeerLink::open(socket_address, self.hello.clone(), refused);
-            self.links.insert(entry, link);
-        }
-    }
-
     /// Returns the seat of this entry host while it may be used.
     pub(super) fn own_seat(&self) -> Option<u16> {
-        self.seat.filter(|_| !self.is_suspended).map(|(index, _)| index)
+        let is_usable = !self.is_suspended && self.catching_up_until_ms.is_none();
+        self.seat.filter(|_| is_usable).map(|(index, _)| index)
     }
 
     /// Returns the live holder of a seat of this data centre.
@@ -120,12 +71,13 @@
         self.live.iter().filter_map(|peer| peer.seat).all(|seat| seat > own)
     }
 
-    fn live_entries(&self) -> Vec<EntryId> {
+    pub(super) fn live_entries(&self) -> Vec<EntryId> {
         self.live.iter().map(|peer| peer.entry.clone()).collect()
     }
 }
 
-/// Adds loads of several entry hosts by service.
+/// Adds loads of several entry hosts by service; the service time is the mean
+/// over requests in flight.
 fn sum_loads<'a, I>(loads: I) -> Vec<ServiceLoad>
 where
     I: IntoIterator<Item = &'a ServiceLoad>,
@@ -134,6 +86,11 @@
     for load in loads {
         match sums.get_mut(&load.service) {
             Some(sum) => {
+                let flights = u64::from(sum.in_flight) + u64::from(load.in_flight);
+                let weighted = u64::from(sum.service_ms) * u64::from(sum.in_flight)
+                    + u64::from(load.service_ms) * u64::from(load.in_flight);
+                let mean_ms = weighted.checked_div(flights).and_then(|ms| ms.try_into().ok());
+                sum.service_ms = mean_ms.unwrap_or(sum.service_ms.max(load.service_ms));
                 sum.idle_slots += load.idle_slots;
                 sum.queued += load.queued;
                 sum.in_flight += load.in_flight;
@@ -146,31 +103,26 @@
     sums.into_values().collect()
 }
 
-impl EventLoop {
+impl NodeCore {
     /// Sends a control message; one to this entry host itself is taken at once.
     pub(super) fn send(&mut self, to: &EntryId, message: PeerMessage) {
-        if *to == self.settings.entry {
+        if *to == self.peers.hello.entry {
             let hello = self.peers.hello.clone();
             return self.on_message(&hello, message);
         }
-        match self.peers.link(to) {
-            Some(link) => link.send(message),
-            None => log::debug!(peer = to.as_str(); "no link to the peer; message dropped"),
-        }
-    }
-
-    pub(super) fn on_peer(&mut self, input: PeerInput) {
-        match input {
-            PeerInput::Message { hello, message } => self.on_message(&hello, message),
-            PeerInput::Forward { request, reply } => self.submit_forwarded(request, reply),
-        }
+        self.effects.push(Effect::SendPeer { to: to.clone(), message });
     }
 
-    fn on_message(&mut self, hello: &Hello, message: PeerMessage) {
+    pub(super) fn on_message(&mut self, hello: &Hello, message: PeerMessage) {
         let from = hello.entry.clone();
         match message {
             PeerMessage::Hello(_) => {}
-            PeerMessage::Seats(message) => self.on_seats(SeatsEvent::Received { from, message }),
+            PeerMessage::Seats(message) => {
+                if let SeatsMessage::Heartbeat(heartbeat) = &message {
+                    self.compare_with_peer(heartbeat.in_force, heartbeat.fleet_version);
+                }
+                self.on_seats(SeatsEvent::Received { from, message });
+            }
             PeerMessage::Requests(message) => {
                 if let RequestsMessage::Leaving { host } = &message {
                     log::info!(host = host.as_str(); "a peer reports that the host is leaving");
@@ -187,12 +139,13 @@
             PeerMessage::Fleet(message) => self.on_fleet(FleetEvent::Received { from, message }),
             PeerMessage::HealthQuery { host } => self.check_health(host, Some(from)),
             PeerMessage::HealthStatus { host, healthy } => self.on_health(host, healthy, None),
+            PeerMessage::ListedLeaving { hosts } => self.set_leaving(hosts),
             PeerMessage::Load { data_centre, loads } => self.on_load(from, data_centre, loads),
         }
     }
 
     fn on_load(&mut self, from: EntryId, data_centre: DataCentreId, loads: Vec<ServiceLoad>) {
-        if data_centre == self.settings.data_centre {
+        if data_centre == self.data_centre {
             self.peers.loads.insert(from, (self.now.monotonic_ms, loads));
             return;
         }
@@ -218,6 +171,7 @@
             data_centre: data_centre.clone(),
             in_flight: load.in_flight,
             queued: load.queued,
+            service_ms: load.service_ms,
         });
         let demand = demand.collect();
         self.on_fleet(FleetEvent::Demand { demand });
@@ -232,7 +186,7 @@
         }
         self.peers.next_load_ms = now_ms + LOAD_INTERVAL_MS;
         let own = self.requests.loads();
-        let data_centre = self.settings.data_centre.clone();
+        let data_centre = self.data_centre.clone();
         for peer in self.peers.live_entries() {
             let loads = own.clone();
             self.send(&peer, PeerMessage::Load { data_centre: data_centre.clone(), loads });
--- a/crates/tamarackproxy/src/protocol/peer.rs
+++ b/crates/tamarackproxy/src/protocol/peer.rs
@@ -58,6 +58,12 @@
         /// Whether all its instances answered their health check.
         healthy: bool,
     },
+    /// Hosts of the data centre that the platform lists as leaving, from the
+    /// gateway after each read of the list.
+    ListedLeaving {
+        /// The hosts.
+        hosts: Vec<HostId>,
+    },
     /// Load of the sender's data centre.
     Load {
         /// Data centre that the load is of.
@@ -119,3 +125,12 @@
     /// Body of the answer.
     pub body: Vec<u8>,
 }
+
+/// How a forward failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForwardFailure {
+    /// No byte of the request left this process.
+    NotSent,
+    /// The request may have arrived.
+    Lost,
+}
