--- a/crates/standins/src/bench/jobs/pool.rs
+++ b/crates/standins/src/bench/jobs/pool.rs
@@ -394,7 +394,8 @@
         if self.queue.now_ms() < self.workers[worker].lease_until_ms {
             return;
         }
-        let tasks: Vec<JobId> = self.workers[worker].tasks.keys().cloned().collect();
+        let mut tasks: Vec<JobId> = self.workers[worker].tasks.keys().cloned().collect();
+        tasks.sort();
         for job in tasks {
             let task = self.workers[worker].tasks.remove(&job);
             self.count_work(&job, task.as_ref(), true);
