--- a/crates/standins/src/bench/once/faults.rs
+++ b/crates/standins/src/bench/once/faults.rs
@@ -181,6 +181,13 @@
         state.store_lost_until_ms = state.store_lost_until_ms.max(now_ms + length_ms);
         state.store_lost_since_ms.get_or_insert(now_ms);
         let until_ms = state.store_lost_until_ms;
+        // A log that is being opened stays closed until the store returns.
+        for seat in 0..self.centres[centre].holders.len() as u16 {
+            let holder = self.centres[centre].holders[usize::from(seat)];
+            if holder.is_some_and(|(node, _)| !self.nodes[node].engine.is_open()) {
+                self.expose(centre, seat, now_ms, until_ms + MARGIN_MS);
+            }
+        }
         self.queue.push_in(DETACH_MS, Event::StoreCheck { centre });
         self.queue.push_at(until_ms, Event::StoreCheck { centre });
     }
