Ask every live seat before a drain ends

The controller knows the seats of another data centre from a listing that is up to a minute old; a seat that was taken after it counted as vacant, and a vacant seat counts as acknowledged. Change: gateways exchange the live holders of their seats with the load every 500 ms; a seat confirms a drain 1.5 s after it saw the record at the earliest, so that a seat taken just before is known by then. The matrix starts one entry host late in maintenance cells. Conclusion: the cause fits the trace but was not reproduced on virtual time.

--- a/crates/standins/src/matrix/cell.rs
+++ b/crates/standins/src/matrix/cell.rs
@@ -30,6 +30,8 @@
 const REQUEST_EVERY_MS: u64 = 40;
 /// Share of requests that may not be repeated.
 const CHARGE_SHARE: f64 = 0.3;
+/// Entry host that starts late in cells of a maintenance.
+const LATE_ENTRY: usize = 3;
 /// Factor by which a flood raises its class.
 const FLOOD_FACTOR: u32 = 10;
 
@@ -124,7 +126,13 @@
                 at(18_000, Script::Cut);
                 at(32_000, Script::HealCut);
             }
-            Action::Request | Action::Charge | Action::Put | Action::Maintenance => {}
+            // The last entry host takes its seat after every other one has listed
+            // the seats, so that a listing alone does not show it.
+            Action::Maintenance => {
+                self.world.queue.push_at(9_000, Event::Script(Script::RestartEntry(LATE_ENTRY)));
+                self.world.kill_node(LATE_ENTRY);
+            }
+            Action::Request | Action::Charge | Action::Put => {}
         }
     }
 
--- a/crates/tamarackproxy/src/node/core/configuration.rs
+++ b/crates/tamarackproxy/src/node/core/configuration.rs
@@ -84,6 +84,7 @@
         self.text = Some(text);
         self.on_requests(RequestsEvent::ServicesChanged { services, callers });
         if let Some(seats) = self.configured_seats() {
+            self.on_requests(RequestsEvent::SeatsConfigured { seats });
             self.on_once(OnceEvent::SeatsConfigured { seats });
             self.on_seats(SeatsEvent::SeatsConfigured { seats });
         }
--- a/crates/tamarackproxy/src/node/core/fleet.rs
+++ b/crates/tamarackproxy/src/node/core/fleet.rs
@@ -24,6 +24,11 @@
     },
 };
 
+/// Time from a record that stops new work to the first confirmation of its
+/// drain, in milliseconds. A seat that was taken just before is known to every
+/// controller by then: one heartbeat (1 s) and one exchange of load (0.5 s).
+const DRAIN_MIN_MS: u64 = 1_500;
+
 /// Reports that are kept for operators; the oldest is dropped beyond.
 const REPORTS_MAX: usize = 256;
 
@@ -34,6 +39,9 @@
     pub(super) records: Arc<Vec<(u64, HostRecord)>>,
     addresses: HashMap<TargetId, SocketAddr>,
     by_host: BTreeMap<HostId, usize>,
+    /// Version of each record that takes no new work, with the monotonic time
+    /// at which it was seen first, in milliseconds.
+    stopped: HashMap<HostId, (u64, u64)>,
     next_list_ms: u64,
     leaving: Vec<HostId>,
     pub(super) reports: Vec<(u64, FleetReport)>,
@@ -76,6 +84,8 @@
             FleetAction::Reboot { host, operation } => {
                 self.effects.push(Effect::Reboot { host, operation });
             }
+            // Only emitted if the engine is told that jobs are stopped first.
+            FleetAction::StopJobs { .. } => {}
             FleetAction::CheckHealth { host } => self.ask_health(host),
             FleetAction::Store { call, request } => self.call_store(Engine::Fleet, call, request),
             FleetAction::Report { report } => {
@@ -96,6 +106,14 @@
             .enumerate()
             .map(|(index, (_, record))| (record.host.clone(), index))
             .collect();
+        let now_ms = self.now.monotonic_ms;
+        let mut stopped = HashMap::new();
+        for (version, record) in records.iter().filter(|(_, r)| !r.phase.accepts_work()) {
+            let known = self.fleet_state.stopped.get(&record.host);
+            let known = known.filter(|(known, _)| known == version).copied();
+            stopped.insert(record.host.clone(), known.unwrap_or((*version, now_ms)));
+        }
+        self.fleet_state.stopped = stopped;
         self.fleet_state.records = Arc::clone(&records);
         self.publish_targets();
         self.on_fleet(FleetEvent::FleetChanged { records });
@@ -142,6 +160,10 @@
             // The record's push was lost; the query itself is a sign of leaving.
             return self.on_requests(RequestsEvent::HostLeaving { host });
         }
+        let stopped_ms = self.fleet_state.stopped.get(&host).map_or(0, |(_, ms)| *ms);
+        if self.now.monotonic_ms < stopped_ms + DRAIN_MIN_MS {
+            return;
+        }
         let in_flight = self.requests.in_flight_on(&host);
         let status = FleetMessage::DrainStatus { host, version, in_flight };
         self.send(from, PeerMessage::Fleet(status));
--- a/crates/tamarackproxy/src/node/core/peers.rs
+++ b/crates/tamarackproxy/src/node/core/peers.rs
@@ -32,6 +32,10 @@
     /// shows earlier that nothing was missed, in milliseconds.
     pub(super) catching_up_until_ms: Option<u64>,
     loads: BTreeMap<EntryId, (u64, Vec<ServiceLoad>)>,
+    /// Last holders of each data centre's seats, from rare listings.
+    listed_holders: BTreeMap<DataCentreId, Vec<Option<EntryId>>>,
+    /// Live holders of each data centre's seats, from its gateway.
+    live_holders: BTreeMap<DataCentreId, Vec<Option<EntryId>>>,
     next_load_ms: u64,
 }
 
@@ -45,6 +49,8 @@
             is_suspended: false,
             catching_up_until_ms: None,
             loads: BTreeMap::new(),
+            listed_holders: BTreeMap::new(),
+            live_holders: BTreeMap::new(),
             next_load_ms: 0,
         }
     }
@@ -65,6 +71,21 @@
         self.gateways.iter().find(|(name, _)| name == data_centre).map(|(_, entry)| entry)
     }
 
+    /// Returns the live holders of this data centre's seats, by index.
+    fn local_holders(&self) -> Vec<Option<EntryId>> {
+        let peers = self.live.iter().filter_map(|peer| Some((peer.seat?, &peer.entry)));
+        let own = self.seat.map(|(index, _)| (index, &self.hello.entry));
+        let mut holders = Vec::new();
+        for (index, entry) in peers.chain(own) {
+            let index = usize::from(index);
+            if holders.len() <= index {
+                holders.resize(index + 1, None);
+            }
+            holders[index] = Some(entry.clone());
+        }
+        holders
+    }
+
     /// Returns the gateway of this data centre if it is another entry host.
     pub(super) fn local_gateway(&self) -> Option<&EntryId> {
         let seated = self.live.iter().filter_map(|peer| Some((peer.seat?, &peer.entry)));
@@ -147,11 +168,19 @@
             PeerMessage::HealthQuery { host } => self.check_health(host, Some(from)),
             PeerMessage::HealthStatus { host, healthy } => self.on_health(host, healthy, None),
             PeerMessage::ListedLeaving { hosts } => self.set_leaving(hosts),
-            PeerMessage::Load { data_centre, loads } => self.on_load(from, data_centre, loads),
+            PeerMessage::Load { data_centre, holders, loads } => {
+                self.on_load(from, data_centre, holders, loads);
+            }
         }
     }
 
-    fn on_load(&mut self, from: EntryId, data_centre: DataCentreId, loads: Vec<ServiceLoad>) {
+    fn on_load(
+        &mut self,
+        from: EntryId,
+        data_centre: DataCentreId,
+        holders: Vec<Option<EntryId>>,
+        loads: Vec<ServiceLoad>,
+    ) {
         if data_centre == self.data_centre {
             self.peers.loads.insert(from, (self.now.monotonic_ms, loads));
             return;
@@ -160,8 +189,9 @@
         if comes_from_gateway && self.peers.is_gateway() {
             for peer in self.peers.live_entries() {
                 let (data_centre, loads) = (data_centre.clone(), loads.clone());
-                self.send(&peer, PeerMessage::Load { data_centre, loads });
+                self.send(&peer, PeerMessage::Load { data_centre, holders: Vec::new(), loads });
             }
+            self.set_live_holders(&data_centre, holders);
         }
         if let Some(gateway) = self.peers.gateway_of(&data_centre).cloned() {
             self.report_demand(&data_centre, &loads);
@@ -169,6 +199,37 @@
         }
     }
 
+    /// Takes the last holders of a data centre's seats from a listing.
+    pub(super) fn set_listed_holders(
+        &mut self,
+        data_centre: DataCentreId,
+        holders: Vec<Option<EntryId>>,
+    ) {
+        self.peers.listed_holders.insert(data_centre.clone(), holders);
+        self.publish_holders(data_centre);
+    }
+
+    fn set_live_holders(&mut self, data_centre: &DataCentreId, holders: Vec<Option<EntryId>>) {
+        if self.peers.live_holders.get(data_centre) != Some(&holders) {
+            self.peers.live_holders.insert(data_centre.clone(), holders);
+            self.publish_holders(data_centre.clone());
+        }
+    }
+
+    /// Tells the fleet engine whom it asks about drains. A listing is up to a
+    /// minute old and lacks seats that were taken since; a live holder goes
+    /// before the listed one, which counts until its seat is taken over.
+    fn publish_holders(&mut self, data_centre: DataCentreId) {
+        let empty = Vec::new();
+        let listed = self.peers.listed_holders.get(&data_centre).unwrap_or(&empty);
+        let live = self.peers.live_holders.get(&data_centre).unwrap_or(&empty);
+        let seat = |holders: &Vec<Option<EntryId>>, index| holders.get(index).cloned().flatten();
+        let holders = (0..listed.len().max(live.len()))
+            .map(|index| seat(live, index).or_else(|| seat(listed, index)))
+            .collect();
+        self.on_fleet(FleetEvent::SeatsChanged { data_centre, holders });
+    }
+
     fn report_demand(&mut self, data_centre: &DataCentreId, loads: &[ServiceLoad]) {
         if !self.peers.is_gateway() {
             return;
@@ -196,7 +257,8 @@
         let data_centre = self.data_centre.clone();
         for peer in self.peers.live_entries() {
             let loads = own.clone();
-            self.send(&peer, PeerMessage::Load { data_centre: data_centre.clone(), loads });
+            let data_centre = data_centre.clone();
+            self.send(&peer, PeerMessage::Load { data_centre, holders: Vec::new(), loads });
         }
         self.peers.loads.retain(|_, (at_ms, _)| *at_ms + LOAD_MAX_AGE_MS > now_ms);
         if !self.peers.is_gateway() {
@@ -205,9 +267,11 @@
         let of_peers = self.peers.loads.values().flat_map(|(_, loads)| loads);
         let sum = sum_loads(own.iter().chain(of_peers));
         self.report_demand(&data_centre, &sum);
+        let holders = self.peers.local_holders();
+        self.set_live_holders(&data_centre, holders.clone());
         for (_, gateway) in self.peers.gateways.clone() {
-            let (data_centre, loads) = (data_centre.clone(), sum.clone());
-            self.send(&gateway, PeerMessage::Load { data_centre, loads });
+            let (data_centre, holders, loads) = (data_centre.clone(), holders.clone(), sum.clone());
+            self.send(&gateway, PeerMessage::Load { data_centre, holders, loads });
         }
     }
 }
--- a/crates/tamarackproxy/src/node/core/seats.rs
+++ b/crates/tamarackproxy/src/node/core/seats.rs
@@ -4,7 +4,6 @@
 use crate::{
     coordination::{
         configuration::{ConfigurationEvent, Position},
-        fleet::FleetEvent,
         once::{OnceEvent, SeatTenure},
         requests::{RequestsEvent, SeatShare},
         seats::{LivePeer, SeatsAction, SeatsEvent},
@@ -56,7 +55,7 @@
                 self.publish_peers();
             }
             SeatsAction::HoldersChanged { data_centre, holders } => {
-                self.on_fleet(FleetEvent::SeatsChanged { data_centre, holders });
+                self.set_listed_holders(data_centre, holders);
             }
             SeatsAction::PeerIsAhead { peer, in_force, fleet_version } => {
                 let position = Position { epoch: in_force.0, revision: in_force.1 };
--- a/crates/tamarackproxy/src/protocol/peer.rs
+++ b/crates/tamarackproxy/src/protocol/peer.rs
@@ -73,6 +73,9 @@
     Load {
         /// Data centre that the load is of.
         data_centre: DataCentreId,
+        /// Live holders of its seats, by index, as its gateway knows them from
+        /// heartbeats; empty between entry hosts of one data centre.
+        holders: Vec<Option<EntryId>>,
         /// Load by service.
         loads: Vec<ServiceLoad>,
     },
