Trust a seat that was confirmed after a pause

A holder answered unknown after a pause until its next write, also when the seat engine had confirmed the term.

--- a/crates/standins/src/bench/once/mod.rs
+++ b/crates/standins/src/bench/once/mod.rs
@@ -15,7 +15,8 @@
 //!   of the log after it (16 s and 12 s of margin, longer while the store is
 //!   out of reach);
 //! - the data centre lost the store while the log of the home was being
-//!   opened, and an attempt fell into the time until it was back;
+//!   opened, or before the home had written after a pause, and an attempt fell
+//!   into the time until the store was back;
 //! - an attempt fell into the 5.5 minutes after a takeover for which no
 //!   witness could vouch: the data centre was detached, or another seat of it
 //!   failed as well, in the 60 s before;
--- a/crates/tamarackproxy/src/coordination/once/engine.rs
+++ b/crates/tamarackproxy/src/coordination/once/engine.rs
@@ -424,7 +424,11 @@
                 self.uncopied.clear();
                 self.copying.clear();
             }
-            Some(tenure) if self.tenure == Some(tenure) => self.suspended = false,
+            Some(tenure) if self.tenure == Some(tenure) => {
+                // The store or a peer has confirmed the term.
+                self.suspended = false;
+                self.unconfirmed_since_ms = None;
+            }
             Some(tenure) => self.open(now, tenure, actions),
         }
     }
