--- a/crates/standins/src/bench/once/faults.rs
+++ b/crates/standins/src/bench/once/faults.rs
@@ -232,13 +232,11 @@
         state.former_seats = std::mem::replace(&mut state.seats, seats);
         state.seats_changed_ms = now_ms;
         let known = state.holders.len() as u16;
+        // The record of the change is written when the store is in reach.
+        let written_ms = now_ms.max(state.store_lost_until_ms);
         for seat in 0..known.max(seats) {
-            self.expose(
-                centre,
-                seat,
-                now_ms.saturating_sub(MARGIN_MS),
-                now_ms + GAP_MS + MARGIN_MS,
-            );
+            let to_ms = written_ms + GAP_MS + MARGIN_MS;
+            self.expose(centre, seat, now_ms.saturating_sub(MARGIN_MS), to_ms);
         }
         for node in self.live_holders(centre) {
             let delay_ms = self.rng.random_range(0..SEATS_SPREAD_MS);
--- a/crates/standins/src/bench/once/mod.rs
+++ b/crates/standins/src/bench/once/mod.rs
@@ -20,7 +20,8 @@
 //! - an attempt fell into the 5.5 minutes after a takeover for which no
 //!   witness could vouch: the data centre was detached, or another seat of it
 //!   failed as well, in the 60 s before;
-//! - an attempt fell into the 5.5 minutes after a change of seats.
+//! - an attempt fell into the 5.5 minutes after a change of seats, counted
+//!   from the return of the store if it was lost.
 
 mod callers;
 mod cluster;
