--- a/crates/standins/src/bench/jobs/mod.rs
+++ b/crates/standins/src/bench/jobs/mod.rs
@@ -24,7 +24,7 @@
 /// that hold less of the larger state.
 const COST_RATIO_MAX: f64 = 4.0;
 
-/// One failing worker in 100 and one in 500 that is cut off within four
+/// One failing worker in 100 and one in 50 that is cut off within four
 /// minutes; an ordinary day loses 64 hosts of 4,700 in all.
 fn setup(seed: u64, workers: u32, accelerators: u32) -> JobsSetup {
     JobsSetup {
@@ -34,7 +34,7 @@
         teams: TEAMS,
         duration_ms: DURATION_MS,
         failing_workers_share: 0.01,
-        cut_off_share: 0.002,
+        cut_off_share: 0.02,
     }
 }
 
