--- a/crates/standins/src/fleet/world/mod.rs
+++ b/crates/standins/src/fleet/world/mod.rs
@@ -478,7 +478,7 @@
             FleetAction::Store { call, request } => {
                 self.schedule(at_ms, Happening::Call { node, call, request: Box::new(request) });
             }
-            FleetAction::Send { to, message: FleetMessage::DrainQuery { host, version } } => {
+            FleetAction::Send { to, message: FleetMessage::DrainQuery { host, version, .. } } => {
                 let receiver = self.nodes.iter().position(|other| other.entry == to);
                 if let Some(receiver) = receiver {
                     let query = Happening::Query { node: receiver, from: node, host, version };
--- a/crates/tamarackproxy/src/coordination/fleet/drain.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/drain.rs
@@ -199,7 +199,8 @@
         }
         contact.probed_ms = Some(now.monotonic_ms);
         for to in self.seats.get(&record.data_centre).into_iter().flatten().flatten() {
-            let message = FleetMessage::DrainQuery { host: record.host.clone(), version };
+            let host = record.host.clone();
+            let message = FleetMessage::DrainQuery { host, version, drains: false };
             actions.push(FleetAction::Send { to: to.clone(), message });
         }
         now.monotonic_ms + PROBE_MS
@@ -235,7 +236,8 @@
                 actions.push(FleetAction::StopJobs { host: record.host.clone(), version });
             }
             for to in &waiting {
-                let message = FleetMessage::DrainQuery { host: record.host.clone(), version };
+                let host = record.host.clone();
+                let message = FleetMessage::DrainQuery { host, version, drains: true };
                 actions.push(FleetAction::Send { to: to.clone(), message });
             }
         }
--- a/crates/tamarackproxy/src/coordination/fleet/events.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/events.rs
@@ -20,8 +20,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetMessage {
     /// Asks whether the entry host has stopped using the host, as of this
-    /// version of its record.
-    DrainQuery { host: HostId, version: u64 },
+    /// version of its record. Without `drains` the host goes on working and the
+    /// query only finds out whether the seat answers.
+    DrainQuery { host: HostId, version: u64, drains: bool },
     /// The entry host has seen this version or a later one; `in_flight`
     /// requests, loans included, still use the host.
     DrainStatus { host: HostId, version: u64, in_flight: u32 },
--- a/crates/tamarackproxy/src/node/core/fleet.rs
+++ b/crates/tamarackproxy/src/node/core/fleet.rs
@@ -154,11 +154,20 @@
     }
 
     /// Answers a controller that drains a host.
-    pub(super) fn on_drain_query(&mut self, from: &EntryId, host: HostId, version: u64) {
+    pub(super) fn on_drain_query(
+        &mut self,
+        from: &EntryId,
+        host: HostId,
+        version: u64,
+        drains: bool,
+    ) {
         let seen = self.fleet_state.record(&host).map_or(0, |(seen, _)| *seen);
         if seen < version {
-            // The record's push was lost; the query itself is a sign of leaving.
-            return self.on_requests(RequestsEvent::HostLeaving { host });
+            if drains {
+                // The record's push was lost; the query is a sign of leaving.
+                self.on_requests(RequestsEvent::HostLeaving { host });
+            }
+            return;
         }
         let stopped_ms = self.fleet_state.stopped.get(&host).map_or(0, |(_, ms)| *ms);
         if self.now.monotonic_ms < stopped_ms + DRAIN_MIN_MS {
--- a/crates/tamarackproxy/src/node/core/peers.rs
+++ b/crates/tamarackproxy/src/node/core/peers.rs
@@ -160,8 +160,8 @@
             PeerMessage::Configuration(message) => {
                 self.on_configuration(ConfigurationEvent::Received { from, message });
             }
-            PeerMessage::Fleet(FleetMessage::DrainQuery { host, version }) => {
-                self.on_drain_query(&from, host, version);
+            PeerMessage::Fleet(FleetMessage::DrainQuery { host, version, drains }) => {
+                self.on_drain_query(&from, host, version, drains);
             }
             PeerMessage::Fleet(message) => self.on_fleet(FleetEvent::Received { from, message }),
             PeerMessage::Jobs(message) => self.on_jobs_message(message),
--- a/crates/tamarackproxy/src/node/handle.rs
+++ b/crates/tamarackproxy/src/node/handle.rs
@@ -13,7 +13,7 @@
 pub enum NodeError {
     /// the runtime cannot be started: {0}; free memory or file descriptors
     Runtime(std::io::Error),
-    /// address {address} cannot be used: {error}; choose a free address of this host in [listen]
+    /// address {address} cannot be used: {error}; choose a free address of this host in section listen
     Bind {
         /// The address from the settings.
         address: SocketAddr,
--- a/crates/tamarackproxy/src/state/ini/error.rs
+++ b/crates/tamarackproxy/src/state/ini/error.rs
@@ -7,7 +7,7 @@
 /// What is wrong at one place.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum IniErrorKind {
-    /// the text is not INI: {0}; write [section] headers and key = value lines
+    /// the text is not INI: {0}; write section headers in brackets and key = value lines
     Syntax(Box<str>),
     /// the section is missing; add it
     MissingSection,
