Measure how costs grow with the size of the deployment

The capacity page needs slopes of processor time, messages, store calls and memory. slopes drives request engines and whole node cores on virtual time at three or more sizes and fits a line through each cost.

--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -8,6 +8,7 @@
 pub mod key_values;
 pub mod once;
 mod request_sim;
+mod slopes;
 mod slots;
 pub mod virtual_time;
 mod wave;
@@ -35,6 +36,8 @@
     Config,
     /// Urgent starts, lost work and quarantine of the job engine.
     Jobs,
+    /// Growth of costs with the size of the deployment.
+    Slopes,
 }
 
 /// Command line of `tamarack-bench`.
@@ -63,6 +66,7 @@
         BenchName::Buffer => buffer::run(options),
         BenchName::Wave => wave::run(options),
         BenchName::Config => config::run(options),
+        BenchName::Slopes => slopes::run(options),
     }
 }
 
--- /dev/null
+++ b/crates/standins/src/bench/slopes/mod.rs
@@ -0,0 +1,40 @@
+//! `slopes`: how the costs of a node and of the store grow with the size of
+//! the deployment, for `docs/CAPACITY.md`.
+
+mod deployment;
+mod fit;
+mod memory;
+mod nodes;
+mod parse;
+mod requests;
+
+use self::fit::Fit;
+use super::{BenchOptions, Figure};
+
+const BENCH: &str = "slopes";
+
+/// Runs all slopes.
+pub(super) fn run(options: &BenchOptions) -> Vec<Figure> {
+    let mut figures = requests::run();
+    figures.extend(parse::run());
+    figures.extend(memory::run());
+    figures.extend(nodes::run(options.seed));
+    figures
+}
+
+/// Figures of one cost at several sizes, followed by the line through them.
+fn series(name: &str, size_unit: &str, unit: &'static str, points: &[(f64, f64)]) -> Vec<Figure> {
+    let at_size = |(size, value): &(f64, f64)| {
+        Figure::new(BENCH, format!("{name} at {size} {size_unit}"), *value, unit)
+    };
+    let fit = Fit::new(points);
+    let line = [
+        ("slope", fit.slope),
+        ("intercept", fit.intercept),
+        ("largest deviation", fit.deviation_max),
+    ];
+    let of_line = line.map(|(part, value)| {
+        Figure::new(BENCH, format!("{name} by {size_unit}: {part}"), value, unit)
+    });
+    points.iter().map(at_size).chain(of_line).collect()
+}
