Measure a proxied request against a direct one

proxy starts one entry host with the demo's store, platform and target on loopback sockets and measures latency, processor time per thread and memory of idle connections. The demo's plan takes any document and service times; a target that answers at once does not sleep, because an empty sleep lasts until the next millisecond.

--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -7,6 +7,7 @@
 pub mod jobs;
 pub mod key_values;
 pub mod once;
+mod proxy;
 mod request_sim;
 mod slopes;
 mod slots;
@@ -36,6 +37,8 @@
     Config,
     /// Urgent starts, lost work and quarantine of the job engine.
     Jobs,
+    /// Cost of a proxied request on real sockets against a direct one.
+    Proxy,
     /// Growth of costs with the size of the deployment.
     Slopes,
 }
@@ -66,6 +69,7 @@
         BenchName::Buffer => buffer::run(options),
         BenchName::Wave => wave::run(options),
         BenchName::Config => config::run(options),
+        BenchName::Proxy => proxy::run(options),
         BenchName::Slopes => slopes::run(options),
     }
 }
--- a/crates/standins/src/bench/slopes/mod.rs
+++ b/crates/standins/src/bench/slopes/mod.rs
@@ -38,3 +38,6 @@
     });
     points.iter().map(at_size).chain(of_line).collect()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/standins/src/demo/deployment.rs
+++ b/crates/standins/src/demo/deployment.rs
@@ -10,12 +10,19 @@
 };
 
 use super::{layout::Layout, options::Deployment};
-use crate::{target::InstanceAddress, verdict::ServiceRule};
+use crate::{
+    target::{InstanceAddress, ServiceTimes},
+    verdict::ServiceRule,
+};
 
 /// Hosts in one rack.
 const HOSTS_PER_RACK: usize = 4;
 /// Memory of a host, in bytes.
 const HOST_MEMORY_BYTES: u64 = 128 << 30;
+/// Mean service times: a surge of 250 requests a second nearly fills the 80
+/// slots of a pool of ten.
+const SERVICE_TIMES: ServiceTimes =
+    ServiceTimes { urgent_ms: 200.0, normal_ms: 300.0, bulk_ms: 400.0 };
 /// Line that keeps the wave from starting before the callers.
 const PAUSED: &str = "paused = true";
 
@@ -53,22 +60,33 @@
     pub(super) entries: Vec<EntryPlace>,
     pub(super) wave: WaveId,
     pub(super) layout: Layout,
+    pub(super) service_times: ServiceTimes,
 }
 
 impl Plan {
     pub(super) fn new(deployment: Deployment, layout: Layout) -> anyhow::Result<Self> {
-        let text = DocumentText::parse(deployment.text()).context("the example is not valid")?;
-        let document = Document::parse(deployment.text()).context("the example is not valid")?;
+        Self::of_text(deployment.text(), deployment.cpu_millicores(), SERVICE_TIMES, layout)
+    }
+
+    /// Makes a plan of another document than the examples.
+    pub(super) fn of_text(
+        text: &str,
+        cpu_millicores: u64,
+        service_times: ServiceTimes,
+        layout: Layout,
+    ) -> anyhow::Result<Self> {
+        let document = Document::parse(text).context("the document is not valid")?;
+        let text = DocumentText::parse(text).context("the document is not valid")?;
         let wave = document.waves.keys().next().cloned();
-        let wave = wave.ok_or_else(|| anyhow!("the example has no wave; add a [wave] section"))?;
+        let wave = wave.ok_or_else(|| anyhow!("the document has no wave; add a [wave] section"))?;
         let section = wave_section(&wave);
         let body = text.section(&section).unwrap_or_default();
         let paused = format!("{body}\n{PAUSED}");
         let text = text.with_section(section, Some(&paused));
         let data_centres: Vec<DataCentreId> = document.data_centres.keys().cloned().collect();
-        let hosts = hosts(&document, &data_centres, layout, deployment.cpu_millicores());
+        let hosts = hosts(&document, &data_centres, layout, cpu_millicores);
         let entries = entries(&document);
-        Ok(Self { text, document, data_centres, hosts, entries, wave, layout })
+        Ok(Self { text, document, data_centres, hosts, entries, wave, layout, service_times })
     }
 
     /// Returns the section of the wave and its body without the pause.
--- a/crates/standins/src/demo/mod.rs
+++ b/crates/standins/src/demo/mod.rs
@@ -10,6 +10,7 @@
 mod options;
 mod report;
 mod run;
+mod single;
 mod site;
 
 pub use self::{
@@ -17,5 +18,7 @@
     run::run,
 };
 
+pub(crate) use self::single::SingleEntry;
+
 #[cfg(test)]
 mod tests;
--- a/crates/standins/src/demo/site.rs
+++ b/crates/standins/src/demo/site.rs
@@ -20,7 +20,7 @@
     net::{Relay, RelayMode},
     platform::{PlatformServer, PlatformState},
     store::{StoreServer, StoreState},
-    target::{ServiceTimes, TargetHost, TargetRecords},
+    target::{TargetHost, TargetRecords},
 };
 
 /// Latency between data centres, one way.
@@ -29,10 +29,6 @@
 const LIST_LAG_MS: u64 = 1_000;
 /// Time that a reboot takes, in milliseconds; minutes in a real deployment.
 const REBOOT_MS: u64 = 800;
-/// Mean service times: a surge of 250 requests a second nearly fills the 80
-/// slots of a pool of ten.
-const SERVICE_TIMES: ServiceTimes =
-    ServiceTimes { urgent_ms: 200.0, normal_ms: 300.0, bulk_ms: 400.0 };
 /// Author of the first document.
 const FIRST_AUTHOR: &str = "operations";
 
@@ -105,8 +101,8 @@
         let address: IpAddr = listed.address.parse().context("the host's address is not valid")?;
         let seed = seed.wrapping_add(index as u64);
         let (host, records) = (listed.host.clone(), records.clone());
-        let target =
-            TargetHost::start(host, address, &instances, SERVICE_TIMES, records, clock, seed);
+        let times = plan.service_times;
+        let target = TargetHost::start(host, address, &instances, times, records, clock, seed);
         let target = target.await.with_context(|| in_use(address))?;
         targets.push(Arc::new(target));
     }
--- a/crates/standins/src/target/server.rs
+++ b/crates/standins/src/target/server.rs
@@ -106,7 +106,10 @@
             status_response(StatusCode::INTERNAL_SERVER_ERROR)
         } else {
             let draw = self.draw(urgency);
-            tokio::time::sleep(draw.duration).await;
+            // Even an empty sleep lasts until the next millisecond.
+            if !draw.duration.is_zero() {
+                tokio::time::sleep(draw.duration).await;
+            }
             let body = echo_body(&caller, number, size_bytes);
             if draw.cuts_response { cut_response(&body) } else { Response::new(full_body(body)) }
         };
