Measure the design size itself and the messages by kind

Resident memory does not show what a size takes, because memory that an earlier measurement freed is used first: three sizes measured 0 bytes. The heap in use, from the C library's counters, does. The design size runs as a whole beside the slopes, with its bounds.

--- a/crates/standins/src/bench/slopes/memory.rs
+++ b/crates/standins/src/bench/slopes/memory.rs
@@ -1,6 +1,4 @@
-//! Resident memory per claim kept and per queued request.
-
-use std::fs;
+//! Memory per claim kept and per queued request.
 
 use tamarackproxy::{
     coordination::{
@@ -24,31 +22,31 @@
 const START_UNIX_MS: u64 = 1_780_000_000_000;
 
 pub(super) fn run() -> Vec<Figure> {
-    // Engines are kept, so that no size reuses the memory of an earlier one.
-    let mut engines = Vec::new();
     let points = CLAIMS.map(|count| {
-        let before = resident_bytes();
-        engines.push(with_claims(count));
-        (count as f64, resident_bytes() - before)
+        let before = heap_bytes();
+        let engine = with_claims(count);
+        let taken = heap_bytes() - before;
+        drop(engine);
+        (count as f64, taken)
     });
     let mut figures = series("memory of claims", "claims", "bytes", &points);
-    let mut engines = Vec::new();
     let points = QUEUED.map(|count| {
-        let before = resident_bytes();
-        engines.push(with_queued(count));
-        (count as f64, resident_bytes() - before)
+        let before = heap_bytes();
+        let engine = with_queued(count);
+        let taken = heap_bytes() - before;
+        drop(engine);
+        (count as f64, taken)
     });
     figures.extend(series("memory of queued requests", "requests", "bytes", &points));
     figures
 }
 
-/// Returns the resident memory of this process in bytes; 0 where the system
-/// does not report it.
-pub(super) fn resident_bytes() -> f64 {
-    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
-    kilobytes.unwrap_or(0.0) * 1_024.0
+/// Returns the heap in use, in bytes. Resident memory does not show what a
+/// size takes, because freed memory of an earlier measurement is used first.
+pub(super) fn heap_bytes() -> f64 {
+    // SAFETY: the call takes nothing and returns counters by value.
+    let info = unsafe { libc::mallinfo2() };
+    (info.uordblks + info.hblkhd) as f64
 }
 
 fn with_queued(count: u64) -> RequestEngine {
--- a/crates/standins/src/bench/slopes/mod.rs
+++ b/crates/standins/src/bench/slopes/mod.rs
@@ -9,7 +9,7 @@
 mod requests;
 
 use self::fit::Fit;
-use super::{BenchOptions, Figure};
+use super::{BenchOptions, Bound, Figure};
 
 const BENCH: &str = "slopes";
 
--- a/crates/standins/src/bench/slopes/nodes.rs
+++ b/crates/standins/src/bench/slopes/nodes.rs
@@ -5,8 +5,10 @@
 
 use tamarackproxy::protocol::platform::HostList;
 
-use self::world::{NodeCost, World};
-use super::{Figure, deployment::Shape, memory::resident_bytes, series};
+use std::time::Instant;
+
+use self::world::{KINDS, NodeCost, World};
+use super::{BENCH, Bound, Figure, deployment::Shape, memory::heap_bytes, series};
 
 /// Time for the start, in milliseconds of virtual time.
 const START_MS: u64 = 40_000;
@@ -20,17 +22,15 @@
     costs: Vec<NodeCost>,
     store_calls_per_s: f64,
     store_writes_per_s: f64,
-    memory_per_node_bytes: f64,
-    /// Kept, so that no size reuses the memory of an earlier one.
-    _world: World,
+    heap_per_node_bytes: f64,
 }
 
 impl Rest {
     fn measure(shape: Shape, seed: u64) -> Self {
         let mut world = World::new(shape, seed);
-        let before = resident_bytes();
+        let before = heap_bytes();
         world.run_ms(START_MS);
-        let memory_per_node_bytes = (resident_bytes() - before) / shape.nodes() as f64;
+        let heap_per_node_bytes = (heap_bytes() - before) / shape.nodes() as f64;
         world.take_costs();
         let counts = world.store_counts();
         let mut costs: Vec<NodeCost> = Vec::new();
@@ -51,8 +51,7 @@
             costs,
             store_calls_per_s: (calls - counts.0) as f64 / rest_s,
             store_writes_per_s: (writes - counts.1) as f64 / rest_s,
-            memory_per_node_bytes,
-            _world: world,
+            heap_per_node_bytes,
         }
     }
 
@@ -67,10 +66,22 @@
     fn bytes_per_s(&self, gateway: bool) -> f64 {
         let nodes = self.costs.iter().filter(|cost| cost.is_gateway == gateway);
         let rest_s = WINDOWS as f64 * WINDOW_MS as f64 / 1_000.0;
-        nodes.map(|cost| cost.bytes as f64 / rest_s).fold(0.0, f64::max)
+        nodes.map(|cost| cost.bytes() as f64 / rest_s).fold(0.0, f64::max)
     }
 }
 
+/// Runs of which the fastest counts.
+const PARSE_RUNS: usize = 7;
+/// The design size.
+const DESIGN: Shape = Shape { data_centres: 15, entries: 7, hosts: 4_700 };
+/// Control plane of one node: 4.8% of a core, 30 KB/s and 128 MB.
+const CPU_BOUND_US_PER_S: f64 = 48_000.0;
+const BYTES_BOUND: f64 = 30_000.0;
+const MEMORY_BOUND_BYTES: f64 = 128e6;
+/// What the store sustains; "several hundred" writes are taken as 300.
+const STORE_READS_BOUND: f64 = 2_000.0;
+const STORE_WRITES_BOUND: f64 = 300.0;
+
 const ENTRIES: [usize; 3] = [2, 4, 7];
 const DATA_CENTRES: [usize; 3] = [3, 7, 15];
 const HOSTS: [usize; 3] = [50, 500, 4_700];
@@ -83,10 +94,11 @@
     figures.extend(of_shapes("data centres", &centres, seed, |shape| shape.data_centres));
     let hosts = HOSTS.map(|hosts| Shape { data_centres: 3, entries: 2, hosts });
     figures.extend(of_shapes("hosts", &hosts, seed, |shape| shape.hosts));
-    figures.extend(list_bytes(&hosts));
+    figures.extend(platform_list(&hosts));
     let systems =
         SYSTEMS.map(|(data_centres, entries)| Shape { data_centres, entries, hosts: 500 });
     figures.extend(of_shapes("entry hosts", &systems, seed, |shape| shape.nodes()));
+    figures.extend(design_size(seed));
     figures
 }
 
@@ -109,17 +121,59 @@
     add("rest: control messages of another node", "bytes/s", &|rest| rest.bytes_per_s(false));
     add("rest: store calls", "calls/s", &|rest| rest.store_calls_per_s);
     add("rest: store writes", "calls/s", &|rest| rest.store_writes_per_s);
-    add("rest: memory of a node", "bytes", &|rest| rest.memory_per_node_bytes);
+    add("rest: heap of a node", "bytes", &|rest| rest.heap_per_node_bytes);
+    figures
+}
+
+/// The design size itself, as a check of what the slopes give.
+fn design_size(seed: u64) -> Vec<Figure> {
+    let rest = Rest::measure(DESIGN, seed);
+    let mut figures = Vec::new();
+    let mut add = |name: &str, value: f64, unit, most: Option<f64>| {
+        let figure = Figure::new(BENCH, format!("design size: {name}"), value, unit);
+        figures.push(match most {
+            Some(most) => figure.with_bound(Bound::AtMost(most)),
+            None => figure,
+        });
+    };
+    for (role, gateway) in [("a gateway", true), ("another node", false)] {
+        let cpu = rest.cpu_us_per_s(gateway);
+        add(&format!("decisions of {role}"), cpu, "us/s", Some(CPU_BOUND_US_PER_S));
+        let bytes = rest.bytes_per_s(gateway);
+        add(&format!("control messages of {role}"), bytes, "bytes/s", Some(BYTES_BOUND));
+        let nodes = rest.costs.iter().filter(|cost| cost.is_gateway == gateway);
+        let Some(most) = nodes.max_by_key(|cost| cost.bytes()) else { continue };
+        let per_s = |bytes: usize| bytes as f64 * 1_000.0 / (WINDOWS as f64 * WINDOW_MS as f64);
+        for (kind, name) in KINDS.iter().enumerate() {
+            let (sent, received) = (per_s(most.sent[kind]), per_s(most.received[kind]));
+            add(&format!("{name} sent by {role}"), sent, "bytes/s", None);
+            add(&format!("{name} received by {role}"), received, "bytes/s", None);
+        }
+    }
+    add("store calls", rest.store_calls_per_s, "calls/s", Some(STORE_READS_BOUND));
+    add("store writes", rest.store_writes_per_s, "calls/s", Some(STORE_WRITES_BOUND));
+    add("heap of a node", rest.heap_per_node_bytes, "bytes", Some(MEMORY_BOUND_BYTES));
     figures
 }
 
-/// Size of the platform's list, which a gateway reads once a second.
-fn list_bytes(shapes: &[Shape]) -> Vec<Figure> {
-    let bytes = |shape: &Shape| {
+/// Size of the platform's list, which a gateway reads once a second, and time
+/// to parse it.
+fn platform_list(shapes: &[Shape]) -> Vec<Figure> {
+    let (mut sizes, mut times) = (Vec::new(), Vec::new());
+    for shape in shapes {
         let hosts = shape.hosts().into_iter().map(|(listed, _)| listed).collect();
         let text = serde_json::to_vec(&HostList { hosts }).unwrap_or_default();
-        (shape.hosts as f64, text.len() as f64)
-    };
-    let points: Vec<(f64, f64)> = shapes.iter().map(bytes).collect();
-    series("platform's list, JSON", "hosts", "bytes", &points)
+        let runs = (0..PARSE_RUNS).map(|_| {
+            let before = Instant::now();
+            let list = serde_json::from_slice::<HostList>(&text);
+            let time_us = before.elapsed().as_nanos() as f64 / 1_000.0;
+            assert!(list.is_ok(), "the list of the measurement is invalid");
+            time_us
+        });
+        times.push((shape.hosts as f64, runs.fold(f64::INFINITY, f64::min)));
+        sizes.push((shape.hosts as f64, text.len() as f64));
+    }
+    let mut figures = series("platform's list, JSON", "hosts", "bytes", &sizes);
+    figures.extend(series("platform's list, parse", "hosts", "us", &times));
+    figures
 }
--- a/crates/standins/src/bench/slopes/nodes/world.rs
+++ b/crates/standins/src/bench/slopes/nodes/world.rs
@@ -41,13 +41,30 @@
     StoreCall { node: usize, engine: Engine, call: CallId, request: StoreRequest },
 }
 
+/// Kinds of control messages, in the order of [`kind_of`].
+pub(super) const KINDS: [&str; 6] =
+    ["seats", "requests", "once", "configuration", "loads", "others"];
+
+fn kind_of(message: &PeerMessage) -> usize {
+    match message {
+        PeerMessage::Seats(_) => 0,
+        PeerMessage::Requests(_) => 1,
+        PeerMessage::Once(_) => 2,
+        PeerMessage::Configuration(_) => 3,
+        PeerMessage::Load { .. } => 4,
+        _ => 5,
+    }
+}
+
 /// What one node took since the last look.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct NodeCost {
     /// Time in decisions, in nanoseconds.
     pub(super) cpu_ns: u128,
-    /// Control messages sent and received, in bytes.
-    pub(super) bytes: usize,
+    /// Control messages sent, in bytes, by kind.
+    pub(super) sent: [usize; KINDS.len()],
+    /// Control messages received, in bytes, by kind.
+    pub(super) received: [usize; KINDS.len()],
     /// Whether it read the platform's list.
     pub(super) is_gateway: bool,
 }
@@ -56,9 +73,17 @@
     /// Keeps the lesser time and the sum of the bytes of two windows.
     pub(super) fn merge(&mut self, window: Self) {
         self.cpu_ns = self.cpu_ns.min(window.cpu_ns);
-        self.bytes += window.bytes;
+        for kind in 0..KINDS.len() {
+            self.sent[kind] += window.sent[kind];
+            self.received[kind] += window.received[kind];
+        }
         self.is_gateway |= window.is_gateway;
     }
+
+    /// Control messages sent and received, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        self.sent.iter().chain(&self.received).sum()
+    }
 }
 
 struct Node {
@@ -195,8 +220,9 @@
         let encoded = frame::encode(&message, CONTROL_MESSAGE_MAX_BYTES);
         let bytes = encoded.map_or(0, |bytes| bytes.len() + LENGTH_BYTES);
         let Some(&to) = self.index.get(to) else { return };
-        self.nodes[from].cost.bytes += bytes;
-        self.nodes[to].cost.bytes += bytes;
+        let kind = kind_of(&message);
+        self.nodes[from].cost.sent[kind] += bytes;
+        self.nodes[to].cost.received[kind] += bytes;
         let hello = self.nodes[from].hello.clone();
         self.schedule(to, ONE_WAY_MS, Input::PeerMessage { hello, message });
     }
