--- a/crates/standins/src/bench/slopes/nodes.rs
+++ b/crates/standins/src/bench/slopes/nodes.rs
@@ -31,6 +31,7 @@
         let before = heap_bytes();
         world.run_ms(START_MS);
         let heap_per_node_bytes = (heap_bytes() - before) / shape.nodes() as f64;
+        assert_eq!(world.serving(), shape.nodes(), "nodes are not at rest after the start");
         world.take_costs();
         let counts = world.store_counts();
         let mut costs: Vec<NodeCost> = Vec::new();
--- a/crates/standins/src/bench/slopes/nodes/world.rs
+++ b/crates/standins/src/bench/slopes/nodes/world.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Returns the number of nodes that hold a seat and take requests.
+    pub(super) fn serving(&self) -> usize {
+        self.nodes.iter().filter(|node| node.core.is_serving()).count()
+    }
+
     /// Returns what each node took since the last call.
     pub(super) fn take_costs(&mut self) -> Vec<NodeCost> {
         self.nodes.iter_mut().map(|node| std::mem::take(&mut node.cost)).collect()
