--- a/crates/standins/src/bench/slopes/nodes.rs
+++ b/crates/standins/src/bench/slopes/nodes.rs
@@ -22,6 +22,7 @@
     costs: Vec<NodeCost>,
     store_calls_per_s: f64,
     store_writes_per_s: f64,
+    store_lease_calls_per_s: f64,
     heap_per_node_bytes: f64,
 }
 
@@ -47,11 +48,13 @@
             }
         }
         let rest_s = WINDOWS as f64 * WINDOW_MS as f64 / 1_000.0;
-        let (calls, writes) = world.store_counts();
+        let after = world.store_counts();
+        let per_s = |after: u64, before: u64| (after - before) as f64 / rest_s;
         Self {
             costs,
-            store_calls_per_s: (calls - counts.0) as f64 / rest_s,
-            store_writes_per_s: (writes - counts.1) as f64 / rest_s,
+            store_calls_per_s: per_s(after.total(), counts.total()),
+            store_writes_per_s: per_s(after.swaps + after.deletes, counts.swaps + counts.deletes),
+            store_lease_calls_per_s: per_s(after.lease_calls, counts.lease_calls),
             heap_per_node_bytes,
         }
     }
@@ -153,6 +156,7 @@
     }
     add("store calls", rest.store_calls_per_s, "calls/s", Some(STORE_READS_BOUND));
     add("store writes", rest.store_writes_per_s, "calls/s", Some(STORE_WRITES_BOUND));
+    add("store lease calls", rest.store_lease_calls_per_s, "calls/s", None);
     add("heap of a node", rest.heap_per_node_bytes, "bytes", Some(MEMORY_BOUND_BYTES));
     figures
 }
--- a/crates/standins/src/bench/slopes/nodes/world.rs
+++ b/crates/standins/src/bench/slopes/nodes/world.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     bench::{slopes::deployment::Shape, virtual_time::EventQueue},
-    store::{CallLimits, StoreState},
+    store::{CallCounts, CallLimits, StoreState},
 };
 
 /// Wall-clock time of the start, in milliseconds since the Unix epoch.
@@ -161,10 +161,9 @@
         self.nodes.iter_mut().map(|node| std::mem::take(&mut node.cost)).collect()
     }
 
-    /// Returns the calls and the writes of the store so far.
-    pub(super) fn store_counts(&self) -> (u64, u64) {
-        let counts = self.store.counts();
-        (counts.total(), counts.swaps + counts.deletes)
+    /// Returns the counts of the store's calls so far.
+    pub(super) fn store_counts(&self) -> CallCounts {
+        *self.store.counts()
     }
 
     fn schedule(&mut self, node: usize, delay_ms: u64, input: Input) {
