--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -8,7 +8,9 @@
 pub mod key_values;
 mod matrix;
 pub mod once;
+mod proxy;
 mod request_sim;
+mod slopes;
 mod slots;
 pub mod virtual_time;
 mod wave;
@@ -38,6 +40,10 @@
     Jobs,
     /// Every fault and every pair of faults at every step of every action.
     Matrix,
+    /// Cost of a proxied request on real sockets against a direct one.
+    Proxy,
+    /// Growth of costs with the size of the deployment.
+    Slopes,
 }
 
 /// Command line of `tamarack-bench`.
@@ -67,6 +73,8 @@
         BenchName::Wave => wave::run(options),
         BenchName::Config => config::run(options),
         BenchName::Matrix => matrix::run(options),
+        BenchName::Proxy => proxy::run(options),
+        BenchName::Slopes => slopes::run(options),
     }
 }
 
