Release control with the gateway role and sharpen the fault matrix

Cause: an entry host that lost the gateway role kept renewing its control leases with every event but no longer read the platform's list, so hosts were not adopted (demo starts that stalled, matrix cells without any adopted host). Change: the fleet engine is told whether it is a candidate; jobs are released as well; new peers are told which hosts leave. The matrix has long requests, floods above the pool's capacity, separate faults for listed and for announced leaving, tighter budgets, and targets that stop when their connection closes. A data centre that cannot read the list cannot know what it says: the verdict counts from the end of the cut or outage, as it does for host records.

--- a/crates/standins/src/matrix/cell.rs
+++ b/crates/standins/src/matrix/cell.rs
@@ -33,7 +33,7 @@
 /// Entry host that starts late in cells of a maintenance.
 const LATE_ENTRY: usize = 3;
 /// Factor by which a flood raises its class.
-const FLOOD_FACTOR: u32 = 10;
+const FLOOD_FACTOR: u32 = 40;
 
 /// A cell of the matrix.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -274,8 +274,11 @@
                 self.world.targets.cutting.insert(host);
                 10_000
             }
-            Fault::HostLeaving => {
+            Fault::HostListedLeaving => {
                 self.world.platform.announce(now_ms, &host, ListedState::Leaving);
+                10_000
+            }
+            Fault::TargetLeaving => {
                 let sign = LeavingSign { host, from_ms: now_ms, to_ms: None };
                 self.world.targets.leaving_signs.push(sign);
                 10_000
@@ -350,6 +353,7 @@
             }
             Fault::PlatformCut => {
                 self.world.platform_cut.remove(&data_centre);
+                self.world.note_list_outage(&data_centre, from_ms);
             }
             Fault::MessagesLost => self.world.message_loss = 0.0,
             Fault::TargetDied | Fault::RackFailed => {
@@ -361,8 +365,10 @@
             Fault::ResponsesCut => {
                 self.world.targets.cutting.remove(&hosts[0]);
             }
-            Fault::HostLeaving => {
+            Fault::HostListedLeaving => {
                 self.world.platform.announce(now_ms, &hosts[0], ListedState::Live);
+            }
+            Fault::TargetLeaving => {
                 let signs = &mut self.world.targets.leaving_signs;
                 signs.iter_mut().filter(|sign| sign.host == hosts[0]).for_each(|sign| {
                     sign.to_ms.get_or_insert(now_ms);
--- a/crates/standins/src/matrix/deployment.rs
+++ b/crates/standins/src/matrix/deployment.rs
@@ -48,8 +48,8 @@
          [pool spare]\nowner = shop\nsize = a:3, b:3\nminimum = 4\nmaximum = 6\nspare = true\n\
          [service orders]\nowner = shop\npool = orders\nport = 9001\ndeadline = 2s\n\
          [service reports]\nowner = shop\npool = spare\nport = 9002\ndeadline = 2s\n\
-         [budget orders]\nowner = shop\nmin_available = 5\nmax_stopped = 2\n\
-         [budget reports]\nowner = shop\nmin_available = 2\nmax_stopped = 1\n\
+         [budget orders]\nowner = shop\nmin_available = 7\nmax_stopped = 2\n\
+         [budget reports]\nowner = shop\nmin_available = 3\nmax_stopped = 1\n\
          [wave reboot]\nowner = operations\npools = orders, spare\nmax_parallel = 2\n\
          return_deadline = 10s\ndrain_deadline = 20s\npause_after_failures = 3\n\
          {callers}",
--- a/crates/standins/src/matrix/fault.rs
+++ b/crates/standins/src/matrix/fault.rs
@@ -31,15 +31,19 @@
     TargetFailing,
     /// Responses of the target's host break off for 10 s.
     ResponsesCut,
-    /// The target's host announces that it leaves, for 10 s.
-    HostLeaving,
+    /// The platform's list says that the target's host leaves, for 10 s.
+    HostListedLeaving,
+    /// The responses of the target's host say that it leaves, for 10 s.
+    TargetLeaving,
     /// Callers repeat every charge of this moment through other entry hosts.
     RepeatsRace,
     /// Two operators put the same and other sections.
     OperatorsRace,
-    /// Bulk work arrives at ten times its rate for 5 s.
+    /// Bulk work arrives at forty times its rate, more than the pool can do, for
+    /// 5 s.
     BulkFlood,
-    /// Urgent work arrives at ten times its rate for 5 s.
+    /// Urgent work arrives at forty times its rate, more than the pool can do,
+    /// for 5 s.
     UrgentFlood,
     /// All callers with open requests go away.
     CancellationWave,
--- a/crates/standins/src/matrix/targets.rs
+++ b/crates/standins/src/matrix/targets.rs
@@ -23,6 +23,7 @@
     pub(super) slot_overruns: u64,
     pub(super) leaving_signs: Vec<LeavingSign>,
     running: HashMap<(ServiceId, HostId), BTreeSet<usize>>,
+    by_attempt: HashMap<AttemptOf, usize>,
     /// Hosts that fail every request.
     pub(super) failing: BTreeSet<HostId>,
     /// Hosts whose responses break off.
@@ -47,6 +48,7 @@
         running.insert(index);
         self.runs.push(run);
         self.attempts.push(attempt);
+        self.by_attempt.insert(attempt, index);
         Some(index)
     }
 
@@ -65,6 +67,20 @@
         true
     }
 
+    /// Ends the run of an attempt whose connection was closed.
+    pub(super) fn client_gone(&mut self, attempt: &AttemptOf, now_ms: u64) {
+        if let Some(&run) = self.by_attempt.get(attempt) {
+            self.end(run, now_ms, Some(Cut::ClientGone));
+        }
+    }
+
+    /// Ends the runs of a process that has died.
+    pub(super) fn process_gone(&mut self, node: usize, incarnation: u32, now_ms: u64) {
+        let of_process = |of: &&AttemptOf| of.node == node && of.incarnation == incarnation;
+        let gone: Vec<AttemptOf> = self.by_attempt.keys().filter(of_process).copied().collect();
+        gone.iter().for_each(|attempt| self.client_gone(attempt, now_ms));
+    }
+
     /// Ends all runs of a host and returns them.
     pub(super) fn cut_host(&mut self, host: &HostId, now_ms: u64, cut: Cut) -> Vec<usize> {
         let of_host = self.running.iter().filter(|((_, running), _)| running == host);
--- a/crates/standins/src/matrix/world.rs
+++ b/crates/standins/src/matrix/world.rs
@@ -52,6 +52,10 @@
 /// Shortest and longest time that a request takes on its target, in
 /// milliseconds.
 const SERVICE_MS: (u64, u64) = (20, 120);
+/// Share of requests that take most of their deadline, and their time in
+/// milliseconds; without them no drain would wait for a request.
+const LONG_SHARE: f64 = 0.03;
+const LONG_SERVICE_MS: u64 = 1_800;
 /// Interval at which positions are sampled and reboots end, in milliseconds.
 const SAMPLE_MS: u64 = 100;
 
@@ -60,6 +64,7 @@
     Input { node: usize, incarnation: u32, input: Box<Input> },
     StoreCall { node: usize, incarnation: u32, engine: Engine, call: CallId, request: StoreRequest },
     RunEnds { run: usize },
+    ConnectionClosed { attempt: AttemptOf },
     Sample,
     Send { order: Order },
     Script(Script),
@@ -173,7 +178,7 @@
             pool: tamarackproxy::state::ids::PoolId::new(pool),
             min_available,
         };
-        self.observations.services = vec![rule(ORDERS, "orders", 5), rule("reports", "spare", 2)];
+        self.observations.services = vec![rule(ORDERS, "orders", 7), rule("reports", "spare", 3)];
     }
 
     pub(super) fn now_ms(&self) -> u64 {
@@ -209,6 +214,7 @@
             return;
         }
         let (entry, incarnation) = (node.settings.entry.clone(), node.incarnation);
+        self.targets.process_gone(index, incarnation, now_ms);
         self.observations.outages.push(EntryOutage { entry, from_ms: now_ms, to_ms: None });
         let open: Vec<_> = self
             .traffic
@@ -259,6 +265,12 @@
         self.observations.cuts.push(DataCentreCut { data_centre, from_ms, to_ms });
     }
 
+    /// Notes that a data centre could not read the platform's list until now.
+    pub(super) fn note_list_outage(&mut self, data_centre: &DataCentreId, from_ms: u64) {
+        let (data_centre, to_ms) = (data_centre.clone(), self.now_ms());
+        self.observations.list_outages.push(DataCentreCut { data_centre, from_ms, to_ms });
+    }
+
     pub(super) fn data_centre_of(&self, node: usize) -> &DataCentreId {
         &self.nodes[node].settings.data_centre
     }
@@ -318,6 +330,9 @@
                 self.store_call(node, incarnation, engine, call, &request);
             }
             Event::RunEnds { run } => self.run_ends(run),
+            Event::ConnectionClosed { attempt } => {
+                self.targets.client_gone(&attempt, self.queue.now_ms());
+            }
             Event::Sample => self.sample(),
             Event::Send { order } => self.send(order, None),
             Event::Script(script) => return Some(script),
@@ -380,6 +395,10 @@
                 let target = TargetId { host: host.unwrap_or(target.host), ..target };
                 self.dispatch(of, &target, &target_request, time_ms);
             }
+            Effect::Abort { request, attempt } => {
+                let attempt = AttemptOf { node, incarnation, request, attempt };
+                self.queue.push_in(LOCAL_MS, Event::ConnectionClosed { attempt });
+            }
             Effect::Reply { request, end } => self.reply(node, incarnation, request, end),
             Effect::ListHosts => {
                 let hosts = (!self.platform_down && self.reaches_platform(node))
@@ -416,7 +435,6 @@
             }
             Effect::JobAnswered { .. }
             | Effect::Connect { .. }
-            | Effect::Abort { .. }
             | Effect::TargetsKnown { .. }
             | Effect::WaitEnded { .. } => {}
         }
@@ -650,9 +668,15 @@
         let step = if is_charge { Step::ChargeRunning } else { Step::RequestRunning };
         self.seen.push((step, Some(of.node), Some(target.host.clone())));
         let is_failing = self.targets.failing.contains(&target.host);
-        let service_ms = self.random.random_range(SERVICE_MS.0..=SERVICE_MS.1);
+        let service_ms = if self.random.random_bool(LONG_SHARE) {
+            LONG_SERVICE_MS
+        } else {
+            self.random.random_range(SERVICE_MS.0..=SERVICE_MS.1)
+        };
         self.queue.push_in(if is_failing { 1 } else { service_ms }, Event::RunEnds { run });
-        // The engine ignores the end of an attempt that has ended before.
+        // The client closes the connection when the attempt's time runs out; the
+        // target stops then. The engine ignores a second end of an attempt.
+        self.queue.push_in(time_ms + LOCAL_MS, Event::ConnectionClosed { attempt: of });
         self.schedule(of.node, time_ms, ended(AttemptResult::TimedOut, None));
     }
 
--- a/crates/standins/src/verdict/hosts.rs
+++ b/crates/standins/src/verdict/hosts.rs
@@ -111,6 +111,18 @@
     interval.collect()
 }
 
+/// Returns when the data centre of a host could read the list that shows a
+/// sign: a cut or an outage of the platform hides it until its end.
+fn readable_from(observations: &Observations, host: &HostId, visible_ms: u64) -> u64 {
+    let record = observations.records_of(host).next();
+    let outages = observations.cuts.iter().chain(&observations.list_outages);
+    let hiding = outages.filter(|outage| {
+        record.is_some_and(|change| change.record.data_centre == outage.data_centre)
+            && (outage.from_ms..outage.to_ms).contains(&visible_ms)
+    });
+    hiding.map(|outage| outage.to_ms).max().unwrap_or(visible_ms)
+}
+
 fn by_list(observations: &Observations) -> Vec<Leaving<'_>> {
     let events = &observations.host_events;
     let interval = events.iter().enumerate().filter_map(|(index, event)| {
@@ -119,7 +131,8 @@
             .iter()
             .find(|later| later.host == event.host && later.kind == HostEventKind::Stays);
         let to_ms = stays.map_or(u64::MAX, |stays| stays.at_ms);
-        Some(Leaving { host: &event.host, from_ms: visible_ms, to_ms })
+        let from_ms = readable_from(observations, &event.host, visible_ms);
+        Some(Leaving { host: &event.host, from_ms, to_ms })
     });
     interval.collect()
 }
--- a/crates/standins/src/verdict/observations.rs
+++ b/crates/standins/src/verdict/observations.rs
@@ -94,6 +94,9 @@
     pub sightings: Vec<Sighting>,
     /// Cuts of data centres.
     pub cuts: Vec<DataCentreCut>,
+    /// Times in which a data centre could not read the platform's list, besides
+    /// its cuts.
+    pub list_outages: Vec<DataCentreCut>,
     /// Outages of entry hosts.
     pub outages: Vec<EntryOutage>,
     /// Document text in force at the end.
--- a/crates/standins/tests/matrix.rs
+++ b/crates/standins/tests/matrix.rs
@@ -22,7 +22,7 @@
         Action::Cut
     )]
     action: Action,
-    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17)] fault: usize,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18)] fault: usize,
 ) {
     let fault = Fault::iter().nth(fault).expect("one number for each fault");
     for step in action.steps() {
@@ -35,7 +35,7 @@
 /// Guards against faults that the list of cases leaves out.
 #[test]
 fn every_fault_has_a_case() {
-    assert_eq!(Fault::iter().count(), 18);
+    assert_eq!(Fault::iter().count(), 19);
 }
 
 /// Pairs of faults that CI runs, drawn from all pairs by the seed.
--- a/crates/tamarackproxy/src/coordination/fleet/engine.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/engine.rs
@@ -103,6 +103,7 @@
     pub(super) counts: FleetCounts,
     pub(super) stops_jobs: bool,
     stopping: bool,
+    candidate: bool,
 }
 
 impl FleetEngine {
@@ -135,6 +136,7 @@
             counts: FleetCounts::default(),
             stops_jobs: false,
             stopping: false,
+            candidate: true,
         }
     }
 
@@ -177,10 +179,13 @@
             FleetEvent::StoreReplied { call, result } => {
                 self.on_store_replied(now, call, result, actions);
             }
+            FleetEvent::CandidateChanged { candidate } => {
+                self.on_candidate_changed(candidate, actions);
+            }
             FleetEvent::Stopping => self.on_stopping(actions),
             FleetEvent::Tick => {}
         }
-        if !self.stopping {
+        if self.candidate && !self.stopping {
             self.tick_controls(now, actions);
             self.reconcile_due(now, actions);
         }
@@ -361,8 +366,27 @@
         self.on_drain_status(now, from, &host, version, in_flight);
     }
 
+    fn on_candidate_changed(&mut self, candidate: bool, actions: &mut Vec<FleetAction>) {
+        if candidate == self.candidate {
+            return;
+        }
+        self.candidate = candidate;
+        if !candidate {
+            self.release_controls(actions);
+        }
+        for (pool, control) in &mut self.controls {
+            control.lease = ControlLease::new(format!("pool-{pool}"), self.entry.clone());
+        }
+        self.rank_candidates();
+        self.mark_all();
+    }
+
     fn on_stopping(&mut self, actions: &mut Vec<FleetAction>) {
         self.stopping = true;
+        self.release_controls(actions);
+    }
+
+    fn release_controls(&mut self, actions: &mut Vec<FleetAction>) {
         let requests: Vec<StoreRequest> =
             self.controls.values_mut().filter_map(|control| control.lease.release()).collect();
         for request in requests {
--- a/crates/tamarackproxy/src/coordination/fleet/events.rs
+++ b/crates/tamarackproxy/src/coordination/fleet/events.rs
@@ -70,6 +70,9 @@
     RebootAccepted { host: HostId, accepted: bool },
     /// A call to the store ended.
     StoreReplied { call: CallId, result: Result<StoreReply, StoreError> },
+    /// Whether this entry host may control pools; without it control leases are
+    /// released and nothing is begun.
+    CandidateChanged { candidate: bool },
     /// The entry host stops: control leases are released.
     Stopping,
     /// Time passed.
--- a/crates/tamarackproxy/src/coordination/requests/engine.rs
+++ b/crates/tamarackproxy/src/coordination/requests/engine.rs
@@ -129,6 +129,7 @@
             RequestsEvent::SeatChanged { seat } => self.seat_changed(seat),
             RequestsEvent::SeatsConfigured { seats } => self.seats_configured(seats),
             RequestsEvent::PeersChanged { peers } => {
+                self.tell_new_peers(&peers);
                 self.peers = peers.into_iter().filter(|peer| *peer != self.entry).collect();
             }
             RequestsEvent::RemoteLoad { data_centre, gateway, loads } => {
--- a/crates/tamarackproxy/src/coordination/requests/targets.rs
+++ b/crates/tamarackproxy/src/coordination/requests/targets.rs
@@ -1,14 +1,14 @@
 //! Targets, seats and signs of leaving.
 
 use super::{
-    RequestEngine, RequestsMessage, SeatShare, TargetState,
+    RequestEngine, RequestsAction, RequestsMessage, SeatShare, TargetState,
     health::TargetHealth,
     keys::{ServiceKey, TargetKey},
     slots::{ATTEMPT_GRACE_MS, ATTEMPT_MAX_MS, TargetSlots, base_slots},
     state::{BaseShare, Target},
     timers::Timer,
 };
-use crate::state::ids::{HostId, TargetId};
+use crate::state::ids::{EntryId, HostId, TargetId};
 
 /// Time in which a change of the number of seats reaches every entry host of
 /// the data centre, in milliseconds (promise P8).
@@ -140,6 +140,29 @@
         }
     }
 
+    /// Tells peers that were not known before which hosts leave: a restarted
+    /// peer has not seen their signs.
+    pub(super) fn tell_new_peers(&mut self, peers: &[EntryId]) {
+        let known = &self.peers;
+        let new = peers.iter().filter(|peer| **peer != self.entry && !known.contains(peer));
+        let new: Vec<EntryId> = new.cloned().collect();
+        if new.is_empty() {
+            return;
+        }
+        let leaves = |key: &TargetKey| {
+            self.targets.get(*key).is_some_and(|target| target.health.is_leaving(self.now_ms))
+        };
+        let hosts = self.host_targets.iter().filter(|(_, keys)| keys.iter().any(leaves));
+        let hosts: Vec<HostId> = hosts.map(|(host, _)| host.clone()).collect();
+        for to in new {
+            let messages = hosts.iter().map(|host| RequestsAction::Send {
+                to: to.clone(),
+                message: RequestsMessage::Leaving { host: host.clone() },
+            });
+            self.actions.extend(messages);
+        }
+    }
+
     /// Takes all targets of a host out of use for new work; `tell` passes the
     /// first sign to the peers.
     pub(super) fn host_leaving(&mut self, host: &HostId, tell: bool) {
--- a/crates/tamarackproxy/src/node/core/fleet.rs
+++ b/crates/tamarackproxy/src/node/core/fleet.rs
@@ -26,7 +26,7 @@
 
 /// Time from a record that stops new work to the first confirmation of its
 /// drain, in milliseconds. A seat that was taken just before is known to every
-/// controller by then: one heartbeat (1 s) and one exchange of load (0.5 s).
+/// controller by then: one heartbeat (1 s) and the exchange of changed holders (0.5 s).
 const DRAIN_MIN_MS: u64 = 1_500;
 
 /// Reports that are kept for operators; the oldest is dropped beyond.
--- a/crates/tamarackproxy/src/node/core/jobs.rs
+++ b/crates/tamarackproxy/src/node/core/jobs.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Copy, Debug)]
 enum StoreUser {
     Lease,
+    /// The end of a lease, whose reply does not matter.
+    Released,
     Engine(CallId),
 }
 
@@ -173,6 +175,21 @@
         }
     }
 
+    /// Gives up the control of all pools' jobs.
+    pub(super) fn release_jobs(&mut self) {
+        let entry = self.entry.clone();
+        let pools: Vec<PoolId> = self.jobs.pools.keys().cloned().collect();
+        for pool in pools {
+            let Some(jobs) = self.jobs.pools.get_mut(&pool) else { continue };
+            let request = jobs.lease.release();
+            jobs.lease = ControlLease::new(format!("jobs-{pool}"), entry.clone());
+            self.publish_control(&pool);
+            if let Some(request) = request {
+                self.call_jobs_store(&pool, StoreUser::Released, request);
+            }
+        }
+    }
+
     fn poll_workers(&mut self) {
         for (pool, jobs) in self.jobs.pools.iter().filter(|(_, jobs)| jobs.is_controller) {
             let hosts = jobs.engine.busy_hosts();
@@ -218,6 +235,7 @@
                 self.call_for_lease(&pool, request);
                 self.publish_control(&pool);
             }
+            StoreUser::Released => {}
             StoreUser::Engine(call) => {
                 self.on_pool_jobs(&pool, JobsEvent::StoreReplied { call, result });
             }
--- a/crates/tamarackproxy/src/node/core/mod.rs
+++ b/crates/tamarackproxy/src/node/core/mod.rs
@@ -80,6 +80,7 @@
     text: Option<Arc<str>>,
     position: Position,
     restored: Option<(Position, Position)>,
+    was_gateway: Option<bool>,
     is_ready: bool,
     is_stopping: bool,
     is_release_asked: bool,
@@ -136,6 +137,7 @@
             text: None,
             position: Position::default(),
             restored: None,
+            was_gateway: None,
             is_ready: false,
             is_stopping: false,
             is_release_asked: false,
@@ -250,6 +252,7 @@
         self.on_configuration(ConfigurationEvent::Tick);
         self.on_once(OnceEvent::Tick);
         self.on_requests(RequestsEvent::Tick);
+        self.follow_gateway_role();
         if self.peers.is_gateway() {
             self.poll_host_list();
             self.on_fleet(FleetEvent::Tick);
@@ -262,6 +265,20 @@
         }
     }
 
+    /// Begins or ends the control of pools and jobs with the gateway role. An
+    /// entry host that lost the role would otherwise keep the leases without
+    /// reading the platform's list.
+    fn follow_gateway_role(&mut self) {
+        let is_gateway = self.peers.is_gateway();
+        if self.was_gateway.replace(is_gateway) == Some(is_gateway) {
+            return;
+        }
+        self.on_fleet(FleetEvent::CandidateChanged { candidate: is_gateway });
+        if !is_gateway {
+            self.release_jobs();
+        }
+    }
+
     fn call_store(&mut self, engine: Engine, call: CallId, request: StoreRequest) {
         self.effects.push(Effect::CallStore { engine, call, request });
     }
--- a/crates/tamarackproxy/src/node/core/peers.rs
+++ b/crates/tamarackproxy/src/node/core/peers.rs
@@ -15,8 +15,13 @@
     state::ids::{DataCentreId, EntryId, ServiceId, Term},
 };
 
-/// Interval at which load is sent to peers and gateways, in milliseconds.
+/// Interval at which load is sent to the peers of the data centre, in
+/// milliseconds.
 const LOAD_INTERVAL_MS: u64 = 500;
+/// Interval at which gateways exchange load, in milliseconds; at twice the
+/// rate a gateway among 15 data centres sends more than 30 KB/s. A change of
+/// the seats is sent at once.
+const REMOTE_LOAD_INTERVAL_MS: u64 = 1_000;
 /// Time from taking a seat until its holder may be the gateway, in
 /// milliseconds: two heartbeats.
 const GATEWAY_DELAY_MS: u64 = 2_000;
@@ -45,6 +50,7 @@
     /// Live holders of each data centre's seats, from its gateway.
     live_holders: BTreeMap<DataCentreId, Vec<Option<EntryId>>>,
     next_load_ms: u64,
+    next_remote_load_ms: u64,
 }
 
 impl Peers {
@@ -62,6 +68,7 @@
             listed_holders: BTreeMap::new(),
             live_holders: BTreeMap::new(),
             next_load_ms: 0,
+            next_remote_load_ms: 0,
         }
     }
 
@@ -234,11 +241,18 @@
         self.publish_holders(data_centre);
     }
 
-    fn set_live_holders(&mut self, data_centre: &DataCentreId, holders: Vec<Option<EntryId>>) {
-        if self.peers.live_holders.get(data_centre) != Some(&holders) {
-            self.peers.live_holders.insert(data_centre.clone(), holders);
-            self.publish_holders(data_centre.clone());
+    /// Takes live holders; tells whether they have changed.
+    fn set_live_holders(
+        &mut self,
+        data_centre: &DataCentreId,
+        holders: Vec<Option<EntryId>>,
+    ) -> bool {
+        if self.peers.live_holders.get(data_centre) == Some(&holders) {
+            return false;
         }
+        self.peers.live_holders.insert(data_centre.clone(), holders);
+        self.publish_holders(data_centre.clone());
+        true
     }
 
     /// Tells the fleet engine whom it asks about drains. A listing is up to a
@@ -294,7 +308,13 @@
         let sum = sum_loads(own.iter().chain(of_peers));
         self.report_demand(&data_centre, &sum);
         let holders = self.peers.local_holders();
-        self.set_live_holders(&data_centre, holders.clone());
+        if self.set_live_holders(&data_centre, holders.clone()) {
+            self.peers.next_remote_load_ms = now_ms;
+        }
+        if now_ms < self.peers.next_remote_load_ms {
+            return;
+        }
+        self.peers.next_remote_load_ms = now_ms + REMOTE_LOAD_INTERVAL_MS;
         for (_, gateway) in self.peers.gateways.clone() {
             let (data_centre, holders, loads) = (data_centre.clone(), holders.clone(), sum.clone());
             self.send(&gateway, PeerMessage::Load { data_centre, holders, loads });
