Wait for signs of leaving before a new seat is used

Change: a new seat is used 1.5 s after it was taken if the data centre has other seats; peers send the signs that they know when they first see the seat.

--- a/crates/standins/src/matrix/targets.rs
+++ b/crates/standins/src/matrix/targets.rs
@@ -26,6 +26,8 @@
     by_attempt: HashMap<AttemptOf, usize>,
     /// Hosts that fail every request.
     pub(super) failing: BTreeSet<HostId>,
+    /// Hosts whose responses say that they leave.
+    pub(super) leaving: BTreeSet<HostId>,
     /// Hosts whose responses break off.
     pub(super) cutting: BTreeSet<HostId>,
 }
@@ -67,6 +69,26 @@
         true
     }
 
+    /// Tells whether a response of the host says that it leaves, and notes the
+    /// first one: nobody can know before.
+    pub(super) fn sign_leaving(&mut self, host: &HostId, now_ms: u64) -> bool {
+        let is_leaving = self.leaving.contains(host);
+        let is_open = |sign: &LeavingSign| sign.host == *host && sign.to_ms.is_none();
+        if is_leaving && !self.leaving_signs.iter().any(is_open) {
+            let sign = LeavingSign { host: host.clone(), from_ms: now_ms, to_ms: None };
+            self.leaving_signs.push(sign);
+        }
+        is_leaving
+    }
+
+    /// Ends the signs of a host that stays or reboots.
+    pub(super) fn end_signs(&mut self, host: &HostId, now_ms: u64) {
+        let signs = self.leaving_signs.iter_mut().filter(|sign| sign.host == *host);
+        signs.for_each(|sign| {
+            sign.to_ms.get_or_insert(now_ms);
+        });
+    }
+
     /// Ends the run of an attempt whose connection was closed.
     pub(super) fn client_gone(&mut self, attempt: &AttemptOf, now_ms: u64) {
         if let Some(&run) = self.by_attempt.get(attempt) {
--- a/crates/tamarackproxy/src/coordination/requests/targets.rs
+++ b/crates/tamarackproxy/src/coordination/requests/targets.rs
@@ -153,7 +153,8 @@
             self.targets.get(*key).is_some_and(|target| target.health.is_leaving(self.now_ms))
         };
         let hosts = self.host_targets.iter().filter(|(_, keys)| keys.iter().any(leaves));
-        let hosts: Vec<HostId> = hosts.map(|(host, _)| host.clone()).collect();
+        let mut hosts: Vec<HostId> = hosts.map(|(host, _)| host.clone()).collect();
+        hosts.sort_unstable();
         for to in new {
             let messages = hosts.iter().map(|host| RequestsAction::Send {
                 to: to.clone(),
--- a/crates/tamarackproxy/src/node/core/peers.rs
+++ b/crates/tamarackproxy/src/node/core/peers.rs
@@ -25,6 +25,10 @@
 /// Time from taking a seat until its holder may be the gateway, in
 /// milliseconds: two heartbeats.
 const GATEWAY_DELAY_MS: u64 = 2_000;
+/// Time from taking a seat until it is used if there are other seats, in
+/// milliseconds: a heartbeat that shows the seat to the peers (1 s), and their
+/// answer.
+const SIGNS_WAIT_MS: u64 = 1_500;
 /// Age at which a peer's load no longer counts, in milliseconds.
 const LOAD_MAX_AGE_MS: u64 = 3 * LOAD_INTERVAL_MS;
 
@@ -41,6 +45,9 @@
     is_settled: bool,
     /// Seat that is held but must not be used until it is confirmed.
     pub(super) is_suspended: bool,
+    /// Time until which a new seat is not used, so that peers can tell which
+    /// hosts gave signs of leaving, in milliseconds.
+    pub(super) signs_awaited_until_ms: Option<u64>,
     /// Time until which the seat is not used after a pause, unless a peer
     /// shows earlier that nothing was missed, in milliseconds.
     pub(super) catching_up_until_ms: Option<u64>,
@@ -63,6 +70,7 @@
             gateway_from_ms: 0,
             is_settled: false,
             is_suspended: false,
+            signs_awaited_until_ms: None,
             catching_up_until_ms: None,
             loads: BTreeMap::new(),
             listed_holders: BTreeMap::new(),
@@ -74,7 +82,9 @@
 
     /// Returns the seat of this entry host while it may be used.
     pub(super) fn own_seat(&self) -> Option<u16> {
-        let is_usable = !self.is_suspended && self.catching_up_until_ms.is_none();
+        let is_usable = !self.is_suspended
+            && self.signs_awaited_until_ms.is_none()
+            && self.catching_up_until_ms.is_none();
         self.seat.filter(|_| is_usable).map(|(index, _)| index)
     }
 
@@ -113,8 +123,10 @@
     /// can have heard of a lower seat: it would acquire control of pools, stop
     /// controlling them when it hears of that seat, and leave them without a
     /// controller until its leases lapse.
-    pub(super) fn set_seat(&mut self, seat: Option<(u16, Term)>, now_ms: u64) {
+    pub(super) fn set_seat(&mut self, seat: Option<(u16, Term)>, has_peers: bool, now_ms: u64) {
         if self.seat.is_none() {
+            let waits = seat.is_some() && has_peers;
+            self.signs_awaited_until_ms = waits.then_some(now_ms + SIGNS_WAIT_MS);
             self.gateway_from_ms = now_ms + GATEWAY_DELAY_MS;
             self.is_settled = false;
         }
--- a/crates/tamarackproxy/src/node/core/seats.rs
+++ b/crates/tamarackproxy/src/node/core/seats.rs
@@ -87,16 +87,21 @@
         }
     }
 
-    /// Uses the seat again when no peer was heard in time, as without peers.
+    /// Uses the seat once the waiting times have passed: after a pause when no
+    /// peer was heard in time, and after the seat was taken.
     pub(super) fn end_catching_up(&mut self) {
         let now_ms = self.now.monotonic_ms;
-        if self.peers.catching_up_until_ms.take_if(|until_ms| now_ms >= *until_ms).is_some() {
+        let is_over = |until_ms: &mut u64| now_ms >= *until_ms;
+        let has_caught_up = self.peers.catching_up_until_ms.take_if(is_over).is_some();
+        let has_settled = self.peers.signs_awaited_until_ms.take_if(is_over).is_some();
+        if has_caught_up || has_settled {
             self.publish_seat();
         }
     }
 
     fn set_seat(&mut self, seat: Option<(u16, Term)>) {
-        self.peers.set_seat(seat, self.now.monotonic_ms);
+        let has_peers = self.configured_seats().is_none_or(|seats| seats > 1);
+        self.peers.set_seat(seat, has_peers, self.now.monotonic_ms);
         self.publish_seat();
     }
 
