--- a/crates/standins/src/matrix/traffic.rs
+++ b/crates/standins/src/matrix/traffic.rs
@@ -21,7 +21,7 @@
 };
 
 /// Time that callers wait, in milliseconds.
-const DEADLINE_MS: u64 = 2_000;
+const DEADLINE_MS: u64 = 4_000;
 /// Size of the filler in a response, in bytes.
 pub(super) const BODY_BYTES: usize = 64;
 /// Attempts that a caller makes for one request.
--- a/crates/standins/src/matrix/world.rs
+++ b/crates/standins/src/matrix/world.rs
@@ -55,7 +55,7 @@
 /// Share of requests that take most of their deadline, and their time in
 /// milliseconds; without them no drain would wait for a request.
 const LONG_SHARE: f64 = 0.03;
-const LONG_SERVICE_MS: u64 = 1_800;
+const LONG_SERVICE_MS: u64 = 3_500;
 /// Interval at which positions are sampled and reboots end, in milliseconds.
 const SAMPLE_MS: u64 = 100;
 
