Record whole sessions of a caller and of an operator

Cause: no golden file showed the HTTP exchanges of both interfaces. Change: two transcripts over sockets with one entry host, good paths and refusals; measured load and long numbers are masked. Conclusion: a changed status, outcome or problem text is seen in review.

--- a/crates/standins/src/demo/mod.rs
+++ b/crates/standins/src/demo/mod.rs
@@ -20,5 +20,7 @@
 
 pub(crate) use self::single::SingleEntry;
 
+#[cfg(test)]
+mod sessions;
 #[cfg(test)]
 mod tests;
--- a/crates/standins/src/demo/single.rs
+++ b/crates/standins/src/demo/single.rs
@@ -7,7 +7,12 @@
 
 use anyhow::{Context, anyhow};
 
-use super::{deployment::Plan, entries::Entries, layout::Layout, site::Site};
+use super::{
+    deployment::Plan,
+    entries::{Entries, admin_address},
+    layout::Layout,
+    site::Site,
+};
 use crate::target::ServiceTimes;
 
 /// Processors of each host, in thousandths.
@@ -36,6 +41,13 @@
         addresses.first().copied().ok_or_else(|| anyhow!("the entry host has ended"))
     }
 
+    /// Returns the address of the administration API.
+    #[cfg(test)]
+    pub(super) fn admin_address(&self) -> anyhow::Result<SocketAddr> {
+        let place = self.plan.entries.first().context("the document has no seat")?;
+        Ok(admin_address(&self.plan, place))
+    }
+
     /// Returns the address of the first target.
     pub(crate) fn target_address(&self) -> anyhow::Result<SocketAddr> {
         let host = self.plan.hosts.first().context("the document has no hosts")?;
