--- a/crates/standins/src/demo/single.rs
+++ b/crates/standins/src/demo/single.rs
@@ -7,14 +7,12 @@
 
 use anyhow::{Context, anyhow};
 
-use super::{
-    deployment::Plan,
-    entries::{Entries, admin_address},
-    layout::Layout,
-    site::Site,
-};
+use super::{deployment::Plan, entries::Entries, layout::Layout, site::Site};
 use crate::target::ServiceTimes;
 
+#[cfg(test)]
+use super::entries::admin_address;
+
 /// Processors of each host, in thousandths.
 const HOST_CPU_MILLICORES: u64 = 32_000;
 
