--- a/crates/standins/src/demo/sessions/mod.rs
+++ b/crates/standins/src/demo/sessions/mod.rs
@@ -139,11 +139,19 @@
     panic!("the target cannot be called through the entry host");
 }
 
-/// Guards against changes of what callers see: status, outcome and problem of
-/// good and refused requests, and repeats under one key.
+/// Guards against changes of what callers and operators see: status, outcome
+/// and problem of good and refused requests, repeats under one key, and a team
+/// that changes another team's section. One deployment serves both sessions,
+/// because two that start at once may choose the same addresses.
 #[tokio::test]
-async fn caller_session() {
+async fn sessions() {
     let deployment = started().await;
+    caller_session(&deployment).await;
+    operator_session(&deployment).await;
+    deployment.stop().expect("stops");
+}
+
+async fn caller_session(deployment: &SingleEntry) {
     let mut session = Session::new(deployment.caller_address().expect("has an address"));
     let path = "/call/orders/echo/7?bytes=4";
     session.exchange("A repeatable request", Method::GET, path, &[bearer("desk")], "").await;
@@ -162,15 +170,10 @@
     session.exchange("The key with another body", Method::POST, path, &own, "b").await;
     let guest = [bearer("guest"), own[1].clone()];
     session.exchange("Another caller's same key", Method::POST, path, &guest, "a").await;
-    insta::assert_snapshot!(session.transcript);
-    deployment.stop().expect("stops");
+    insta::assert_snapshot!("caller_session", session.transcript);
 }
 
-/// Guards against changes of what operators see, and against a team that
-/// changes another team's section.
-#[tokio::test]
-async fn operator_session() {
-    let deployment = started().await;
+async fn operator_session(deployment: &SingleEntry) {
     let mut session = Session::new(deployment.admin_address().expect("has an address"));
     let get = Method::GET;
     session.exchange("Without token", get.clone(), "/admin/v1/status", &[], "").await;
@@ -195,6 +198,5 @@
     let path = format!("/admin/v1/services?min-revision={revision}");
     session.exchange("A read of the own write", get.clone(), &path, &shop, "").await;
     session.exchange("No such path", get, "/admin/v1/nothing", &shop, "").await;
-    insta::assert_snapshot!(session.transcript);
-    deployment.stop().expect("stops");
+    insta::assert_snapshot!("operator_session", session.transcript);
 }
--- a/crates/standins/src/platform/workers.rs
+++ b/crates/standins/src/platform/workers.rs
@@ -2,61 +2,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use serde::{Deserialize, Serialize};
+pub use tamarackproxy::protocol::platform::{StartTask, TaskReport, TaskState};
 use tamarackproxy::state::ids::HostId;
 
-/// Body of the call that starts a task.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StartTask {
-    /// Name of the task, unique on its worker.
-    pub task: Box<str>,
-    /// Time after which the task ends unless its lease is renewed, in
-    /// milliseconds.
-    pub lease_ms: u64,
-    /// Processors that it may use, in thousandths of a core.
-    pub cpu_millicores: u64,
-    /// Memory that it may use, in bytes.
-    pub memory_bytes: u64,
-    /// Accelerators that it holds.
-    pub accelerators: u32,
-    /// Name of the checkpoint that it continues from.
-    #[serde(default)]
-    pub checkpoint: Option<Box<str>>,
-}
-
-/// State of a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum TaskState {
-    /// It runs.
-    Running,
-    /// It ended with success.
-    Done,
-    /// It failed by itself.
-    Failed,
-    /// It was stopped by a call.
-    Stopped,
-    /// Its lease lapsed.
-    LeaseLapsed,
-    /// Its host stopped.
-    HostStopped,
-}
-
-/// What a worker reports of a task; usage lags.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskReport {
-    /// Name of the task.
-    pub task: Box<str>,
-    /// State.
-    pub state: TaskState,
-    /// Processors in use, in thousandths of a core, as of the lag.
-    pub cpu_millicores: u64,
-    /// Memory in use, in bytes, as of the lag.
-    pub memory_bytes: u64,
-    /// Work done, as milliseconds of unthrottled running.
-    pub progress_ms: u64,
-}
-
 /// What a task really needs, in place of what was declared.
 #[derive(Clone, Copy, Debug)]
 pub struct TaskNature {
--- a/crates/tamarackproxy/src/node/core/jobs.rs
+++ b/crates/tamarackproxy/src/node/core/jobs.rs
@@ -45,8 +45,10 @@
 /// Jobs of one pool.
 struct PoolJobs {
     lease: ControlLease,
-    engine: JobEngine,
-    is_controller: bool,
+    /// Present while this entry host controls the pool's jobs: the indexes of
+    /// an engine take some 7 MB before the first worker, and at 26 pools those
+    /// of all pools would exceed the memory of a node.
+    engine: Option<JobEngine>,
     /// Names of the tasks that were started on each worker and not seen to end.
     tasks: BTreeMap<HostId, BTreeSet<Box<str>>>,
 }
@@ -62,6 +64,7 @@
 pub(super) struct JobsState {
     pools: BTreeMap<PoolId, PoolJobs>,
     calls: HashMap<CallId, (PoolId, StoreUser)>,
+    teams: Vec<TeamQuota>,
     last_call: CallId,
     last_request: RequestId,
     submissions: HashMap<RequestId, Waiting>,
@@ -99,8 +102,7 @@
         for pool in document.pools.keys() {
             self.jobs.pools.entry(pool.clone()).or_insert_with(|| PoolJobs {
                 lease: ControlLease::new(format!("jobs-{pool}"), entry.clone()),
-                engine: JobEngine::new(pool.clone()),
-                is_controller: false,
+                engine: None,
                 tasks: BTreeMap::new(),
             });
         }
@@ -113,6 +115,7 @@
             ),
         };
         let teams: Vec<TeamQuota> = document.teams.iter().map(quota).collect();
+        self.jobs.teams = teams.clone();
         let pools: Vec<PoolId> = self.jobs.pools.keys().cloned().collect();
         for pool in pools {
             self.on_pool_jobs(&pool, JobsEvent::TeamsChanged { teams: teams.clone() });
@@ -143,8 +146,10 @@
             return self.jobs.asked.values().min().copied();
         }
         let pools = self.jobs.pools.values();
-        let engines =
-            pools.flat_map(|jobs| [jobs.lease.next_tick_ms(), jobs.engine.next_tick_ms()]);
+        let engines = pools.flat_map(|jobs| {
+            let engine_ms = jobs.engine.as_ref().and_then(JobEngine::next_tick_ms);
+            [jobs.lease.next_tick_ms(), engine_ms]
+        });
         let asked = self.jobs.asked.values().min().copied();
         engines.chain([asked, Some(self.jobs.next_poll_ms)]).flatten().min()
     }
@@ -191,8 +196,10 @@
     }
 
     fn poll_workers(&mut self) {
-        for (pool, jobs) in self.jobs.pools.iter().filter(|(_, jobs)| jobs.is_controller) {
-            let hosts = jobs.engine.busy_hosts();
+        let controlled = self.jobs.pools.iter();
+        let controlled = controlled.filter_map(|(pool, jobs)| Some((pool, jobs.engine.as_ref()?)));
+        for (pool, engine) in controlled {
+            let hosts = engine.busy_hosts();
             self.effects.extend(
                 hosts.map(|host| Effect::ListTasks { pool: pool.clone(), host: host.clone() }),
             );
@@ -203,8 +210,15 @@
     fn publish_control(&mut self, pool: &PoolId) {
         let Some(jobs) = self.jobs.pools.get_mut(pool) else { return };
         let term = jobs.lease.held();
-        if jobs.is_controller != term.is_some() {
-            jobs.is_controller = term.is_some();
+        if jobs.engine.is_some() != term.is_some() {
+            if term.is_none() {
+                jobs.engine = None;
+                jobs.tasks.clear();
+                return;
+            }
+            jobs.engine = Some(JobEngine::new(pool.clone()));
+            let teams = self.jobs.teams.clone();
+            self.on_pool_jobs(pool, JobsEvent::TeamsChanged { teams });
             self.on_pool_jobs(pool, JobsEvent::ControlChanged { term });
         }
     }
@@ -243,9 +257,10 @@
     }
 
     pub(super) fn on_pool_jobs(&mut self, pool: &PoolId, event: JobsEvent) {
-        let Some(jobs) = self.jobs.pools.get_mut(pool) else { return };
+        let engine = self.jobs.pools.get_mut(pool).and_then(|jobs| jobs.engine.as_mut());
+        let Some(engine) = engine else { return };
         let mut actions = Vec::new();
-        jobs.engine.handle(self.now, event, &mut actions);
+        engine.handle(self.now, event, &mut actions);
         for action in actions {
             self.apply_jobs(pool, action);
         }
@@ -336,7 +351,7 @@
             let text = format!("there is no pool {pool}; see the list of pools");
             return self.answer(&origin, call, Err(text.into()));
         };
-        if jobs.is_controller {
+        if jobs.engine.is_some() {
             return self.serve_request(origin, call, &pool, request);
         }
         let next = match self.peers.is_gateway() {
@@ -365,7 +380,7 @@
                 self.on_pool_jobs(pool, JobsEvent::Submitted { request, spec });
             }
             JobRequest::Cancel { job, team } => {
-                let engine = self.jobs.pools.get(pool).map(|jobs| &jobs.engine);
+                let engine = self.jobs.pools.get(pool).and_then(|jobs| jobs.engine.as_ref());
                 let result = match engine.and_then(|engine| engine.team_of(&job)) {
                     Some(owner) if *owner == team => Ok("the job is being cancelled".into()),
                     Some(owner) => Err(format!("the job belongs to team {owner}").into()),
@@ -377,7 +392,7 @@
                 self.answer(&origin, call, result);
             }
             JobRequest::Explain(job) => {
-                let engine = self.jobs.pools.get(pool).map(|jobs| &jobs.engine);
+                let engine = self.jobs.pools.get(pool).and_then(|jobs| jobs.engine.as_ref());
                 let text = engine.and_then(|engine| engine.explain(&job));
                 let missing = || "there is no such job; it may have ended".into();
                 self.answer(&origin, call, text.ok_or_else(missing));
