Fence pool writes by the leased key and keep lost workers' leases fixed

Each look at a worker that does not answer extended the lease that had to run out before its tasks run elsewhere. Requests to empty a host outlived the worker they meant. Ruled out: load, as the processes use 2% of a core. Change: writes expect the leased key's version, and the holder of the key raises the term again; unanswered looks carry no lease; requests name workers; planned stops count tasks on workers out of touch as unavailable and wait after a change of control.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -3,7 +3,7 @@
 use hashbrown::{HashMap, HashSet};
 use tamarackproxy::state::{
     clock::ClockReading,
-    ids::{HostId, PoolId, QueueId, RecordVersion, Term},
+    ids::{HostId, PoolId, QueueId, RecordVersion, Term, WorkerId},
 };
 
 use super::{
@@ -98,7 +98,9 @@
     pub(super) workers: WorkerTable,
     pub(super) writer: Writer,
     pub(super) durations: Durations,
-    pub(super) vacating: HashSet<HostId>,
+    pub(super) vacating: HashSet<WorkerId>,
+    /// Planned stops wait until then, on the own clock.
+    pub(super) quiet_until_ms: u64,
     /// Workers that may run what a predecessor started and have not been
     /// listed; none once that is settled.
     pub(super) unsettled: Option<Vec<RosterEntry>>,
@@ -121,6 +123,7 @@
             writer: Writer::default(),
             durations: Durations::default(),
             vacating: HashSet::new(),
+            quiet_until_ms: 0,
             unsettled: Some(Vec::new()),
             finished: Vec::new(),
             placing_due: false,
@@ -148,12 +151,12 @@
         self.queues.get(queue).cloned().unwrap_or_default()
     }
 
-    /// Takes over the hosts that are to be emptied.
-    pub fn set_vacating(&mut self, hosts: HashSet<HostId>) {
+    /// Takes over the workers that are to be emptied.
+    pub fn set_vacating(&mut self, vacating: HashSet<WorkerId>) {
         for (_, worker) in self.workers.iter_mut() {
-            worker.is_vacated &= hosts.contains(&worker.entry.host);
+            worker.is_vacated &= vacating.contains(&worker.entry.worker);
         }
-        self.vacating = hosts;
+        self.vacating = vacating;
         self.placing_due = true;
     }
 
@@ -206,15 +209,34 @@
                 worker.presence = Presence::Gone;
             }
         }
+        self.end_earlier_lives();
         if changed {
             self.roster_changed();
         }
         self.next_check_ms = 0;
     }
 
+    /// Ends the lives of workers whose hosts run a later one: a host runs one
+    /// worker at a time.
+    fn end_earlier_lives(&mut self) {
+        let mut latest: HashMap<HostId, u64> = HashMap::new();
+        for (_, worker) in self.workers.iter() {
+            let born = latest.entry(worker.entry.host.clone()).or_default();
+            *born = (*born).max(worker.entry.born_unix_ms);
+        }
+        let over: Vec<WorkerKey> = (self.workers.iter())
+            .filter(|(_, worker)| worker.entry.born_unix_ms < latest[&worker.entry.host])
+            .map(|(key, _)| key)
+            .collect();
+        for key in over {
+            self.end_life(key, "its host runs a later one");
+        }
+    }
+
     pub(super) fn roster_changed(&mut self) {
         let entry = |worker: &Worker| RosterEntry {
             worker: worker.entry.worker.clone(),
+            host: worker.entry.host.clone(),
             born_unix_ms: worker.entry.born_unix_ms,
         };
         let mut workers: Vec<_> = self.workers.iter().map(|(_, worker)| entry(worker)).collect();
@@ -414,12 +436,15 @@
             if worker.look_sent_ms.is_some() || now_ms < worker.next_look_ms {
                 continue;
             }
-            let lease_until_ms = worker.clock.map(|clock| clock.now_ms(now_ms) + lease_ms);
+            // A worker that does not answer gets no longer lease, so that the
+            // time after which its runs are surely over stays fixed.
+            let clock = worker.clock.filter(|_| !worker.look_was_missed);
+            let lease_until_ms = clock.map(|clock| clock.now_ms(now_ms) + lease_ms);
             if let Some(until_ms) = lease_until_ms {
                 worker.grant(until_ms);
             }
             worker.look_sent_ms = Some(now_ms);
-            let wait_ms = match (&worker.clock, worker.is_empty()) {
+            let wait_ms = match (&clock, worker.is_empty()) {
                 (None, _) => 0,
                 (Some(_), true) => IDLE_LOOK_WAIT_MS,
                 (Some(_), false) => LOOK_WAIT_MS,
--- a/crates/dispatch/src/coordination/pool/events.rs
+++ b/crates/dispatch/src/coordination/pool/events.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use strum::{Display, EnumString};
-use tamarackproxy::state::ids::{HostId, Term, WorkerId};
+use tamarackproxy::state::ids::{Term, WorkerId};
 
 use super::writer::PoolWrite;
 use crate::state::{JobSpec, RunNumber, TaskAddress};
@@ -209,8 +209,8 @@
     },
     /// Write to the store and pass the result to the engine.
     Write(PoolWrite),
-    /// Nothing runs on the host, and nothing will be started there.
-    Vacated(HostId),
+    /// Nothing runs on the worker, and nothing will be started there.
+    Vacated(WorkerId),
     /// A higher term was seen; the tenure is over.
     Fenced,
 }
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -40,6 +40,7 @@
                 log::info!(worker = worker.entry.worker.as_str(), failure:display = failure,
                     age_ms = worker.looked_ms.map(|looked_ms| now_ms.saturating_sub(looked_ms));
                     "worker did not list its runs");
+                worker.look_was_missed = true;
                 worker.next_look_ms = now_ms + LOOK_RETRY_MS;
                 return;
             }
@@ -54,6 +55,7 @@
         worker.clock = Some(WorkerClock::new(report.clock_ms, now_ms));
         let was_in_touch = worker.is_in_touch(now_ms, super::placement::TOUCH_MS);
         worker.looked_ms = Some(now_ms);
+        worker.look_was_missed = false;
         worker.next_look_ms = if report.ended.is_empty() { now_ms } else { now_ms + LOOK_GAP_MS };
         self.placing_due |= !was_in_touch || !report.ended.is_empty();
         for end in &report.ended {
@@ -226,7 +228,7 @@
             state.checkpoint = running.checkpoint.clone();
         }
         let Some(run) = state.run_mut(key, number) else { return };
-        if running.percent > run.percent {
+        if running.percent != run.percent {
             run.percent = running.percent;
             run.percent_since_ms = now_ms;
         }
--- a/crates/dispatch/src/coordination/pool/recovery.rs
+++ b/crates/dispatch/src/coordination/pool/recovery.rs
@@ -2,7 +2,7 @@
 
 use tamarackproxy::state::{clock::ClockReading, ids::RecordVersion};
 
-use super::engine::PoolEngine;
+use super::{engine::PoolEngine, stops::HANDOVER_QUIET_MS};
 use crate::state::{JobNumber, JobOutcome, JobRecord, JobState, ProgressRecord, Roster};
 
 /// A job's record with its version.
@@ -70,11 +70,12 @@
         let workers = &self.workers;
         unsettled.retain(|entry| {
             let found = workers.find(&entry.worker).and_then(|key| workers.get(key));
-            // A later life of the worker runs nothing of the earlier one.
-            let is_listed = found.is_some_and(|worker| {
-                worker.entry.born_unix_ms > entry.born_unix_ms || worker.looked_ms.is_some()
+            let is_listed = found.is_some_and(|worker| worker.looked_ms.is_some());
+            // A later life on the host runs nothing of the earlier one.
+            let is_over = workers.iter().any(|(_, worker)| {
+                worker.entry.host == entry.host && worker.entry.born_unix_ms > entry.born_unix_ms
             });
-            !is_listed
+            !is_listed && !is_over
         });
         let known_are_listed = workers.iter().all(|(_, worker)| worker.looked_ms.is_some());
         let is_over = now_ms >= self.tenancy.predecessor_until_ms;
@@ -82,6 +83,7 @@
             log::info!(pool = self.tenancy.pool.as_str(), not_listed = unsettled.len(),
                 timed_out = is_over; "the predecessor's runs are accounted for");
             self.unsettled = None;
+            self.quiet_until_ms = now_ms + HANDOVER_QUIET_MS;
             self.roster_changed();
             self.placing_due = true;
         }
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -125,7 +125,7 @@
 
     fn choose(&self, now_ms: u64, task: TaskRef) -> Option<WorkerKey> {
         let demand = self.demand(task)?;
-        let vacating = |worker: &Worker| self.vacating.contains(&worker.entry.host);
+        let vacating = |worker: &Worker| self.vacating.contains(&worker.entry.worker);
         demand.choose(&self.workers, now_ms, |_, worker| worker.room(), vacating)
     }
 
@@ -159,7 +159,7 @@
                 Some((_, taken)) => worker.room().minus(taken),
                 None => worker.room(),
             };
-            let vacating = |worker: &Worker| self.vacating.contains(&worker.entry.host);
+            let vacating = |worker: &Worker| self.vacating.contains(&worker.entry.worker);
             let Some(worker) = demand.choose(&self.workers, now_ms, room, vacating) else {
                 return false;
             };
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -6,7 +6,7 @@
     engine::{PoolEngine, contact},
     events::{Order, OrderReply, OrderTarget, PoolAction, Refusal, WorkerKey},
     placement::TOUCH_MS,
-    task::{Run, RunPhase, TaskRef},
+    task::{Run, RunPhase, Task, TaskRef},
     workers::{Presence, Worker},
 };
 use crate::state::{Registration, RunNumber, TaskAddress};
@@ -19,6 +19,12 @@
 /// Time that runs on a host that is to be emptied may go on, in milliseconds;
 /// most tasks end by themselves within it.
 const VACATE_PATIENCE_MS: u64 = 2_500;
+/// Age of a worker's list up to which its lasting tasks count as at work, in
+/// milliseconds: looks at busy workers wait a second.
+const AVAILABLE_TOUCH_MS: u64 = 1_300;
+/// Time after a change of control in which nothing is stopped as planned, in
+/// milliseconds: stops of the predecessor are carried out meanwhile.
+pub(super) const HANDOVER_QUIET_MS: u64 = 1_500;
 /// Time without progress after which a run counts as stalled, in milliseconds:
 /// percentages are a second old, and one report may be lost.
 const STALL_MIN_MS: u64 = 3_000;
@@ -61,7 +67,7 @@
     fn empty_workers(&mut self, now_ms: u64) {
         let leaving = |worker: &Worker| {
             let is_draining = worker.presence == Presence::Registered(Registration::Draining);
-            let is_vacating = self.vacating.contains(&worker.entry.host);
+            let is_vacating = self.vacating.contains(&worker.entry.worker);
             (is_draining || is_vacating).then_some(is_draining)
         };
         let leaving: Vec<_> = (self.workers.iter())
@@ -99,26 +105,42 @@
             return false;
         }
         if spec.is_lasting {
-            // Beside this task, one fewer than allowed may be unavailable.
-            let others = step.unavailable() - u32::from(!run.is_at_work());
-            return is_draining || others < spec.unavailable_max.max(1);
+            if is_draining {
+                return true;
+            }
+            if now_ms < self.quiet_until_ms {
+                return false;
+            }
+            let others = step.tasks.iter().enumerate().filter(|&(index, other)| {
+                index != task.index as usize && !self.is_available(now_ms, other)
+            });
+            return (others.count() as u32) < spec.unavailable_max.max(1);
         }
         let ran_ms = now_ms.saturating_sub(run.since_ms);
         !is_draining && spec.saves_checkpoints && ran_ms > VACATE_PATIENCE_MS
     }
 
+    /// Tells whether a lasting task is known to be at work now.
+    fn is_available(&self, now_ms: u64, task: &Task) -> bool {
+        task.runs.iter().any(|run| {
+            let worker = self.workers.get(run.worker);
+            run.is_at_work()
+                && worker.is_some_and(|worker| worker.is_in_touch(now_ms, AVAILABLE_TOUCH_MS))
+        })
+    }
+
     /// Confirms that nothing runs on a worker that is to be emptied.
     fn confirm_vacancy(&mut self, now_ms: u64, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         let is_over = worker.is_empty()
             && (worker.is_in_touch(now_ms, TOUCH_MS)
                 || (worker.looked_ms.is_some() && worker.is_lease_over(now_ms)));
-        let is_asked = self.vacating.contains(&worker.entry.host);
+        let is_asked = self.vacating.contains(&worker.entry.worker);
         if is_asked && is_over && !worker.is_vacated && self.unsettled.is_none() {
             worker.is_vacated = true;
             log::info!(host = worker.entry.host.as_str(), worker = worker.entry.worker.as_str();
                 "host is vacated");
-            self.actions.push(PoolAction::Vacated(worker.entry.host.clone()));
+            self.actions.push(PoolAction::Vacated(worker.entry.worker.clone()));
         }
     }
 
--- a/crates/dispatch/src/coordination/pool/task.rs
+++ b/crates/dispatch/src/coordination/pool/task.rs
@@ -122,10 +122,4 @@
         let runs_there = |task: &&Task| task.runs.iter().any(|run| run.worker == worker);
         self.tasks.iter().filter(runs_there).count()
     }
-
-    /// Counts tasks of a lasting step that are not at work.
-    pub(super) fn unavailable(&self) -> u32 {
-        let at_work = |task: &&Task| task.runs.iter().any(Run::is_at_work);
-        (self.tasks.len() - self.tasks.iter().filter(at_work).count()) as u32
-    }
 }
--- a/crates/dispatch/src/coordination/upkeep/engine.rs
+++ b/crates/dispatch/src/coordination/upkeep/engine.rs
@@ -35,10 +35,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Stage {
     Pending,
-    /// The pool's controller was asked to empty it.
-    Vacating,
+    /// The pool's controller was asked to empty its worker.
+    Vacating {
+        worker: WorkerId,
+    },
     /// The record that names it as ordered is on its way to the store.
-    Recording,
+    Recording {
+        worker: Option<WorkerId>,
+    },
     /// Orders are sent until one is confirmed; the host may be down.
     Ordered {
         next_ms: u64,
@@ -75,7 +79,7 @@
     /// Counts hosts that are down for the wave or may be.
     fn down(&self) -> usize {
         let may_be_down = |stage: &&Stage| {
-            matches!(stage, Stage::Recording | Stage::Ordered { .. } | Stage::Down { .. })
+            matches!(stage, Stage::Recording { .. } | Stage::Ordered { .. } | Stage::Down { .. })
         };
         self.stages.values().filter(may_be_down).count()
     }
@@ -84,8 +88,8 @@
         let mut record = WaveRecord::default();
         for (host, stage) in &self.stages {
             match stage {
-                Stage::Pending | Stage::Vacating => {}
-                Stage::Recording | Stage::Ordered { .. } | Stage::Down { .. } => {
+                Stage::Pending | Stage::Vacating { .. } => {}
+                Stage::Recording { .. } | Stage::Ordered { .. } | Stage::Down { .. } => {
                     record.ordered.push(host.clone());
                 }
                 Stage::Over => record.done.push(host.clone()),
@@ -105,10 +109,10 @@
     list_sent_ms: Option<u64>,
     list_in_flight: Option<u64>,
     next_list_ms: u64,
-    /// Hosts whose controllers confirmed that nothing runs there.
-    vacated: HashSet<HostId>,
+    /// Workers whose controllers confirmed that nothing runs there.
+    vacated: HashSet<WorkerId>,
     /// Requests that the store has.
-    requested: HashSet<HostId>,
+    requested: HashSet<WorkerId>,
     pending: UpkeepWrite,
     in_flight: Option<UpkeepWrite>,
     changed_records: HashSet<WaveNumber>,
@@ -167,18 +171,13 @@
     /// Takes in requests and confirmations that the store has.
     pub fn on_requests<R, V>(&mut self, requested: R, vacated: V)
     where
-        R: IntoIterator<Item = HostId>,
-        V: IntoIterator<Item = HostId>,
+        R: IntoIterator<Item = WorkerId>,
+        V: IntoIterator<Item = WorkerId>,
     {
         self.requested = requested.into_iter().collect();
         self.vacated = vacated.into_iter().collect();
     }
 
-    /// Takes in a confirmation that nothing runs on a host.
-    pub fn on_vacated(&mut self, host: HostId) {
-        self.vacated.insert(host);
-    }
-
     /// Takes in the platform's list; none if it could not be read.
     pub fn on_list(&mut self, now: ClockReading, hosts: Option<Vec<HostView>>) {
         let sent_ms = self.list_in_flight.take();
@@ -240,16 +239,18 @@
         for (wave, record) in write.records {
             let Some(wave) = self.waves.get_mut(&wave) else { continue };
             for (host, stage) in &mut wave.stages {
-                if *stage == Stage::Recording && record.ordered.contains(host) {
-                    let worker = self.hosts.get(host).and_then(|host| host.worker.clone());
+                if let Stage::Recording { worker } = stage
+                    && record.ordered.contains(host)
+                {
+                    let worker = worker.take();
                     *stage = Stage::Ordered { next_ms: 0, in_flight: false, worker };
                 }
             }
         }
-        self.requested.extend(write.vacate.into_iter().map(|(host, _)| host));
-        for host in write.release {
-            self.requested.remove(&host);
-            self.vacated.remove(&host);
+        self.requested.extend(write.vacate.into_iter().map(|(worker, _)| worker));
+        for worker in write.release {
+            self.requested.remove(&worker);
+            self.vacated.remove(&worker);
         }
     }
 
@@ -283,8 +284,15 @@
             let mut down = wave.down();
             for (host, stage) in &mut wave.stages {
                 match stage {
-                    Stage::Vacating if self.vacated.contains(host) && down < down_max => {
-                        *stage = Stage::Recording;
+                    // The host runs another worker by now: begin again.
+                    Stage::Vacating { worker } if !runs_worker(&self.hosts, host, worker) => {
+                        self.pending.release.push(worker.clone());
+                        *stage = Stage::Pending;
+                    }
+                    Stage::Vacating { worker }
+                        if self.vacated.contains(worker) && down < down_max =>
+                    {
+                        *stage = Stage::Recording { worker: Some(worker.clone()) };
                         down += 1;
                         self.changed_records.insert(number);
                     }
@@ -302,8 +310,8 @@
                                 && (view.worker.is_none() || view.worker != *worker)
                         });
                         if is_fresh && is_back {
+                            self.pending.release.extend(worker.take());
                             *stage = Stage::Over;
-                            self.pending.release.push(host.clone());
                             self.changed_records.insert(number);
                         }
                     }
@@ -356,16 +364,19 @@
             under_way += 1;
             *in_pool += 1;
             // A host without a worker has nothing to be emptied of.
-            let next = if view.worker.is_some() { Stage::Vacating } else { Stage::Recording };
+            let next = match view.worker.clone() {
+                Some(worker) => Stage::Vacating { worker },
+                None => Stage::Recording { worker: None },
+            };
             chosen.push((host.clone(), next));
         }
         let Some(wave) = self.waves.get_mut(&number) else { return };
         for (host, stage) in chosen {
-            match stage {
-                Stage::Vacating if !self.requested.contains(&host) => {
-                    self.pending.vacate.push((host.clone(), number));
+            match &stage {
+                Stage::Vacating { worker } if !self.requested.contains(worker) => {
+                    self.pending.vacate.push((worker.clone(), number));
                 }
-                Stage::Vacating => {}
+                Stage::Vacating { .. } => {}
                 _ => {
                     self.changed_records.insert(number);
                 }
@@ -403,3 +414,8 @@
         now.monotonic_ms + if idle { 10_000 } else { 100 }
     }
 }
+
+/// Tells whether a host still runs the worker that it was listed with.
+fn runs_worker(hosts: &HashMap<HostId, HostView>, host: &HostId, worker: &WorkerId) -> bool {
+    hosts.get(host).is_some_and(|view| view.worker.as_ref() == Some(worker))
+}
--- a/crates/dispatch/src/coordination/upkeep/events.rs
+++ b/crates/dispatch/src/coordination/upkeep/events.rs
@@ -50,10 +50,10 @@
 /// One transaction under the holder's term.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UpkeepWrite {
-    /// Hosts that controllers are to empty.
-    pub vacate: Vec<(HostId, WaveNumber)>,
-    /// Hosts whose requests are withdrawn or served.
-    pub release: Vec<HostId>,
+    /// Workers that controllers are to empty.
+    pub vacate: Vec<(WorkerId, WaveNumber)>,
+    /// Workers whose requests are withdrawn or served.
+    pub release: Vec<WorkerId>,
     /// Records of waves.
     pub records: Vec<(WaveNumber, WaveRecord)>,
     /// States for operators.
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -36,8 +36,9 @@
 const TIMING: LeaseTiming =
     LeaseTiming { ttl_ms: 3_000, renew_ms: 900, retry_ms: 4_000, outage_ms: OUTAGE_MS };
 /// Time beyond its lease for which a holder goes on while the store does not
-/// answer, in milliseconds; longer than the outages that the operators expect.
-const OUTAGE_MS: u64 = 10_000;
+/// answer, in milliseconds; with the lease, longer than the outages that the
+/// operators expect.
+const OUTAGE_MS: u64 = 6_000;
 /// Delay before an attempt for each scope that is held already, in
 /// milliseconds: several times what an acquisition takes.
 const HELD_DELAY_MS: u64 = 300;
--- a/crates/dispatch/src/node/keys.rs
+++ b/crates/dispatch/src/node/keys.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use tamarackproxy::{
     protocol::store::{KeyValue, StoreError},
-    state::ids::{HostId, PoolId, RecordVersion},
+    state::ids::{PoolId, RecordVersion, WorkerId},
 };
 
 use super::platform::{Transaction, TransactionReply};
@@ -23,7 +23,7 @@
 pub(super) const CONTROL_PREFIX: &str = "control/";
 /// Scope of upkeep beside those of pools.
 pub(super) const UPKEEP_SCOPE: &str = "upkeep";
-/// Prefix of requests to empty hosts and of their confirmations.
+/// Prefix of requests to empty workers and of their confirmations.
 pub(super) const FLEET_PREFIX: &str = "fleet/";
 const VACATE_PREFIX: &str = "fleet/vacate/";
 const VACATED_PREFIX: &str = "fleet/vacated/";
@@ -50,12 +50,12 @@
     format!("summary/{pool}").into()
 }
 
-pub(super) fn vacated_key(host: &HostId) -> Box<str> {
-    format!("{VACATED_PREFIX}{host}").into()
+pub(super) fn vacated_key(worker: &WorkerId) -> Box<str> {
+    format!("{VACATED_PREFIX}{worker}").into()
 }
 
-fn vacate_key(host: &HostId) -> Box<str> {
-    format!("{VACATE_PREFIX}{host}").into()
+fn vacate_key(worker: &WorkerId) -> Box<str> {
+    format!("{VACATE_PREFIX}{worker}").into()
 }
 
 pub(super) fn progress_key(pool: &PoolId, job: JobNumber) -> Box<str> {
@@ -70,13 +70,13 @@
 /// What a key under [`FLEET_PREFIX`] says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum FleetKey {
-    Vacate(HostId),
-    Vacated(HostId),
+    Vacate(WorkerId),
+    Vacated(WorkerId),
 }
 
 pub(super) fn fleet_key(key: &str) -> Option<FleetKey> {
-    if let Some(host) = key.strip_prefix(VACATE_PREFIX) {
-        return host.parse().ok().map(FleetKey::Vacate);
+    if let Some(worker) = key.strip_prefix(VACATE_PREFIX) {
+        return worker.parse().ok().map(FleetKey::Vacate);
     }
     key.strip_prefix(VACATED_PREFIX)?.parse().ok().map(FleetKey::Vacated)
 }
@@ -103,7 +103,7 @@
     Ok((key, encode(record)?.into()))
 }
 
-/// Condition that no successor has raised the term.
+/// Condition that the lease of control has not ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Fence {
     pub(super) key: Box<str>,
@@ -112,16 +112,17 @@
 
 impl Fence {
     pub(super) fn new(scope: &str, version: RecordVersion) -> Self {
-        Self { key: format!("control-term/{scope}").into(), version }
+        Self { key: format!("{CONTROL_PREFIX}{scope}").into(), version }
     }
 
     fn condition(&self) -> (Box<str>, RecordVersion) {
         (self.key.clone(), self.version)
     }
 
-    /// Tells whether a conflict shows that the term was raised.
+    /// Tells whether a conflict shows that the key is gone or another's.
     pub(super) fn is_broken(&self, conflict: &[KeyValue]) -> bool {
-        conflict.iter().any(|item| item.key == self.key && item.version != self.version)
+        let key = conflict.iter().find(|item| item.key == self.key);
+        key.is_none_or(|key| key.version != self.version)
     }
 }
 
@@ -212,12 +213,12 @@
     S: Fn(WaveNumber, WaveState) -> (Box<str>, Bytes),
 {
     let mut transaction = Transaction { expected: vec![fence.condition()], ..Default::default() };
-    for (host, wave) in &write.vacate {
+    for (worker, wave) in &write.vacate {
         let request = VacateRequest { wave: *wave };
-        transaction.put.push(encoded(vacate_key(host), &request)?);
+        transaction.put.push(encoded(vacate_key(worker), &request)?);
     }
-    for host in &write.release {
-        transaction.remove.extend([vacate_key(host), vacated_key(host)]);
+    for worker in &write.release {
+        transaction.remove.extend([vacate_key(worker), vacated_key(worker)]);
     }
     for (wave, record) in &write.records {
         transaction.put.push(encoded(wave_key(*wave), record)?);
--- a/crates/dispatch/src/node/launch.rs
+++ b/crates/dispatch/src/node/launch.rs
@@ -6,7 +6,7 @@
 use hashbrown::{HashMap, HashSet};
 use tamarackproxy::{
     protocol::store::WatchEvent,
-    state::ids::{HostId, PoolId},
+    state::ids::{PoolId, WorkerId},
 };
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -225,38 +225,38 @@
     [&registry, &fleet].map(TaskGuard::new).into()
 }
 
-/// Takes in requests to empty hosts and their confirmations.
+/// Takes in requests to empty workers and their confirmations.
 fn on_fleet<P>(shared: &Shared<P>, followed: Followed)
 where
     P: Platform,
 {
-    let mut vacate: HashSet<HostId> = HashSet::clone(&shared.vacate.borrow());
-    let mut vacated: HashSet<HostId> = HashSet::clone(&shared.vacated.borrow());
+    let mut vacate: HashSet<WorkerId> = HashSet::clone(&shared.vacate.borrow());
+    let mut vacated: HashSet<WorkerId> = HashSet::clone(&shared.vacated.borrow());
     match followed {
         Followed::Listed(items) => {
             vacate.clear();
             vacated.clear();
             for item in items {
                 match fleet_key(&item.key) {
-                    Some(FleetKey::Vacate(host)) => drop(vacate.insert(host)),
-                    Some(FleetKey::Vacated(host)) => drop(vacated.insert(host)),
+                    Some(FleetKey::Vacate(worker)) => drop(vacate.insert(worker)),
+                    Some(FleetKey::Vacated(worker)) => drop(vacated.insert(worker)),
                     None => {}
                 }
             }
         }
         Followed::Changed(WatchEvent::Put(item)) => match fleet_key(&item.key) {
-            Some(FleetKey::Vacate(host)) => drop(vacate.insert(host)),
-            Some(FleetKey::Vacated(host)) => drop(vacated.insert(host)),
+            Some(FleetKey::Vacate(worker)) => drop(vacate.insert(worker)),
+            Some(FleetKey::Vacated(worker)) => drop(vacated.insert(worker)),
             None => {}
         },
         Followed::Changed(WatchEvent::Deleted { key, .. }) => match fleet_key(&key) {
-            Some(FleetKey::Vacate(host)) => drop(vacate.remove(&host)),
-            Some(FleetKey::Vacated(host)) => drop(vacated.remove(&host)),
+            Some(FleetKey::Vacate(worker)) => drop(vacate.remove(&worker)),
+            Some(FleetKey::Vacated(worker)) => drop(vacated.remove(&worker)),
             None => {}
         },
         Followed::Changed(WatchEvent::Interrupted) => return,
     }
-    let replace = |sender: &tokio::sync::watch::Sender<Rc<HashSet<HostId>>>, hosts| {
+    let replace = |sender: &tokio::sync::watch::Sender<Rc<HashSet<WorkerId>>>, hosts| {
         sender.send_if_modified(|current| {
             let changed = **current != hosts;
             *current = Rc::new(hosts);
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -8,7 +8,7 @@
 use tamarackproxy::{
     coordination::control::Tenure,
     protocol::store::{KeyValue, WatchEvent},
-    state::ids::{HostId, PoolId, WorkerId},
+    state::ids::{PoolId, WorkerId},
 };
 use tokio::{
     sync::{Semaphore, mpsc, watch},
@@ -63,7 +63,7 @@
     let tenancy = Tenancy {
         pool: pool.clone(),
         term: tenure.term,
-        since: tenure.term_version,
+        since: tenure.key_version,
         predecessor_until_ms: began.monotonic_ms + predecessor_ms(timing.worker_lease_ms),
     };
     let mut engine = PoolEngine::new(tenancy, timing);
@@ -92,7 +92,7 @@
     let engine = Rc::new(RefCell::new(engine));
     shared.engines.borrow_mut().insert(pool.clone(), Rc::clone(&engine));
     let _registered = Registered { shared: Rc::clone(&shared), pool: pool.clone() };
-    let fence = Fence::new(&scope_of(&pool), tenure.term_version);
+    let fence = Fence::new(&scope_of(&pool), tenure.key_version);
     let controller = Controller {
         shared: Rc::clone(&shared),
         pool,
@@ -182,7 +182,7 @@
         mut receiver: mpsc::UnboundedReceiver<Input>,
         mut document: watch::Receiver<Option<Rc<ServingDocument>>>,
         mut registry: watch::Receiver<Rc<HashMap<WorkerId, WorkerEntry>>>,
-        mut vacate: watch::Receiver<Rc<HashSet<HostId>>>,
+        mut vacate: watch::Receiver<Rc<HashSet<WorkerId>>>,
         fenced: Fenced,
     ) {
         loop {
@@ -256,11 +256,11 @@
                 });
             }
             PoolAction::Write(write) => self.write(write),
-            PoolAction::Vacated(host) => {
+            PoolAction::Vacated(worker) => {
                 let shared = Rc::clone(&self.shared);
                 let fence = Rc::clone(&self.fence);
                 let term = self.engine.borrow().tenancy().term;
-                let vacancy = Vacancy { host, term };
+                let vacancy = Vacancy { worker, term };
                 self.calls
                     .spawn_local(async move { confirm_vacancy(&shared, &fence, vacancy).await });
             }
@@ -319,14 +319,14 @@
     let Ok(value) = encode(&vacancy) else { return };
     let transaction = Transaction {
         expected: vec![(fence.key.clone(), fence.version)],
-        put: vec![(vacated_key(&vacancy.host), value.into())],
+        put: vec![(vacated_key(&vacancy.worker), value.into())],
         remove: Vec::new(),
     };
     loop {
         match shared.transact(&transaction).await {
             Ok(_) => return,
             Err(error) => {
-                log::info!(host = vacancy.host.as_str(), error:display = error;
+                log::info!(worker = vacancy.worker.as_str(), error:display = error;
                     "vacancy was not confirmed and is written again");
                 tokio::time::sleep(Duration::from_millis(READ_RETRY_MS)).await;
             }
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -8,7 +8,7 @@
 use hashbrown::{HashMap, HashSet};
 use tamarackproxy::{
     protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest, WatchEvent},
-    state::ids::{EntryId, HostId, PoolId, RecordVersion, RequestId, WorkerId},
+    state::ids::{EntryId, PoolId, RecordVersion, RequestId, WorkerId},
 };
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -43,9 +43,9 @@
     pub(super) waves_changed: Notify,
     /// Registered workers.
     pub(super) registry: watch::Sender<Rc<HashMap<WorkerId, WorkerEntry>>>,
-    /// Hosts that are to be emptied, and those that are confirmed empty.
-    pub(super) vacate: watch::Sender<Rc<HashSet<HostId>>>,
-    pub(super) vacated: watch::Sender<Rc<HashSet<HostId>>>,
+    /// Workers that are to be emptied, and those that are confirmed empty.
+    pub(super) vacate: watch::Sender<Rc<HashSet<WorkerId>>>,
+    pub(super) vacated: watch::Sender<Rc<HashSet<WorkerId>>>,
     /// Holders of scopes, as last seen.
     pub(super) holders: watch::Sender<Rc<HashMap<Box<str>, EntryId>>>,
     /// Scopes that this process holds.
--- a/crates/dispatch/src/node/upkeep.rs
+++ b/crates/dispatch/src/node/upkeep.rs
@@ -3,7 +3,10 @@
 use std::{rc::Rc, time::Duration};
 
 use hashbrown::HashSet;
-use tamarackproxy::{coordination::control::Tenure, state::ids::HostId};
+use tamarackproxy::{
+    coordination::control::Tenure,
+    state::ids::{HostId, WorkerId},
+};
 use tokio::{
     sync::mpsc,
     task::JoinSet,
@@ -42,10 +45,10 @@
         .collect();
     let mut vacate = shared.vacate.subscribe();
     let mut vacated = shared.vacated.subscribe();
-    let fence = Rc::new(Fence::new(UPKEEP_SCOPE, tenure.term_version));
+    let fence = Rc::new(Fence::new(UPKEEP_SCOPE, tenure.key_version));
     let (inputs, mut receiver) = mpsc::unbounded_channel();
     let mut calls = JoinSet::new();
-    let set = |hosts: &Rc<HashSet<HostId>>| hosts.iter().cloned().collect::<Vec<_>>();
+    let set = |workers: &Rc<HashSet<WorkerId>>| workers.iter().cloned().collect::<Vec<_>>();
     engine.on_requests(set(&vacate.borrow_and_update()), set(&vacated.borrow_and_update()));
     loop {
         let now = clock::read();
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -130,6 +130,8 @@
 pub struct RosterEntry {
     /// Name of the worker.
     pub worker: WorkerId,
+    /// Host that it runs on.
+    pub host: HostId,
     /// Start of this life of the worker, in milliseconds since 1970.
     pub born_unix_ms: u64,
 }
@@ -141,19 +143,19 @@
     pub waiting: Vec<(QueueId, u64)>,
 }
 
-/// Value of `fleet/vacate/<host>`: the pool's controller is to empty the host.
+/// Value of `fleet/vacate/<worker>`: the pool's controller is to empty it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VacateRequest {
-    /// The wave that the host is part of.
+    /// The wave that the worker's host is part of.
     pub wave: WaveNumber,
 }
 
-/// Value of `fleet/vacated/<host>`: nothing runs on the host and nothing will
-/// be started there.
+/// Value of `fleet/vacated/<worker>`: nothing runs on the worker and nothing
+/// will be started there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vacancy {
-    /// The host.
-    pub host: HostId,
+    /// The worker.
+    pub worker: WorkerId,
     /// Term of the controller that emptied it.
     pub term: Term,
 }
--- a/crates/tamarackproxy/src/coordination/control/acquisition.rs
+++ b/crates/tamarackproxy/src/coordination/control/acquisition.rs
@@ -21,9 +21,9 @@
     /// Monotonic time at which the lease was asked for, in milliseconds; the
     /// lease ends no earlier than its time to live after that.
     pub asked_at_ms: u64,
-    /// Version of the term key; a write that expects it fails once a successor
-    /// has raised the term.
-    pub term_version: RecordVersion,
+    /// Version of the leased key; a write that expects it fails once the lease
+    /// has ended.
+    pub key_version: RecordVersion,
 }
 
 /// What the owner of an acquisition does next.
@@ -66,8 +66,12 @@
     /// Version of the leased key to swap against; 0 creates it.
     key_version: RecordVersion,
     is_rebinding: bool,
+    /// The term is raised again if a rival raised it without getting the key.
+    outbids: bool,
     phase: Phase,
     lease: LeaseId,
+    /// Version of the leased key once it was created.
+    created: Option<RecordVersion>,
     ttl_ms: u64,
     asked_at_ms: u64,
 }
@@ -102,13 +106,24 @@
             raise_from,
             key_version: RecordVersion(0),
             is_rebinding: raise_from.is_none(),
+            outbids: false,
             phase: Phase::Ended,
             lease: LeaseId(0),
+            created: None,
             ttl_ms: LEASE_TTL_MS,
             asked_at_ms: 0,
         }
     }
 
+    /// Raises the term above that of a rival that raised it while this one got
+    /// the key. Without it the key is left to lapse, and several that try at
+    /// once can keep one another from the scope.
+    #[must_use]
+    pub fn with_outbidding(mut self) -> Self {
+        self.outbids = true;
+        self
+    }
+
     /// Sets the time to live of the lease, in milliseconds.
     #[must_use]
     pub fn with_ttl_ms(mut self, ttl_ms: u64) -> Self {
@@ -127,13 +142,16 @@
     pub fn on_result(&mut self, result: Result<StoreReply, StoreError>) -> AcquisitionStep {
         match (std::mem::replace(&mut self.phase, Phase::Ended), result) {
             (Phase::Granting, Ok(StoreReply::Lease { lease, .. })) => self.on_granted(lease),
-            (Phase::Raising, Ok(StoreReply::Swapped(_))) => self.create(),
+            (Phase::Raising, Ok(StoreReply::Swapped(_))) => self.after_raise(),
             (Phase::Raising, Ok(StoreReply::Conflict(value))) => self.on_term_value(value),
             (Phase::Raising, Err(StoreError::Unknown | StoreError::Malformed(_))) => {
                 self.get_term(Phase::ReadingTermBack)
             }
             (Phase::ReadingTermBack, Ok(StoreReply::Value(value))) => self.on_term_value(value),
-            (Phase::Creating, Ok(StoreReply::Swapped(_))) => self.get_term(Phase::Verifying),
+            (Phase::Creating, Ok(StoreReply::Swapped(version))) => {
+                self.created = Some(version);
+                self.get_term(Phase::Verifying)
+            }
             (Phase::Creating, Ok(StoreReply::Conflict(value))) => self.on_key_value(value),
             (Phase::Creating, Err(StoreError::Unknown | StoreError::Malformed(_))) => {
                 self.phase = Phase::ReadingKeyBack;
@@ -160,9 +178,22 @@
         AcquisitionStep::Send(StoreRequest::CompareAndSwap { key, expected, value, lease: None })
     }
 
+    /// Creates the key, or checks the term again if the key exists by now.
+    fn after_raise(&mut self) -> AcquisitionStep {
+        match self.created {
+            Some(_) => self.get_term(Phase::Verifying),
+            None => self.create(),
+        }
+    }
+
     fn on_term_value(&mut self, value: Option<KeyValue>) -> AcquisitionStep {
         match decode_tenure(value.as_ref()) {
-            Some(found) if found.operation == self.record.operation => self.create(),
+            Some(found)
+                if found.operation == self.record.operation && found.term == self.record.term =>
+            {
+                self.after_raise()
+            }
+            Some(_) if self.outbids && self.created.is_some() => self.on_verified(value),
             _ => AcquisitionStep::HeldByOther,
         }
     }
@@ -178,6 +209,7 @@
     fn on_key_value(&mut self, value: Option<KeyValue>) -> AcquisitionStep {
         match decode_tenure(value.as_ref()) {
             Some(found) if found.operation == self.record.operation => {
+                self.created = value.map(|value| value.version);
                 self.get_term(Phase::Verifying)
             }
             Some(found) if self.is_own_older(&found) && self.key_version == RecordVersion(0) => {
@@ -207,13 +239,17 @@
             term if is_own && term == self.record.term => {
                 let (term, lease) = (self.record.term, self.lease);
                 let asked_at_ms = self.asked_at_ms;
-                let term_version = version;
-                AcquisitionStep::Acquired(Tenure { term, lease, asked_at_ms, term_version })
+                let key_version = self.created.unwrap_or_default();
+                AcquisitionStep::Acquired(Tenure { term, lease, asked_at_ms, key_version })
             }
             // A restored store lost the raise; terms must not go back.
             term if is_own && self.is_rebinding && term < self.record.term => {
                 self.raise_term(version)
             }
+            term if self.outbids => {
+                self.record.term = term.next();
+                self.raise_term(version)
+            }
             _ => AcquisitionStep::HeldByOther,
         }
     }
--- a/crates/tamarackproxy/src/coordination/control/lease.rs
+++ b/crates/tamarackproxy/src/coordination/control/lease.rs
@@ -324,7 +324,7 @@
         };
         let (key, term_key) = (self.key.clone(), self.term_key.clone());
         let acquisition = Acquisition::raise(key, term_key, record, version);
-        let mut acquisition = acquisition.with_ttl_ms(self.timing.ttl_ms);
+        let mut acquisition = acquisition.with_ttl_ms(self.timing.ttl_ms).with_outbidding();
         let request = acquisition.start(now.monotonic_ms);
         self.phase = Phase::Acquiring(acquisition);
         Some(request)
