Expire workers' leases only while control is confirmed

Ruled out: clock drift, as the lease times matched. Change: runs are forgotten by time only while no successor can hold control.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -99,6 +99,8 @@
     pub(super) writer: Writer,
     pub(super) durations: Durations,
     pub(super) vacating: HashSet<WorkerId>,
+    /// Until then no successor can hold control, on the own clock.
+    pub(super) confirmed_until_ms: u64,
     /// Planned stops wait until then, on the own clock.
     pub(super) quiet_until_ms: u64,
     /// Workers that may run what a predecessor started and have not been
@@ -123,6 +125,7 @@
             writer: Writer::default(),
             durations: Durations::default(),
             vacating: HashSet::new(),
+            confirmed_until_ms: 0,
             quiet_until_ms: 0,
             unsettled: Some(Vec::new()),
             finished: Vec::new(),
@@ -132,6 +135,12 @@
         }
     }
 
+    /// Notes until when no successor can hold control, in milliseconds on the
+    /// own clock.
+    pub fn confirm_control(&mut self, until_ms: u64) {
+        self.confirmed_until_ms = until_ms;
+    }
+
     /// Returns the control that the engine acts under.
     pub fn tenancy(&self) -> &Tenancy {
         &self.tenancy
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -301,7 +301,13 @@
     }
 
     /// Forgets runs whose leases are surely over on workers out of touch.
+    ///
+    /// A successor may have extended those leases, so this waits while control
+    /// is not confirmed.
     pub(super) fn expire_leases(&mut self, now_ms: u64) {
+        if now_ms >= self.confirmed_until_ms {
+            return;
+        }
         for key in self.workers.keys() {
             let Some(worker) = self.workers.get(key) else { continue };
             if worker.is_in_touch(now_ms, TOUCH_MS) || !worker.is_lease_over(now_ms) {
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -4,7 +4,7 @@
 //! dies and its scopes are to move within seconds. A process that holds more
 //! waits longer before it tries, so scopes spread without any exchange.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use rand::Rng;
 use tamarackproxy::{
@@ -63,21 +63,30 @@
     }
 }
 
-/// Lets the controller of a scope report that its tenure is over.
+/// What the lease of a scope and its controller tell each other.
 #[derive(Clone, Default)]
-pub(super) struct Fenced {
-    flag: Rc<RefCell<bool>>,
+pub(super) struct Tenancy {
+    is_fenced: Rc<Cell<bool>>,
     notify: Rc<Notify>,
+    /// Until then no successor can hold the scope, on the own clock.
+    confirmed_until_ms: Rc<Cell<u64>>,
 }
 
-impl Fenced {
-    pub(super) fn report(&self) {
-        *self.flag.borrow_mut() = true;
+impl Tenancy {
+    /// Reports that the tenure is over.
+    pub(super) fn report_fenced(&self) {
+        self.is_fenced.set(true);
         self.notify.notify_one();
     }
 
-    fn take(&self) -> bool {
-        self.flag.replace(false)
+    /// Returns until when no successor can hold the scope, in milliseconds on
+    /// the own clock.
+    pub(super) fn confirmed_until_ms(&self) -> u64 {
+        self.confirmed_until_ms.get()
+    }
+
+    fn take_fenced(&self) -> bool {
+        self.is_fenced.replace(false)
     }
 }
 
@@ -122,14 +131,14 @@
     let entry = shared.settings.entry.clone();
     let mut lease =
         ControlLease::new(&*name, entry.clone()).with_timing(TIMING).with_self_replacement();
-    let fenced = Fenced::default();
+    let tenancy = Tenancy::default();
     let mut controller: Option<(Tenure, JoinHandle<()>)> = None;
     let mut holders = shared.holders.subscribe();
     let mut stopping = shared.stopping.subscribe();
     lease.postpone_until(clock::read().monotonic_ms + attempt_delay_ms(&shared));
     loop {
         let now = clock::read();
-        if fenced.take() {
+        if tenancy.take_fenced() {
             lease.lose(now);
         }
         if shared.is_stopping() {
@@ -142,13 +151,13 @@
         }
         on_holder(&shared, &name, &entry, &mut lease, &controller, now);
         // Decides before and after each call, since a call may take long.
-        sync_controller(&shared, &scope, &lease, &fenced, &mut controller);
+        sync_controller(&shared, &scope, &lease, &tenancy, &mut controller);
         let may_acquire = lease.acting(now).is_some() || shared.is_ready();
         let mut request = if may_acquire { lease.tick(now) } else { None };
         while let Some(call) = request {
             let result = shared.store(&call).await;
             request = lease.on_store_reply(clock::read(), result);
-            sync_controller(&shared, &scope, &lease, &fenced, &mut controller);
+            sync_controller(&shared, &scope, &lease, &tenancy, &mut controller);
         }
         let now_ms = clock::read().monotonic_ms;
         let next_ms = lease.next_tick_ms().unwrap_or(0).clamp(now_ms + 10, now_ms + IDLE_MS);
@@ -157,7 +166,7 @@
             () = sleep_until(until) => {}
             _ = holders.changed() => {}
             _ = stopping.changed() => {}
-            () = fenced.notify.notified() => {}
+            () = tenancy.notify.notified() => {}
         }
     }
 }
@@ -203,12 +212,13 @@
     shared: &Rc<Shared<P>>,
     scope: &Scope,
     lease: &ControlLease,
-    fenced: &Fenced,
+    tenancy: &Tenancy,
     controller: &mut Option<(Tenure, JoinHandle<()>)>,
 ) where
     P: Platform,
 {
     let name = scope.name();
+    tenancy.confirmed_until_ms.set(lease.valid_until_ms());
     let acting = lease.acting(clock::read());
     let current = controller.as_ref().map(|(tenure, _)| tenure.term);
     if current.is_some() && acting.map(|tenure| tenure.term) != current {
@@ -221,12 +231,12 @@
         metrics::counter!("control_acquired").increment(1);
         shared.held.send_modify(|held| held.push(name.clone()));
         let shared = Rc::clone(shared);
-        let fenced = fenced.clone();
+        let tenancy = tenancy.clone();
         let task = match scope {
             Scope::Pool(pool) => {
-                tokio::task::spawn_local(pool::control(shared, pool.clone(), tenure, fenced))
+                tokio::task::spawn_local(pool::control(shared, pool.clone(), tenure, tenancy))
             }
-            Scope::Upkeep => tokio::task::spawn_local(upkeep::control(shared, tenure, fenced)),
+            Scope::Upkeep => tokio::task::spawn_local(upkeep::control(shared, tenure, tenancy)),
         };
         *controller = Some((tenure, task));
     }
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -18,7 +18,7 @@
 
 use super::{
     clock,
-    control::{Fenced, TaskGuard, predecessor_ms},
+    control::{TaskGuard, Tenancy as LeaseState, predecessor_ms},
     follow::{Followed, follow, list_until_done},
     keys::{
         Fence, decode_item, job_of, jobs_prefix, pool_result, pool_transaction, progress_prefix,
@@ -53,8 +53,12 @@
 }
 
 /// Controls a pool until it is aborted or fenced.
-pub(super) async fn control<P>(shared: Rc<Shared<P>>, pool: PoolId, tenure: Tenure, fenced: Fenced)
-where
+pub(super) async fn control<P>(
+    shared: Rc<Shared<P>>,
+    pool: PoolId,
+    tenure: Tenure,
+    lease: LeaseState,
+) where
     P: Platform,
 {
     let began = clock::read();
@@ -102,7 +106,7 @@
         calls: JoinSet::new(),
         permits: StdHashMap::new(),
     };
-    controller.run(receiver, document, registry, vacate, fenced).await;
+    controller.run(receiver, document, registry, vacate, lease).await;
 }
 
 /// Takes the engine out of the shared state when the controller ends.
@@ -183,7 +187,7 @@
         mut document: watch::Receiver<Option<Rc<ServingDocument>>>,
         mut registry: watch::Receiver<Rc<HashMap<WorkerId, WorkerEntry>>>,
         mut vacate: watch::Receiver<Rc<HashSet<WorkerId>>>,
-        fenced: Fenced,
+        lease: LeaseState,
     ) {
         loop {
             while let Ok(input) = receiver.try_recv() {
@@ -199,10 +203,11 @@
                 let hosts = HashSet::clone(&vacate.borrow_and_update());
                 self.engine.borrow_mut().set_vacating(hosts);
             }
+            self.engine.borrow_mut().confirm_control(lease.confirmed_until_ms());
             let actions = self.engine.borrow_mut().step(clock::read());
             if actions.iter().any(|action| matches!(action, PoolAction::Fenced)) {
                 // Nothing more is sent under a term that is over.
-                fenced.report();
+                lease.report_fenced();
                 return;
             }
             actions.into_iter().for_each(|action| self.carry_out(action));
--- a/crates/dispatch/src/node/upkeep.rs
+++ b/crates/dispatch/src/node/upkeep.rs
@@ -15,7 +15,7 @@
 
 use super::{
     clock,
-    control::Fenced,
+    control::Tenancy,
     follow::list_until_done,
     keys::{Fence, UPKEEP_SCOPE, WAVE_PREFIX, decode_wave, upkeep_transaction, wave_of},
     platform::{Platform, TransactionReply},
@@ -33,7 +33,7 @@
 }
 
 /// Controls upkeep until it is aborted or fenced.
-pub(super) async fn control<P>(shared: Rc<Shared<P>>, tenure: Tenure, fenced: Fenced)
+pub(super) async fn control<P>(shared: Rc<Shared<P>>, tenure: Tenure, lease: Tenancy)
 where
     P: Platform,
 {
@@ -68,10 +68,10 @@
                 Input::Replied(wave, host, reply) => {
                     let actions = engine.on_reply(clock::read(), wave, &host, reply);
                     if actions.contains(&UpkeepAction::Fenced) {
-                        return fenced.report();
+                        return lease.report_fenced();
                     }
                 }
-                Input::Written { is_fenced: true, .. } => return fenced.report(),
+                Input::Written { is_fenced: true, .. } => return lease.report_fenced(),
                 Input::Written { is_written, .. } => engine.on_write(clock::read(), is_written),
             }
         }
--- a/crates/tamarackproxy/src/coordination/control/lease.rs
+++ b/crates/tamarackproxy/src/coordination/control/lease.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    /// Returns the monotonic time until which no successor can hold the scope,
+    /// in milliseconds.
+    pub fn valid_until_ms(&self) -> u64 {
+        self.valid_until_ms
+    }
+
     /// Makes the next attempt no later than `at_ms`, for a scope that was seen
     /// to be vacant.
     pub fn attempt_by(&mut self, at_ms: u64) {
