--- /dev/null
+++ b/crates/dispatch/src/coordination/pool/tests/driver.rs
@@ -0,0 +1,578 @@
+//! Fake workers and a fake store around one or more engines.
+//!
+//! Workers keep the platform's rules for runs, leases and terms. The world
+//! panics when a task runs twice at once, starts again after its end was
+//! acknowledged, or a worker is filled beyond its capacity.
+
+use std::collections::{BTreeMap, HashSet as StdHashSet};
+
+use hashbrown::{HashMap, HashSet};
+use tamarackproxy::{
+    coordination::jobs::Resources,
+    state::{
+        clock::ClockReading,
+        ids::{HostId, PoolId, QueueId, RecordVersion, Term, WorkerId},
+    },
+};
+
+use super::super::{
+    EndKind, EndedTask, LookFailure, LookOrder, LookReport, Order, OrderReply, OrderTarget,
+    PoolAction, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered, Refusal, RunningTask,
+    StoredJob, Tenancy, WorkerContact, WorkerKey, WriteResult,
+};
+use crate::state::{
+    JobNumber, JobOutcome, JobRecord, JobSpec, JobState, ProgressRecord, Registration, Roster,
+    RunNumber, StepSpec, TaskAddress, WorkerEntry,
+};
+
+/// Step of virtual time, in milliseconds.
+const STEP_MS: u64 = 10;
+/// Time after which an order without reply counts as unknown.
+const ORDER_TIMEOUT_MS: u64 = 600;
+/// Start of virtual wall-clock time, in milliseconds since 1970.
+const UNIX_ORIGIN_MS: u64 = 1_700_000_000_000;
+
+pub(super) fn pool() -> PoolId {
+    PoolId::new("p")
+}
+
+pub(super) fn queue() -> QueueId {
+    QueueId::new("q")
+}
+
+pub(super) fn step(tasks: u32, cpu_millicores: u64, estimate_ms: u32) -> StepSpec {
+    let need = Resources::new(cpu_millicores, 1 << 30, 0);
+    StepSpec { tasks, need, estimate_ms, ..StepSpec::default() }
+}
+
+pub(super) fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec { payload: "text".into(), steps, schedule: None }
+}
+
+pub(super) fn lasting(tasks: u32) -> StepSpec {
+    StepSpec { is_lasting: true, unavailable_max: 1, ..step(tasks, 1_000, 0) }
+}
+
+#[derive(Clone, Debug)]
+struct FakeRun {
+    number: RunNumber,
+    charge: Resources,
+    ends_ms: u64,
+    began_ms: u64,
+}
+
+/// One life of a worker.
+#[derive(Debug)]
+pub(super) struct FakeWorker {
+    pub(super) entry: WorkerEntry,
+    /// Controllers, by index, that it cannot be reached from.
+    pub(super) cut_from: HashSet<usize>,
+    /// Orders are carried out and not answered.
+    pub(super) loses_replies: bool,
+    pub(super) fails_all: bool,
+    pub(super) stands_still: bool,
+    /// Factor on the duration of tasks.
+    pub(super) slowness: u64,
+    term: Term,
+    running: BTreeMap<TaskAddress, FakeRun>,
+    ended: Vec<EndedTask>,
+    next_end: u64,
+    lease_until_ms: u64,
+    highest: HashMap<TaskAddress, RunNumber>,
+}
+
+impl FakeWorker {
+    fn new(index: usize, cores: u64) -> Self {
+        let entry = WorkerEntry {
+            worker: WorkerId::new(format!("w{index}")),
+            host: HostId::new(format!("h{index}")),
+            pool: pool(),
+            address: format!("10.0.0.{}:1", index + 1).parse().expect("an address"),
+            data_centre: tamarackproxy::state::ids::DataCentreId::new("d"),
+            registration: Registration::Ready,
+            born_unix_ms: UNIX_ORIGIN_MS,
+            capacity: Resources::new(cores * 1_000, 128 << 30, 0),
+            labels: vec!["a".into(), format!("r{}", index / 2).into()],
+            rack: format!("r{}", index / 2).into(),
+        };
+        Self {
+            entry,
+            cut_from: HashSet::new(),
+            loses_replies: false,
+            fails_all: false,
+            stands_still: false,
+            slowness: 1,
+            term: Term(0),
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            lease_until_ms: 0,
+            highest: HashMap::new(),
+        }
+    }
+
+    pub(super) fn runs(&self) -> Vec<TaskAddress> {
+        self.running.keys().copied().collect()
+    }
+
+    fn end(&mut self, task: TaskAddress, how: EndKind) {
+        let Some(run) = self.running.remove(&task) else { return };
+        let (number, run) = (self.next_end, run.number);
+        self.next_end += 1;
+        self.ended.push(EndedTask { number, task, run, how, checkpoint: "".into() });
+    }
+
+    fn advance(&mut self, now_ms: u64) {
+        if !self.running.is_empty() && now_ms > self.lease_until_ms {
+            for task in self.runs() {
+                self.end(task, EndKind::Lapsed);
+            }
+        }
+        let due: Vec<_> = (self.running.iter())
+            .filter(|(_, run)| !self.stands_still && now_ms >= run.ends_ms)
+            .map(|(&task, _)| task)
+            .collect();
+        for task in due {
+            self.end(task, if self.fails_all { EndKind::Failed } else { EndKind::Done });
+        }
+    }
+}
+
+struct Controller {
+    engine: PoolEngine,
+    is_alive: bool,
+    is_fenced: bool,
+    /// Looks that wait at workers: worker, when they are answered at the
+    /// latest, and what was asked.
+    looks: Vec<(usize, WorkerKey, u64, LookOrder, Term)>,
+    replies: Vec<(u64, OrderTarget, bool, OrderReply)>,
+}
+
+pub(super) struct World {
+    pub(super) now_ms: u64,
+    pub(super) workers: Vec<FakeWorker>,
+    controllers: Vec<Controller>,
+    version: u64,
+    jobs: BTreeMap<JobNumber, (RecordVersion, JobRecord)>,
+    progress: BTreeMap<JobNumber, ProgressRecord>,
+    roster: Roster,
+    /// Index of the controller whose writes are accepted.
+    holder: usize,
+    pub(super) store_is_up: bool,
+    /// Ends that were acknowledged as done.
+    done: StdHashSet<TaskAddress>,
+    /// Times at which jobs were stored as ended.
+    pub(super) ended: BTreeMap<JobNumber, (u64, JobOutcome)>,
+    accepted_ms: BTreeMap<JobNumber, u64>,
+    pub(super) starts: u64,
+    pub(super) vacated: Vec<WorkerId>,
+    /// True duration of a task if it differs from its estimate.
+    pub(super) duration_ms: Option<fn(TaskAddress) -> u64>,
+    copies_allowed: bool,
+    next_job: u64,
+}
+
+impl World {
+    pub(super) fn new(workers: usize, cores: u64) -> Self {
+        let mut world = Self {
+            now_ms: 1_000,
+            workers: (0..workers).map(|index| FakeWorker::new(index, cores)).collect(),
+            controllers: Vec::new(),
+            version: 10,
+            jobs: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            roster: Roster::default(),
+            holder: 0,
+            store_is_up: true,
+            done: StdHashSet::new(),
+            ended: BTreeMap::new(),
+            accepted_ms: BTreeMap::new(),
+            starts: 0,
+            vacated: Vec::new(),
+            duration_ms: None,
+            copies_allowed: false,
+            next_job: 1,
+        };
+        world.add_controller();
+        world.run_ms(100);
+        world
+    }
+
+    pub(super) fn allow_copies(&mut self) {
+        self.copies_allowed = true;
+    }
+
+    pub(super) fn now(&self) -> ClockReading {
+        ClockReading::new(self.now_ms, UNIX_ORIGIN_MS + self.now_ms)
+    }
+
+    /// Starts a controller that takes the pool over from the store's records.
+    pub(super) fn add_controller(&mut self) -> usize {
+        self.version += 1;
+        let index = self.controllers.len();
+        let tenancy = Tenancy {
+            pool: pool(),
+            term: Term(index as u64 + 1),
+            since: RecordVersion(self.version),
+            predecessor_until_ms: self.now_ms + 12_000,
+        };
+        let mut engine = PoolEngine::new(tenancy, PoolTiming::new(10_000, 120_000));
+        let policy =
+            QueuePolicy { priority: 0, attempts_max: 2, stretch: 1.6, objective_ms: 600 };
+        engine.set_queues([(queue(), policy)]);
+        engine.confirm_control(u64::MAX);
+        engine.on_registry(self.workers.iter().map(|worker| &worker.entry));
+        let jobs = self.jobs.iter().map(|(&number, (version, record))| StoredJob {
+            number,
+            version: *version,
+            record: record.clone(),
+        });
+        let recovered = Recovered {
+            jobs: jobs.collect(),
+            progress: self.progress.iter().map(|(&job, record)| (job, record.clone())).collect(),
+            roster: self.roster.clone(),
+        };
+        engine.recover(self.now(), recovered);
+        let (looks, replies) = (Vec::new(), Vec::new());
+        self.controllers.push(Controller {
+            engine,
+            is_alive: true,
+            is_fenced: false,
+            looks,
+            replies,
+        });
+        self.holder = index;
+        index
+    }
+
+    pub(super) fn engine(&mut self, controller: usize) -> &mut PoolEngine {
+        &mut self.controllers[controller].engine
+    }
+
+    pub(super) fn kill(&mut self, controller: usize) {
+        self.controllers[controller].is_alive = false;
+    }
+
+    pub(super) fn is_fenced(&self, controller: usize) -> bool {
+        self.controllers[controller].is_fenced
+    }
+
+    /// Stores a job and tells the engines that are alive.
+    pub(super) fn submit(&mut self, spec: JobSpec) -> JobNumber {
+        spec.check().expect("the job can run");
+        let number = JobNumber(self.next_job);
+        self.next_job += 1;
+        let accepted_unix_ms = self.now().unix_ms;
+        let record = JobRecord { queue: queue(), accepted_unix_ms, state: JobState::Live(spec) };
+        self.accepted_ms.insert(number, self.now_ms);
+        self.store_job(number, record);
+        number
+    }
+
+    pub(super) fn cancel(&mut self, job: JobNumber) {
+        let (outcome, ended_unix_ms) = (JobOutcome::Cancelled, self.now().unix_ms);
+        let record = JobRecord {
+            queue: queue(),
+            accepted_unix_ms: 0,
+            state: JobState::Ended { outcome, ended_unix_ms },
+        };
+        self.store_job(job, record);
+    }
+
+    fn store_job(&mut self, number: JobNumber, record: JobRecord) {
+        self.version += 1;
+        let version = RecordVersion(self.version);
+        self.jobs.insert(number, (version, record.clone()));
+        let now = self.now();
+        for controller in self.controllers.iter_mut().filter(|controller| controller.is_alive) {
+            controller.engine.on_job(now, number, version, record.clone());
+        }
+    }
+
+    /// Tells all engines what the registry has.
+    pub(super) fn register(&mut self) {
+        for controller in self.controllers.iter_mut().filter(|controller| controller.is_alive) {
+            controller.engine.on_registry(self.workers.iter().map(|worker| &worker.entry));
+        }
+    }
+
+    /// Lets a worker crash and start again, with nothing running.
+    pub(super) fn restart_worker(&mut self, index: usize) {
+        let cores = self.workers[index].entry.capacity.cpu_millicores / 1_000;
+        let mut worker = FakeWorker::new(index, cores);
+        worker.entry.born_unix_ms = UNIX_ORIGIN_MS + self.now_ms;
+        self.workers[index] = worker;
+        self.register();
+    }
+
+    pub(super) fn run_until(&mut self, limit_ms: u64, condition: impl Fn(&Self) -> bool) {
+        let end_ms = self.now_ms + limit_ms;
+        while !condition(self) {
+            assert!(self.now_ms < end_ms, "the condition does not hold after {limit_ms} ms");
+            self.run_ms(STEP_MS);
+        }
+    }
+
+    pub(super) fn run_ms(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            self.now_ms += STEP_MS;
+            for worker in &mut self.workers {
+                worker.advance(self.now_ms);
+            }
+            for index in 0..self.controllers.len() {
+                self.run_controller(index);
+            }
+            self.check();
+        }
+    }
+
+    fn run_controller(&mut self, index: usize) {
+        if !self.controllers[index].is_alive || self.controllers[index].is_fenced {
+            return;
+        }
+        self.answer_looks(index);
+        let now = self.now();
+        let controller = &mut self.controllers[index];
+        let due: Vec<_> =
+            controller.replies.extract_if(.., |(at_ms, ..)| *at_ms <= now.monotonic_ms).collect();
+        for (_, target, is_start, reply) in due {
+            if is_start {
+                controller.engine.on_start_reply(now, target, reply);
+            } else {
+                controller.engine.on_stop_reply(now, target, reply);
+            }
+        }
+        for action in controller.engine.step(now) {
+            self.carry_out(index, action);
+        }
+    }
+
+    fn answer_looks(&mut self, index: usize) {
+        let now = self.now();
+        let looks = std::mem::take(&mut self.controllers[index].looks);
+        for (at, key, until_ms, look, term) in looks {
+            let worker = &mut self.workers[at];
+            let result = if worker.cut_from.contains(&index) {
+                if self.now_ms < until_ms + 700 {
+                    self.controllers[index].looks.push((at, key, until_ms, look, term));
+                    continue;
+                }
+                Err(LookFailure::Unreachable)
+            } else if term < worker.term {
+                Err(LookFailure::OldTerm)
+            } else if worker.ended.is_empty() && self.now_ms < until_ms {
+                self.controllers[index].looks.push((at, key, until_ms, look, term));
+                continue;
+            } else {
+                Ok(report(worker, self.now_ms))
+            };
+            self.controllers[index].engine.on_look(now, key, result);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, action: PoolAction) {
+        match action {
+            PoolAction::Order { contact, target, order } => {
+                self.order(index, &contact, target, &order);
+            }
+            PoolAction::Look { contact, look } => self.look(index, &contact, look),
+            PoolAction::Write(write) => self.write(index, write),
+            PoolAction::Vacated(worker) => self.vacated.push(worker),
+            PoolAction::Fenced => self.controllers[index].is_fenced = true,
+        }
+    }
+
+    fn worker_of(&self, contact: &WorkerContact) -> usize {
+        let found = self.workers.iter().position(|worker| worker.entry.worker == contact.worker);
+        found.expect("the worker exists")
+    }
+
+    fn look(&mut self, index: usize, contact: &WorkerContact, look: LookOrder) {
+        let at = self.worker_of(contact);
+        let worker = &mut self.workers[at];
+        if !worker.cut_from.contains(&index) && contact.term >= worker.term {
+            worker.term = contact.term;
+            worker.lease_until_ms = worker.lease_until_ms.max(look.lease_until_ms.unwrap_or(0));
+            let acknowledged = |end: &EndedTask| end.number <= look.acknowledged;
+            for end in worker.ended.iter().filter(|end| acknowledged(end)) {
+                if end.how == EndKind::Done {
+                    self.done.insert(end.task);
+                }
+            }
+            worker.ended.retain(|end| !acknowledged(end));
+        }
+        let until_ms = self.now_ms + look.wait_ms;
+        self.controllers[index].looks.push((at, contact.key, until_ms, look, contact.term));
+    }
+
+    fn order(
+        &mut self,
+        index: usize,
+        contact: &WorkerContact,
+        target: OrderTarget,
+        order: &Order,
+    ) {
+        let at = self.worker_of(contact);
+        let is_cut = self.workers[at].cut_from.contains(&index);
+        let is_lost = is_cut || self.workers[at].loses_replies;
+        let reply = if is_cut {
+            OrderReply::Unknown
+        } else {
+            self.execute(at, contact.term, target, order)
+        };
+        let (at_ms, reply) = if is_lost {
+            (self.now_ms + ORDER_TIMEOUT_MS, OrderReply::Unknown)
+        } else {
+            (self.now_ms, reply)
+        };
+        let is_start = matches!(order, Order::Start(_));
+        self.controllers[index].replies.push((at_ms, target, is_start, reply));
+    }
+
+    fn execute(
+        &mut self,
+        at: usize,
+        term: Term,
+        target: OrderTarget,
+        order: &Order,
+    ) -> OrderReply {
+        let now_ms = self.now_ms;
+        let worker = &mut self.workers[at];
+        if term < worker.term {
+            return OrderReply::Refused(Refusal::OldTerm);
+        }
+        worker.term = term;
+        match order {
+            Order::Start(start) => {
+                if now_ms > start.valid_until_ms {
+                    return OrderReply::Refused(Refusal::Late);
+                }
+                let highest = worker.highest.get(&target.task).copied().unwrap_or_default();
+                if target.run <= highest {
+                    return OrderReply::Refused(Refusal::OldRun);
+                }
+                assert!(
+                    self.copies_allowed || !self.done.contains(&target.task),
+                    "{} starts after its end was acknowledged",
+                    target.task
+                );
+                worker.lease_until_ms = worker.lease_until_ms.max(start.valid_until_ms);
+                let spec = &start.job.steps[usize::from(target.task.step)];
+                let declared_ms = u64::from(spec.estimate_ms);
+                let lasts_ms = self.duration_ms.map_or(declared_ms, |duration| duration(target.task));
+                let lasts_ms = if spec.is_lasting { 1 << 40 } else { lasts_ms * worker.slowness };
+                let charge = spec.charge();
+                let (number, ends_ms) = (target.run, now_ms + lasts_ms);
+                let run = FakeRun { number, charge, ends_ms, began_ms: now_ms };
+                worker.running.insert(target.task, run);
+                worker.highest.insert(target.task, target.run);
+                self.starts += 1;
+            }
+            Order::Stop => {
+                worker.highest.entry(target.task).or_insert(target.run);
+                let runs = worker.running.get(&target.task);
+                if runs.is_some_and(|run| run.number == target.run) {
+                    worker.end(target.task, EndKind::Stopped);
+                }
+            }
+            Order::Pace(_) => {}
+        }
+        OrderReply::Accepted
+    }
+
+    fn write(&mut self, index: usize, write: PoolWrite) {
+        let now = self.now();
+        let result = if !self.store_is_up {
+            WriteResult::Failed
+        } else if index != self.holder {
+            WriteResult::OldTerm
+        } else {
+            self.apply(write)
+        };
+        self.controllers[index].engine.on_write(now, result);
+    }
+
+    fn apply(&mut self, write: PoolWrite) -> WriteResult {
+        let changed: Vec<_> = (write.ended.iter())
+            .filter(|(job, version, _)| self.jobs[job].0 != *version)
+            .map(|(job, ..)| (*job, self.jobs[job].0, Some(self.jobs[job].1.clone())))
+            .collect();
+        if !changed.is_empty() {
+            return WriteResult::Conflict(changed);
+        }
+        self.version += 1;
+        let version = RecordVersion(self.version);
+        for (job, _, record) in write.ended {
+            if let JobState::Ended { outcome, .. } = record.state {
+                self.ended.insert(job, (self.now_ms, outcome));
+            }
+            self.jobs.insert(job, (version, record));
+            self.progress.remove(&job);
+        }
+        self.progress.extend(write.progress);
+        for job in write.forgotten {
+            self.jobs.remove(&job);
+        }
+        if let Some(roster) = write.roster {
+            self.roster = roster;
+        }
+        WriteResult::Written(version)
+    }
+
+    /// Checks what must hold at any moment.
+    fn check(&self) {
+        let mut running = StdHashSet::new();
+        for worker in &self.workers {
+            let charges = worker.running.values().map(|run| run.charge);
+            let used = charges.fold(Resources::default(), |sum, charge| sum.plus(&charge));
+            assert!(used.fits_in(&worker.entry.capacity), "{} is over", worker.entry.worker);
+            for &task in worker.running.keys() {
+                assert!(running.insert(task) || self.copies_allowed, "{task} runs twice");
+            }
+        }
+    }
+
+    pub(super) fn is_running(&self, task: TaskAddress) -> bool {
+        self.workers.iter().any(|worker| worker.running.contains_key(&task))
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.workers.iter().map(|worker| worker.running.len()).sum()
+    }
+
+    pub(super) fn outcome(&self, job: JobNumber) -> Option<JobOutcome> {
+        self.ended.get(&job).map(|&(_, outcome)| outcome)
+    }
+
+    /// Returns the time from a job's acceptance to its stored end.
+    pub(super) fn took_ms(&self, job: JobNumber) -> Option<u64> {
+        Some(self.ended.get(&job)?.0 - self.accepted_ms[&job])
+    }
+}
+
+fn report(worker: &FakeWorker, now_ms: u64) -> LookReport {
+    let running = worker.running.iter().map(|(&task, run)| {
+        let total_ms = run.ends_ms - run.began_ms;
+        let is_lasting = total_ms >= 1 << 40;
+        let percent = if worker.stands_still {
+            7
+        } else if is_lasting {
+            100
+        } else {
+            ((now_ms - run.began_ms) * 100 / total_ms.max(1)).min(99) as u8
+        };
+        RunningTask { task, run: run.number, checkpoint: "".into(), percent, gauge: 0 }
+    });
+    LookReport {
+        born_unix_ms: worker.entry.born_unix_ms,
+        clock_ms: now_ms,
+        running: running.collect(),
+        ended: worker.ended.clone(),
+    }
+}
+
+/// Names a task of a job that runs once.
+pub(super) fn task(job: JobNumber, step: u16, index: u32) -> TaskAddress {
+    TaskAddress { job, occurrence: 0, step, index }
+}
--- /dev/null
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -0,0 +1,9 @@
+//! Tests of a pool's engine against fake workers on virtual time.
+
+mod cancels;
+mod control;
+mod driver;
+mod failures;
+mod order;
+mod placing;
+mod vacating;
--- /dev/null
+++ b/crates/dispatch/src/coordination/pool/tests/placing.rs
@@ -0,0 +1,61 @@
+//! Places of tasks.
+
+use super::driver::{World, job, lasting, step};
+use crate::state::{JobOutcome, StepSpec};
+
+/// Guards against members of a gang that start while others find no room.
+#[test]
+fn gang_starts_whole_or_not_at_all() {
+    let mut world = World::new(2, 8);
+    world.submit(job(vec![step(1, 8_000, 2_000)]));
+    world.run_ms(100);
+    let gang = StepSpec { is_gang: true, ..step(4, 4_000, 500) };
+    let number = world.submit(job(vec![gang]));
+    world.run_ms(1_000);
+    assert_eq!(world.running(), 1);
+    world.run_until(3_000, |world| world.outcome(number) == Some(JobOutcome::Done));
+}
+
+/// Guards against more tasks of a step on a worker than the job allows.
+#[test]
+fn tasks_per_worker_are_bounded() {
+    let mut world = World::new(3, 32);
+    world.submit(job(vec![StepSpec { per_worker_max: Some(1), ..step(5, 1_000, 5_000) }]));
+    world.run_ms(500);
+    assert!(world.workers.iter().all(|worker| worker.runs().len() == 1));
+}
+
+/// Guards against a lasting step whose tasks all go with one rack.
+#[test]
+fn lasting_tasks_spread_over_racks() {
+    let mut world = World::new(6, 32);
+    world.submit(job(vec![lasting(3)]));
+    world.run_ms(500);
+    let racks: std::collections::BTreeSet<_> = (world.workers.iter())
+        .filter(|worker| !worker.runs().is_empty())
+        .map(|worker| worker.entry.rack.clone())
+        .collect();
+    assert_eq!(racks.len(), 3);
+}
+
+/// Guards against a step that starts before the steps that it waits for.
+#[test]
+fn steps_wait_for_the_steps_before_them() {
+    let mut world = World::new(2, 32);
+    let second = StepSpec { after: vec![0], ..step(2, 1_000, 300) };
+    let number = world.submit(job(vec![step(2, 1_000, 1_000), second]));
+    world.run_ms(900);
+    assert_eq!(world.starts, 2);
+    world.run_until(2_000, |world| world.outcome(number) == Some(JobOutcome::Done));
+    assert!(world.took_ms(number).is_some_and(|took_ms| took_ms < 1_450));
+}
+
+/// Guards against a task on a worker without the label that it needs.
+#[test]
+fn labels_are_required() {
+    let mut world = World::new(2, 32);
+    let spec = StepSpec { required_label: Some("r9".into()), ..step(1, 1_000, 100) };
+    world.submit(job(vec![spec]));
+    world.run_ms(1_000);
+    assert_eq!(world.starts, 0);
+}
--- /dev/null
+++ b/crates/dispatch/src/coordination/pool/tests/vacating.rs
@@ -0,0 +1,55 @@
+//! Workers that are emptied for upkeep, or leave.
+
+use hashbrown::HashSet;
+
+use super::driver::{World, job, lasting, step};
+use crate::state::Registration;
+
+/// Guards against upkeep that makes more tasks of a lasting step unavailable
+/// than the job allows: two workers are emptied at once.
+#[test]
+fn lasting_tasks_move_one_after_the_other() {
+    let mut world = World::new(4, 32);
+    world.submit(job(vec![lasting(4)]));
+    world.run_ms(2_000);
+    let names: HashSet<_> =
+        world.workers[..2].iter().map(|worker| worker.entry.worker.clone()).collect();
+    world.engine(0).set_vacating(names.clone());
+    for _ in 0..600 {
+        world.run_ms(10);
+        assert!(world.running() >= 3, "two tasks are away at once");
+    }
+    assert_eq!(world.vacated.iter().cloned().collect::<HashSet<_>>(), names);
+    assert_eq!(world.running(), 4);
+}
+
+/// Guards against a start on a worker that was confirmed to be empty.
+#[test]
+fn emptied_worker_gets_nothing() {
+    let mut world = World::new(1, 32);
+    let name = world.workers[0].entry.worker.clone();
+    world.engine(0).set_vacating([name.clone()].into());
+    world.run_ms(500);
+    assert_eq!(world.vacated, [name]);
+    world.submit(job(vec![step(1, 1_000, 100)]));
+    world.run_ms(1_000);
+    assert_eq!(world.starts, 0);
+    world.engine(0).set_vacating(HashSet::new());
+    world.run_ms(500);
+    assert_eq!(world.starts, 1);
+}
+
+/// Guards against work for a worker that drains, and against lasting tasks that
+/// wait there for its end.
+#[test]
+fn draining_worker_loses_its_lasting_tasks() {
+    let mut world = World::new(2, 32);
+    world.submit(job(vec![lasting(2)]));
+    world.run_ms(500);
+    world.workers[0].entry.registration = Registration::Draining;
+    world.register();
+    world.submit(job(vec![step(4, 1_000, 300)]));
+    world.run_ms(1_000);
+    assert!(world.workers[0].runs().is_empty());
+    assert_eq!(world.running(), 2);
+}
