Move hosts between pools after their demand

Change: controllers report arriving work, backlog, lasting tasks and idle workers; the holder of upkeep moves hosts that are off or idle to the pool that lacks them, and begins before the turn of a pool whose surge is expected.

--- /dev/null
+++ b/crates/dispatch/src/coordination/balance/engine.rs
@@ -0,0 +1,401 @@
+//! The engine that moves hosts.
+
+use std::collections::BTreeMap;
+
+use hashbrown::{HashMap, HashSet};
+use tamarackproxy::state::{
+    clock::ClockReading,
+    ids::{HostId, PoolId, WorkerId},
+};
+
+use super::turns::Turns;
+use crate::{
+    coordination::upkeep::{HostOrderReply, HostState, HostView},
+    state::{Demand, WorkerEntry},
+};
+
+/// Time within which backlog is to be worked off, in milliseconds: about the
+/// time that jobs have beyond their own work.
+const BACKLOG_MS: u64 = 1_500;
+/// Share of a host's processors that work fills in practice, in percent.
+const FILL_PERCENT: u64 = 85;
+/// Share of its first size that a pool keeps when others need hosts, in
+/// percent: its own surge begins on these.
+const KEEP_PERCENT: u64 = 50;
+/// Moves and requests under way at once.
+const UNDER_WAY_MAX: usize = 24;
+/// Time after which a request to empty a worker that was not met is withdrawn,
+/// in milliseconds; its work may outlast the surge it was meant for.
+const VACATE_MAX_MS: u64 = 2_500;
+/// Delay before an order that was not confirmed is sent again, in
+/// milliseconds.
+const ORDER_RETRY_MS: u64 = 400;
+/// Time by which the host list may lag behind, in milliseconds.
+const LIST_LAG_MS: u64 = 1_200;
+/// Time without any need after which hosts beyond the pools' first sizes are
+/// switched off, in milliseconds; two moves cost about as much as a host that
+/// is on for this time.
+const PARK_AFTER_MS: u64 = 3_000;
+/// Age up to which a pool's report is believed, in milliseconds.
+const REPORT_MAX_MS: u64 = 10_000;
+
+/// Times of the platform, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BalanceTiming {
+    /// Time that a move takes.
+    pub move_ms: u64,
+}
+
+/// What the owner of the engine does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BalanceAction {
+    /// Ask the pool's controller to empty a worker.
+    Vacate(WorkerId),
+    /// Withdraw such a request.
+    Release(WorkerId),
+    /// Move a host to a pool.
+    Move(HostId, PoolId),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The controller was asked to empty the worker.
+    Vacating { worker: WorkerId, since_ms: u64 },
+    /// The move is ordered until it is confirmed.
+    Ordering { worker: Option<WorkerId>, next_ms: u64, in_flight: bool },
+    /// The move was confirmed; the list shows it later.
+    Moved { at_ms: u64 },
+}
+
+#[derive(Clone, Debug)]
+struct Transfer {
+    to: PoolId,
+    stage: Stage,
+}
+
+#[derive(Clone, Debug)]
+struct Report {
+    demand: Demand,
+    at_ms: u64,
+}
+
+/// Decides which hosts change their pool.
+#[derive(Debug)]
+pub struct BalanceEngine {
+    timing: BalanceTiming,
+    hosts: BTreeMap<HostId, HostView>,
+    /// Processors of one host, in thousandths of a core.
+    host_millicores: u64,
+    first_sizes: HashMap<PoolId, usize>,
+    standby: Option<PoolId>,
+    working: HashSet<PoolId>,
+    reports: HashMap<PoolId, Report>,
+    transfers: BTreeMap<HostId, Transfer>,
+    /// Workers whose requests have served their purpose.
+    served: Vec<WorkerId>,
+    turns: Turns,
+    last_need_ms: u64,
+}
+
+impl BalanceEngine {
+    /// Takes control of moves.
+    pub fn new(timing: BalanceTiming) -> Self {
+        Self {
+            timing,
+            hosts: BTreeMap::new(),
+            host_millicores: 0,
+            first_sizes: HashMap::new(),
+            standby: None,
+            working: HashSet::new(),
+            reports: HashMap::new(),
+            transfers: BTreeMap::new(),
+            served: Vec::new(),
+            turns: Turns::default(),
+            last_need_ms: 0,
+        }
+    }
+
+    /// Takes in which pools work and which one's hosts are off.
+    pub fn set_pools<I>(&mut self, working: I, standby: Option<PoolId>)
+    where
+        I: IntoIterator<Item = PoolId>,
+    {
+        self.working = working.into_iter().collect();
+        self.standby = standby;
+    }
+
+    /// Takes in a pool's report.
+    pub fn on_demand(&mut self, now: ClockReading, pool: PoolId, demand: Demand) {
+        let at_ms = now.monotonic_ms;
+        self.turns.on_demand(at_ms, &pool, demand.arriving_millicores);
+        self.reports.insert(pool, Report { demand, at_ms });
+    }
+
+    /// Takes in the platform's list, which was asked for at `sent_ms`.
+    pub fn on_list(&mut self, sent_ms: u64, hosts: &[HostView]) {
+        self.hosts = hosts.iter().map(|view| (view.host.clone(), view.clone())).collect();
+        if self.first_sizes.is_empty() {
+            for view in hosts {
+                *self.first_sizes.entry(view.pool.clone()).or_default() += 1;
+            }
+        }
+        let settled_ms = self.timing.move_ms + LIST_LAG_MS;
+        let known = &self.hosts;
+        self.transfers.retain(|host, transfer| match transfer.stage {
+            Stage::Moved { at_ms } => sent_ms < at_ms + settled_ms && known.contains_key(host),
+            _ => known.contains_key(host),
+        });
+    }
+
+    /// Takes in the registry, which tells a host's worker sooner than the list.
+    pub fn on_workers<'a, I>(&mut self, workers: I)
+    where
+        I: IntoIterator<Item = &'a WorkerEntry>,
+    {
+        for entry in workers {
+            self.host_millicores = self.host_millicores.max(entry.capacity.cpu_millicores);
+            if let Some(view) = self.hosts.get_mut(&entry.host) {
+                view.worker = Some(entry.worker.clone());
+                view.pool = entry.pool.clone();
+            }
+        }
+    }
+
+    /// Takes in the result of a move's order.
+    pub fn on_reply(&mut self, now: ClockReading, host: &HostId, reply: HostOrderReply) {
+        let now_ms = now.monotonic_ms;
+        let Some(transfer) = self.transfers.get_mut(host) else { return };
+        let Stage::Ordering { worker, .. } = &mut transfer.stage else { return };
+        log::info!(host = host.as_str(), pool = transfer.to.as_str(), reply:? = reply;
+            "move was ordered");
+        match reply {
+            HostOrderReply::Begun => {
+                self.served.extend(worker.take());
+                transfer.stage = Stage::Moved { at_ms: now_ms };
+            }
+            HostOrderReply::Unknown => {
+                let worker = worker.take();
+                let next_ms = now_ms + ORDER_RETRY_MS;
+                transfer.stage = Stage::Ordering { worker, next_ms, in_flight: false };
+            }
+            HostOrderReply::Busy
+            | HostOrderReply::Refused
+            | HostOrderReply::NotDue
+            | HostOrderReply::OldTerm => {
+                self.served.extend(worker.take());
+                self.transfers.remove(host);
+            }
+        }
+    }
+
+    /// Tells whether a host is on its way to another pool.
+    pub fn is_moving(&self, host: &HostId) -> bool {
+        self.transfers.contains_key(host)
+    }
+
+    /// Decides what follows. `vacated` are workers on which nothing runs;
+    /// `is_reserved` tells which hosts upkeep needs.
+    pub fn step<F>(
+        &mut self,
+        now: ClockReading,
+        vacated: &HashSet<WorkerId>,
+        is_reserved: F,
+    ) -> Vec<BalanceAction>
+    where
+        F: Fn(&HostId) -> bool,
+    {
+        let now_ms = now.monotonic_ms;
+        let mut actions = Vec::new();
+        self.advance(now_ms, vacated, &mut actions);
+        if self.host_millicores == 0 || self.hosts.is_empty() {
+            return actions;
+        }
+        let needs = self.needs(now_ms);
+        let sizes = self.sizes();
+        let mut deficits: Vec<(usize, PoolId)> = (needs.iter())
+            .filter_map(|(pool, &need)| {
+                let size = sizes.get(pool).copied().unwrap_or(0);
+                (need > size).then(|| (need - size, pool.clone()))
+            })
+            .collect();
+        deficits.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        if !deficits.is_empty() {
+            self.last_need_ms = now_ms;
+        }
+        for (missing, to) in deficits {
+            for _ in 0..missing {
+                if self.transfers.len() >= UNDER_WAY_MAX {
+                    return actions;
+                }
+                let Some(host) = self.choose_donor(&needs, &to, &is_reserved) else {
+                    break;
+                };
+                self.begin(now_ms, host, to.clone(), &mut actions);
+            }
+        }
+        if now_ms > self.last_need_ms + PARK_AFTER_MS {
+            self.park(now_ms, &needs, &is_reserved, &mut actions);
+        }
+        actions
+    }
+
+    /// Moves every transfer as far as it gets.
+    fn advance(
+        &mut self,
+        now_ms: u64,
+        vacated: &HashSet<WorkerId>,
+        actions: &mut Vec<BalanceAction>,
+    ) {
+        actions.extend(self.served.drain(..).map(BalanceAction::Release));
+        let mut given_up = Vec::new();
+        for (host, transfer) in &mut self.transfers {
+            match &mut transfer.stage {
+                Stage::Vacating { worker, .. } if vacated.contains(worker) => {
+                    let worker = Some(worker.clone());
+                    actions.push(BalanceAction::Move(host.clone(), transfer.to.clone()));
+                    transfer.stage = Stage::Ordering { worker, next_ms: 0, in_flight: true };
+                }
+                Stage::Vacating { worker, since_ms } if now_ms > *since_ms + VACATE_MAX_MS => {
+                    actions.push(BalanceAction::Release(worker.clone()));
+                    given_up.push(host.clone());
+                }
+                Stage::Ordering { next_ms, in_flight, .. } if !*in_flight && now_ms >= *next_ms => {
+                    *in_flight = true;
+                    actions.push(BalanceAction::Move(host.clone(), transfer.to.clone()));
+                }
+                _ => {}
+            }
+        }
+        for host in given_up {
+            self.transfers.remove(&host);
+        }
+    }
+
+    /// Returns the hosts that each working pool needs.
+    fn needs(&self, now_ms: u64) -> HashMap<PoolId, usize> {
+        let host = (self.host_millicores * FILL_PERCENT / 100).max(1);
+        let need = |pool: &PoolId| {
+            let report = self.reports.get(pool)?;
+            if now_ms > report.at_ms + REPORT_MAX_MS {
+                return None;
+            }
+            let demand = &report.demand;
+            let horizon_ms = self.timing.move_ms + LIST_LAG_MS;
+            let forecast = self.turns.forecast(now_ms, horizon_ms, pool);
+            let millicores = demand.lasting_millicores
+                + demand.arriving_millicores.max(forecast)
+                + demand.backlog_core_ms * 1_000 / BACKLOG_MS;
+            Some(millicores.div_ceil(host) as usize)
+        };
+        self.working.iter().map(|pool| (pool.clone(), need(pool).unwrap_or(0))).collect()
+    }
+
+    /// Counts the hosts of each pool once transfers are over.
+    fn sizes(&self) -> HashMap<PoolId, usize> {
+        let mut sizes: HashMap<PoolId, usize> = HashMap::new();
+        for (host, view) in &self.hosts {
+            let pool = self.transfers.get(host).map_or(&view.pool, |transfer| &transfer.to);
+            if matches!(view.state, HostState::Up | HostState::Moving) {
+                *sizes.entry(pool.clone()).or_default() += 1;
+            }
+        }
+        sizes
+    }
+
+    /// Chooses a host for a pool: one that is off, else an idle one of the pool
+    /// that can spare most.
+    fn choose_donor<F>(
+        &self,
+        needs: &HashMap<PoolId, usize>,
+        to: &PoolId,
+        is_reserved: &F,
+    ) -> Option<HostId>
+    where
+        F: Fn(&HostId) -> bool,
+    {
+        let sizes = self.sizes();
+        let spare = |pool: &PoolId| {
+            let size = sizes.get(pool).copied().unwrap_or(0);
+            if self.standby.as_ref() == Some(pool) {
+                return usize::MAX;
+            }
+            let first = self.first_sizes.get(pool).copied().unwrap_or(0);
+            let kept = (first * KEEP_PERCENT as usize).div_ceil(100);
+            size.saturating_sub(needs.get(pool).copied().unwrap_or(0).max(kept))
+        };
+        let idle: HashSet<&WorkerId> =
+            self.reports.values().flat_map(|report| &report.demand.idle).collect();
+        let candidates = self.hosts.values().filter(|view| {
+            let is_off = self.standby.as_ref() == Some(&view.pool);
+            view.state == HostState::Up
+                && view.pool != *to
+                && !self.transfers.contains_key(&view.host)
+                && !is_reserved(&view.host)
+                && (is_off || view.worker.as_ref().is_some_and(|worker| idle.contains(worker)))
+                && spare(&view.pool) > 0
+        });
+        let best = candidates.max_by_key(|view| spare(&view.pool));
+        best.map(|view| view.host.clone())
+    }
+
+    fn begin(&mut self, now_ms: u64, host: HostId, to: PoolId, actions: &mut Vec<BalanceAction>) {
+        let Some(view) = self.hosts.get(&host) else { return };
+        let is_off = self.standby.as_ref() == Some(&view.pool);
+        log::info!(host = host.as_str(), from = view.pool.as_str(), to = to.as_str();
+            "host is to change its pool");
+        let stage = match view.worker.clone().filter(|_| !is_off) {
+            Some(worker) => {
+                actions.push(BalanceAction::Vacate(worker.clone()));
+                Stage::Vacating { worker, since_ms: now_ms }
+            }
+            None => {
+                actions.push(BalanceAction::Move(host.clone(), to.clone()));
+                Stage::Ordering { worker: None, next_ms: 0, in_flight: true }
+            }
+        };
+        self.transfers.insert(host, Transfer { to, stage });
+    }
+
+    /// Switches off idle hosts beyond the pools' first sizes.
+    fn park<F>(
+        &mut self,
+        now_ms: u64,
+        needs: &HashMap<PoolId, usize>,
+        is_reserved: &F,
+        actions: &mut Vec<BalanceAction>,
+    ) where
+        F: Fn(&HostId) -> bool,
+    {
+        let Some(standby) = self.standby.clone() else { return };
+        let sizes = self.sizes();
+        let total: usize = self.working.iter().filter_map(|pool| sizes.get(pool)).sum();
+        let first: usize = self.working.iter().filter_map(|pool| self.first_sizes.get(pool)).sum();
+        for _ in first..total {
+            let Some(host) = self.choose_idle(needs, is_reserved) else { return };
+            self.begin(now_ms, host, standby.clone(), actions);
+        }
+    }
+
+    fn choose_idle<F>(&self, needs: &HashMap<PoolId, usize>, is_reserved: &F) -> Option<HostId>
+    where
+        F: Fn(&HostId) -> bool,
+    {
+        let sizes = self.sizes();
+        let beyond = |pool: &PoolId| {
+            let size = sizes.get(pool).copied().unwrap_or(0);
+            let first = self.first_sizes.get(pool).copied().unwrap_or(0);
+            size.saturating_sub(needs.get(pool).copied().unwrap_or(0).max(first))
+        };
+        let idle: HashSet<&WorkerId> =
+            self.reports.values().flat_map(|report| &report.demand.idle).collect();
+        let found = self.hosts.values().find(|view| {
+            view.state == HostState::Up
+                && beyond(&view.pool) > 0
+                && self.working.contains(&view.pool)
+                && !self.transfers.contains_key(&view.host)
+                && !is_reserved(&view.host)
+                && view.worker.as_ref().is_some_and(|worker| idle.contains(worker))
+        });
+        found.map(|view| view.host.clone())
+    }
+}
--- a/crates/dispatch/src/coordination/mod.rs
+++ b/crates/dispatch/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions as state machines: an event and a clock reading in, actions out.
 
+pub mod balance;
 pub mod pool;
 pub mod submission;
 pub mod upkeep;
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    durations::Durations,
+    durations::{ArrivalRate, Durations},
     events::{JobKey, LookOrder, PoolAction, WorkerContact, WorkerKey},
     ledger::{Job, Ledger},
     task::TaskRef,
@@ -15,8 +15,8 @@
     writer::{PoolWrite, Records, WriteResult, Writer},
 };
 use crate::state::{
-    JobNumber, JobOutcome, JobRecord, JobState, ProgressRecord, Registration, Roster, RosterEntry,
-    Summary, WorkerEntry,
+    Demand, JobNumber, JobOutcome, JobRecord, JobState, ProgressRecord, Registration, Roster,
+    RosterEntry, Summary, WorkerEntry,
 };
 
 /// Time that a look waits at a worker that runs something, in milliseconds:
@@ -35,6 +35,10 @@
 /// ask, in milliseconds: clocks of processes differ by less.
 const KEEP_MARGIN_MS: u64 = 30_000;
 
+/// Unit to which reported needs are rounded up, in thousandths of a core and in
+/// core-milliseconds.
+const ROUNDING: u64 = 16_000;
+
 /// Times of a pool's control, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoolTiming {
@@ -106,6 +110,7 @@
     /// Workers that may run what a predecessor started and have not been
     /// listed; none once that is settled.
     pub(super) unsettled: Option<Vec<RosterEntry>>,
+    arrivals: ArrivalRate,
     /// Ended jobs by the time of their end, for their removal.
     finished: Vec<(u64, JobNumber)>,
     pub(super) placing_due: bool,
@@ -128,6 +133,7 @@
             confirmed_until_ms: 0,
             quiet_until_ms: 0,
             unsettled: Some(Vec::new()),
+            arrivals: ArrivalRate::default(),
             finished: Vec::new(),
             placing_due: false,
             next_check_ms: 0,
@@ -276,6 +282,8 @@
                     is_inherited,
                 );
                 self.durations.on_job(&job.queue, job.work_core_ms());
+                let work_core_ms = self.batch_work_core_ms(&job);
+                self.arrivals.add(now.monotonic_ms, work_core_ms);
                 let key = self.ledger.insert(job);
                 self.ledger.open_due(key, now.unix_ms);
                 self.placing_due = true;
@@ -393,7 +401,7 @@
             self.placing_due = false;
             self.stop_unwanted(now_ms);
             self.place(now_ms);
-            self.summarize();
+            self.summarize(now_ms);
         }
         self.look(now_ms);
         if let Some(write) = self.next_write(now) {
@@ -424,7 +432,52 @@
         }
     }
 
-    fn summarize(&mut self) {
+    /// Returns the expected work of a job's tasks that end by themselves, as far
+    /// as they were not started, in core-milliseconds.
+    fn batch_work_core_ms(&self, job: &Job) -> f64 {
+        let steps = job.spec.steps.iter().enumerate().filter(|(_, spec)| !spec.is_lasting);
+        let work = steps.map(|(index, spec)| {
+            let occurrence = job.occurrences.values().next_back();
+            let state = occurrence.and_then(|occurrence| occurrence.steps.get(index));
+            let open = state.map_or(spec.tasks as usize, |step| {
+                step.tasks.iter().filter(|task| !task.is_done && task.runs.is_empty()).count()
+            });
+            let cores = spec.charge().cpu_millicores as f64 / 1_000.0;
+            let expected_ms = self.durations.expected_ms(&job.queue, spec.estimate_ms);
+            open as f64 * cores * expected_ms as f64
+        });
+        work.sum()
+    }
+
+    /// Tells the holder of upkeep what the pool needs. Figures are rounded, so
+    /// that small changes cost no write.
+    fn demand(&self, now_ms: u64) -> Demand {
+        let round = |value: u64, unit: u64| value.div_ceil(unit) * unit;
+        let live = || self.ledger.iter().filter(|(_, job)| job.outcome.is_none());
+        let backlog_core_ms: f64 = live().map(|(_, job)| self.batch_work_core_ms(job)).sum();
+        let lasting = live().flat_map(|(_, job)| &job.spec.steps).filter(|step| step.is_lasting);
+        let lasting: u64 =
+            lasting.map(|step| u64::from(step.tasks) * step.charge().cpu_millicores).sum();
+        let is_idle = |worker: &&Worker| {
+            worker.is_empty()
+                && worker.presence == Presence::Registered(Registration::Ready)
+                && !self.vacating.contains(&worker.entry.worker)
+        };
+        let idle = self.workers.iter().map(|(_, worker)| worker).filter(is_idle);
+        let mut idle: Vec<WorkerId> = idle.map(|worker| worker.entry.worker.clone()).collect();
+        idle.sort();
+        Demand {
+            arriving_millicores: round(self.arrivals.millicores(now_ms), ROUNDING),
+            backlog_core_ms: round(backlog_core_ms as u64, ROUNDING),
+            lasting_millicores: round(lasting, ROUNDING),
+            idle,
+        }
+    }
+
+    fn summarize(&mut self, now_ms: u64) {
+        if !self.writer.takes_summary(now_ms) {
+            return;
+        }
         let mut waiting: Vec<(QueueId, u64)> = Vec::new();
         for (_, job) in self.ledger.iter() {
             if job.has_started || job.outcome.is_some() || job.is_scheduled() {
@@ -436,7 +489,8 @@
             }
         }
         waiting.sort();
-        self.writer.set_summary(Summary { waiting });
+        let demand = self.demand(now_ms);
+        self.writer.set_summary(Summary { waiting, demand });
     }
 
     fn look(&mut self, now_ms: u64) {
--- a/crates/dispatch/src/coordination/pool/placement.rs
+++ b/crates/dispatch/src/coordination/pool/placement.rs
@@ -19,7 +19,7 @@
 pub(super) const TOUCH_MS: u64 = 2_600;
 
 /// What a place is chosen for.
-pub(super) struct Demand<'a> {
+pub(super) struct PlaceQuery<'a> {
     pub(super) spec: &'a StepSpec,
     pub(super) step: &'a Step,
     pub(super) task: &'a Task,
@@ -36,7 +36,7 @@
         && !worker.health.is_suspended(now_ms)
 }
 
-impl Demand<'_> {
+impl PlaceQuery<'_> {
     fn accepts(&self, key: WorkerKey, worker: &Worker, room: &Resources) -> bool {
         let label_fits =
             (self.spec.required_label.as_deref()).is_none_or(|label| worker.has_label(label));
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -8,7 +8,7 @@
     events::{JobKey, Order, OrderReply, OrderTarget, PoolAction, Refusal, StartOrder, WorkerKey},
     ledger::Job,
     order::{Rank, Waiting},
-    placement::{Demand, TOUCH_MS, takes_work},
+    placement::{PlaceQuery, TOUCH_MS, takes_work},
     task::{Run, RunPhase, TaskRef},
     workers::Worker,
 };
@@ -124,19 +124,19 @@
     }
 
     fn choose(&self, now_ms: u64, task: TaskRef) -> Option<WorkerKey> {
-        let demand = self.demand(task)?;
+        let query = self.place_query(task)?;
         let vacating = |worker: &Worker| self.vacating.contains(&worker.entry.worker);
-        demand.choose(&self.workers, now_ms, |_, worker| worker.room(), vacating)
+        query.choose(&self.workers, now_ms, |_, worker| worker.room(), vacating)
     }
 
-    fn demand(&self, task: TaskRef) -> Option<Demand<'_>> {
+    fn place_query(&self, task: TaskRef) -> Option<PlaceQuery<'_>> {
         let job = self.ledger.job(task.job)?;
         let spec = self.ledger.spec(task)?;
         let step = self.ledger.step(task)?;
         let state = step.tasks.get(task.index as usize)?;
         let attempts_max = self.policy(&job.queue).attempts_max;
         let is_last_attempt = !spec.is_lasting && state.failures + 1 >= attempts_max;
-        Some(Demand { spec, step, task: state, is_last_attempt })
+        Some(PlaceQuery { spec, step, task: state, is_last_attempt })
     }
 
     /// Starts all members of a gang or none; tells whether there was room.
@@ -153,14 +153,14 @@
         let mut planned: HashMap<WorkerKey, (u32, Resources)> = HashMap::new();
         let mut places = Vec::with_capacity(members as usize);
         for index in 0..members {
-            let Some(demand) = self.demand(TaskRef { index, ..step }) else { return true };
+            let Some(query) = self.place_query(TaskRef { index, ..step }) else { return true };
             let room = |key: WorkerKey, worker: &Worker| match planned.get(&key) {
                 Some((count, _)) if spread.is_some_and(|max| *count >= max) => Resources::default(),
                 Some((_, taken)) => worker.room().minus(taken),
                 None => worker.room(),
             };
             let vacating = |worker: &Worker| self.vacating.contains(&worker.entry.worker);
-            let Some(worker) = demand.choose(&self.workers, now_ms, room, vacating) else {
+            let Some(worker) = query.choose(&self.workers, now_ms, room, vacating) else {
                 return false;
             };
             let (count, taken) = planned.entry(worker).or_default();
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -310,6 +310,14 @@
         }
         for key in self.workers.keys() {
             let Some(worker) = self.workers.get(key) else { continue };
+            let is_left = worker.presence == Presence::Gone
+                && worker.is_empty()
+                && worker.looked_ms.is_some();
+            if is_left {
+                self.workers.remove(key);
+                self.roster_changed();
+                continue;
+            }
             if worker.is_in_touch(now_ms, TOUCH_MS) || !worker.is_lease_over(now_ms) {
                 continue;
             }
--- a/crates/dispatch/src/coordination/pool/tests/driver.rs
+++ b/crates/dispatch/src/coordination/pool/tests/driver.rs
@@ -217,8 +217,7 @@
             predecessor_until_ms: self.now_ms + 12_000,
         };
         let mut engine = PoolEngine::new(tenancy, PoolTiming::new(10_000, 120_000));
-        let policy =
-            QueuePolicy { priority: 0, attempts_max: 2, stretch: 1.6, objective_ms: 600 };
+        let policy = QueuePolicy { priority: 0, attempts_max: 2, stretch: 1.6, objective_ms: 600 };
         engine.set_queues([(queue(), policy)]);
         engine.confirm_control(u64::MAX);
         engine.on_registry(self.workers.iter().map(|worker| &worker.entry));
@@ -406,13 +405,7 @@
         self.controllers[index].looks.push((at, contact.key, until_ms, look, contact.term));
     }
 
-    fn order(
-        &mut self,
-        index: usize,
-        contact: &WorkerContact,
-        target: OrderTarget,
-        order: &Order,
-    ) {
+    fn order(&mut self, index: usize, contact: &WorkerContact, target: OrderTarget, order: &Order) {
         let at = self.worker_of(contact);
         let is_cut = self.workers[at].cut_from.contains(&index);
         let is_lost = is_cut || self.workers[at].loses_replies;
@@ -430,13 +423,7 @@
         self.controllers[index].replies.push((at_ms, target, is_start, reply));
     }
 
-    fn execute(
-        &mut self,
-        at: usize,
-        term: Term,
-        target: OrderTarget,
-        order: &Order,
-    ) -> OrderReply {
+    fn execute(&mut self, at: usize, term: Term, target: OrderTarget, order: &Order) -> OrderReply {
         let now_ms = self.now_ms;
         let worker = &mut self.workers[at];
         if term < worker.term {
@@ -460,7 +447,8 @@
                 worker.lease_until_ms = worker.lease_until_ms.max(start.valid_until_ms);
                 let spec = &start.job.steps[usize::from(target.task.step)];
                 let declared_ms = u64::from(spec.estimate_ms);
-                let lasts_ms = self.duration_ms.map_or(declared_ms, |duration| duration(target.task));
+                let lasts_ms =
+                    self.duration_ms.map_or(declared_ms, |duration| duration(target.task));
                 let lasts_ms = if spec.is_lasting { 1 << 40 } else { lasts_ms * worker.slowness };
                 let charge = spec.charge();
                 let (number, ends_ms) = (target.run, now_ms + lasts_ms);
--- a/crates/dispatch/src/coordination/pool/tests/failures.rs
+++ b/crates/dispatch/src/coordination/pool/tests/failures.rs
@@ -64,8 +64,7 @@
         })
         .collect();
     world.run_ms(4_000);
-    let failed =
-        jobs.iter().filter(|&&job| world.outcome(job) == Some(JobOutcome::Failed)).count();
+    let failed = jobs.iter().filter(|&&job| world.outcome(job) == Some(JobOutcome::Failed)).count();
     assert!(failed <= 1, "{failed} of 30 jobs failed with one failing worker");
 }
 
--- a/crates/dispatch/src/coordination/pool/writer.rs
+++ b/crates/dispatch/src/coordination/pool/writer.rs
@@ -15,9 +15,10 @@
 /// write, in milliseconds. A tenth of the four seconds within which ends are
 /// to be acknowledged.
 const PROGRESS_DELAY_MS: u64 = 400;
-/// Interval between summaries, in milliseconds: half of the two seconds that
-/// callers accept as their age.
-const SUMMARY_INTERVAL_MS: u64 = 1_000;
+/// Interval between summaries, in milliseconds: a fraction of the time that a
+/// host takes to join a pool which asks for it, and of the two seconds that
+/// callers accept as the age of counts.
+const SUMMARY_INTERVAL_MS: u64 = 250;
 /// Delay before a write without reply is sent again, in milliseconds.
 const RETRY_MS: u64 = 100;
 
@@ -127,6 +128,11 @@
         self.roster = roster;
     }
 
+    /// Tells whether a summary could be written now.
+    pub(super) fn takes_summary(&self, now_ms: u64) -> bool {
+        self.in_flight.is_none() && now_ms >= self.summary_ms + SUMMARY_INTERVAL_MS
+    }
+
     pub(super) fn set_summary(&mut self, summary: Summary) {
         self.summary = summary;
     }
--- a/crates/dispatch/src/coordination/upkeep/engine.rs
+++ b/crates/dispatch/src/coordination/upkeep/engine.rs
@@ -8,8 +8,8 @@
     ids::{HostId, PoolId, WorkerId},
 };
 
-use super::events::{HostState, HostView, UpkeepAction, UpkeepReply, UpkeepWrite};
-use crate::state::{WaveNumber, WaveRecord, WaveRequest, WaveState};
+use super::events::{HostOrderReply, HostState, HostView, UpkeepAction, UpkeepWrite};
+use crate::state::{VacateReason, WaveNumber, WaveRecord, WaveRequest, WaveState};
 
 /// Interval of reads of the host list while a wave is active, in milliseconds.
 const LIST_INTERVAL_MS: u64 = 800;
@@ -25,6 +25,9 @@
 /// allows, in percent.
 const HURRY_PERCENT: u64 = 60;
 
+/// Interval of steps without an event, in milliseconds.
+const STEP_MS: u64 = 100;
+
 /// Times of the platform, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UpkeepTiming {
@@ -72,10 +75,6 @@
         self.stages.values().all(begun)
     }
 
-    fn is_over(&self) -> bool {
-        self.stages.values().all(|stage| *stage == Stage::Over)
-    }
-
     /// Counts hosts that are down for the wave or may be.
     fn down(&self) -> usize {
         let may_be_down = |stage: &&Stage| {
@@ -168,6 +167,23 @@
         self.next_list_ms = 0;
     }
 
+    /// Adds requests of the owner to the next write.
+    pub fn add_requests<V, R>(&mut self, vacate: V, release: R)
+    where
+        V: IntoIterator<Item = WorkerId>,
+        R: IntoIterator<Item = WorkerId>,
+    {
+        let requests = vacate.into_iter().map(|worker| (worker, VacateReason::Move));
+        self.pending.vacate.extend(requests);
+        self.pending.release.extend(release);
+    }
+
+    /// Returns when the list in use was asked for, in milliseconds on the own
+    /// clock, and its hosts.
+    pub fn list(&self) -> Option<(u64, Vec<HostView>)> {
+        Some((self.list_sent_ms?, self.hosts.values().cloned().collect()))
+    }
+
     /// Takes in requests and confirmations that the store has.
     pub fn on_requests<R, V>(&mut self, requested: R, vacated: V)
     where
@@ -193,9 +209,9 @@
         now: ClockReading,
         wave: WaveNumber,
         host: &HostId,
-        reply: UpkeepReply,
+        reply: HostOrderReply,
     ) -> Vec<UpkeepAction> {
-        if reply == UpkeepReply::OldTerm {
+        if reply == HostOrderReply::OldTerm {
             return vec![UpkeepAction::Fenced];
         }
         let now_ms = now.monotonic_ms;
@@ -204,15 +220,15 @@
         let Stage::Ordered { worker, .. } = stage else { return Vec::new() };
         log::info!(host = host.as_str(), wave = wave.0, reply:? = reply; "upkeep was ordered");
         *stage = match reply {
-            UpkeepReply::Begun => Stage::Down { since_ms: now_ms, worker: worker.take() },
-            UpkeepReply::NotDue => {
+            HostOrderReply::Begun => Stage::Down { since_ms: now_ms, worker: worker.take() },
+            HostOrderReply::NotDue => {
                 self.changed_records.insert(wave);
                 Stage::Over
             }
-            UpkeepReply::Busy
-            | UpkeepReply::Refused
-            | UpkeepReply::Unknown
-            | UpkeepReply::OldTerm => Stage::Ordered {
+            HostOrderReply::Busy
+            | HostOrderReply::Refused
+            | HostOrderReply::Unknown
+            | HostOrderReply::OldTerm => Stage::Ordered {
                 next_ms: now_ms + ORDER_RETRY_MS,
                 in_flight: false,
                 worker: worker.take(),
@@ -221,6 +237,14 @@
         Vec::new()
     }
 
+    /// Tells whether a host is being emptied for upkeep or is down for it.
+    pub fn is_busy(&self, host: &HostId) -> bool {
+        self.waves.values().any(|wave| {
+            let stage = wave.stages.get(host);
+            stage.is_some_and(|stage| !matches!(stage, Stage::Pending | Stage::Over))
+        })
+    }
+
     /// Takes in whether the write in flight took effect.
     pub fn on_write(&mut self, now: ClockReading, is_written: bool) {
         let Some(write) = self.in_flight.take() else { return };
@@ -255,18 +279,19 @@
     }
 
     /// Decides what follows from all events since the last call.
-    pub fn step(&mut self, now: ClockReading) -> Vec<UpkeepAction> {
+    /// `is_moving` tells which hosts are on their way to another pool.
+    pub fn step<F>(&mut self, now: ClockReading, is_moving: F) -> Vec<UpkeepAction>
+    where
+        F: Fn(&HostId) -> bool,
+    {
         let now_ms = now.monotonic_ms;
         let mut actions = Vec::new();
-        if self.waves.values().all(|wave| wave.is_over() && wave.state == Some(WaveState::Done)) {
-            return actions;
-        }
         if self.list_in_flight.is_none() && now_ms >= self.next_list_ms {
             self.list_in_flight = Some(now_ms);
             actions.push(UpkeepAction::List);
         }
         if self.list_sent_ms.is_some() {
-            self.advance(now_ms, &mut actions);
+            self.advance(now_ms, &is_moving, &mut actions);
         }
         if let Some(write) = self.next_write(now_ms) {
             actions.push(UpkeepAction::Write(write));
@@ -275,10 +300,13 @@
     }
 
     /// Moves every host of every wave as far as it gets.
-    fn advance(&mut self, now_ms: u64, actions: &mut Vec<UpkeepAction>) {
+    fn advance<F>(&mut self, now_ms: u64, is_moving: &F, actions: &mut Vec<UpkeepAction>)
+    where
+        F: Fn(&HostId) -> bool,
+    {
         let numbers: Vec<WaveNumber> = self.waves.keys().copied().collect();
         for number in numbers {
-            self.begin_hosts(now_ms, number);
+            self.begin_hosts(now_ms, number, is_moving);
             let Some(wave) = self.waves.get_mut(&number) else { continue };
             let down_max = wave.request.down_max.max(1);
             let mut down = wave.down();
@@ -329,7 +357,10 @@
 
     /// Chooses hosts whose upkeep comes next: few of one pool at once while
     /// there is time.
-    fn begin_hosts(&mut self, now_ms: u64, number: WaveNumber) {
+    fn begin_hosts<F>(&mut self, now_ms: u64, number: WaveNumber, is_moving: &F)
+    where
+        F: Fn(&HostId) -> bool,
+    {
         let Some(wave) = self.waves.get(&number) else { return };
         let elapsed_ms = now_ms.saturating_sub(wave.seen_ms);
         let hurries = elapsed_ms * 100 > wave.request.duration_ms * HURRY_PERCENT;
@@ -358,7 +389,11 @@
             let size = sizes.get(&view.pool).copied().unwrap_or(0);
             let pool_max = if hurries { down_max } else { size.div_ceil(POOL_DIVISOR) };
             let in_pool = busy.entry(&view.pool).or_default();
-            if under_way >= down_max || *in_pool >= pool_max || view.state != HostState::Up {
+            if under_way >= down_max
+                || *in_pool >= pool_max
+                || view.state != HostState::Up
+                || is_moving(host)
+            {
                 continue;
             }
             under_way += 1;
@@ -374,7 +409,8 @@
         for (host, stage) in chosen {
             match &stage {
                 Stage::Vacating { worker } if !self.requested.contains(worker) => {
-                    self.pending.vacate.push((worker.clone(), number));
+                    let reason = VacateReason::Wave(number);
+                    self.pending.vacate.push((worker.clone(), reason));
                 }
                 Stage::Vacating { .. } => {}
                 _ => {
@@ -410,8 +446,7 @@
     /// Returns when [`step`](Self::step) is due without an event, in
     /// milliseconds on the own clock.
     pub fn next_step_ms(&self, now: ClockReading) -> u64 {
-        let idle = self.waves.values().all(|wave| wave.is_over() && wave.state.is_some());
-        now.monotonic_ms + if idle { 10_000 } else { 100 }
+        now.monotonic_ms + STEP_MS
     }
 }
 
--- a/crates/dispatch/src/coordination/upkeep/events.rs
+++ b/crates/dispatch/src/coordination/upkeep/events.rs
@@ -2,7 +2,7 @@
 
 use tamarackproxy::state::ids::{HostId, PoolId, WorkerId};
 
-use crate::state::{WaveNumber, WaveRecord, WaveState};
+use crate::state::{VacateReason, WaveNumber, WaveRecord, WaveState};
 
 /// What a host is doing, as its platform lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,12 +30,12 @@
     pub worker: Option<WorkerId>,
 }
 
-/// Result of an order of upkeep.
+/// Result of an order for a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UpkeepReply {
-    /// The upkeep has begun, or had before.
+pub enum HostOrderReply {
+    /// Carried out, or had been before.
     Begun,
-    /// The host cannot be taken down now.
+    /// The host is not up or leaves.
     Busy,
     /// A higher term was seen.
     OldTerm,
@@ -51,7 +51,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UpkeepWrite {
     /// Workers that controllers are to empty.
-    pub vacate: Vec<(WorkerId, WaveNumber)>,
+    pub vacate: Vec<(WorkerId, VacateReason)>,
     /// Workers whose requests are withdrawn or served.
     pub release: Vec<WorkerId>,
     /// Records of waves.
--- a/crates/dispatch/src/coordination/upkeep/mod.rs
+++ b/crates/dispatch/src/coordination/upkeep/mod.rs
@@ -8,7 +8,7 @@
 
 pub use self::{
     engine::{UpkeepEngine, UpkeepTiming},
-    events::{HostState, HostView, UpkeepAction, UpkeepReply, UpkeepWrite},
+    events::{HostOrderReply, HostState, HostView, UpkeepAction, UpkeepWrite},
 };
 
 #[cfg(test)]
--- a/crates/dispatch/src/node/keys.rs
+++ b/crates/dispatch/src/node/keys.rs
@@ -46,8 +46,11 @@
     format!("roster/{pool}").into()
 }
 
+/// Prefix of the pools' summaries.
+pub(super) const SUMMARY_PREFIX: &str = "summary/";
+
 pub(super) fn summary_key(pool: &PoolId) -> Box<str> {
-    format!("summary/{pool}").into()
+    format!("{SUMMARY_PREFIX}{pool}").into()
 }
 
 pub(super) fn vacated_key(worker: &WorkerId) -> Box<str> {
@@ -213,8 +216,8 @@
     S: Fn(WaveNumber, WaveState) -> (Box<str>, Bytes),
 {
     let mut transaction = Transaction { expected: vec![fence.condition()], ..Default::default() };
-    for (worker, wave) in &write.vacate {
-        let request = VacateRequest { wave: *wave };
+    for (worker, reason) in &write.vacate {
+        let request = VacateRequest { reason: *reason };
         transaction.put.push(encoded(vacate_key(worker), &request)?);
     }
     for worker in &write.release {
--- a/crates/dispatch/src/node/launch.rs
+++ b/crates/dispatch/src/node/launch.rs
@@ -25,9 +25,8 @@
 use crate::{observability::LogBuffer, settings::DispatchSettings};
 
 /// Rest after changes of the registry, in milliseconds: workers renew their
-/// entries all the time, and a worker that drains is noticed well within the
-/// two seconds allowed.
-const REGISTRY_REST_MS: u64 = 600;
+/// entries all the time, and a worker that joins or drains is noticed soon.
+const REGISTRY_REST_MS: u64 = 250;
 /// Interval at which log lines are written, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 100;
 /// Share of the time of a graceful stop after which the process ends if no
--- a/crates/dispatch/src/node/platform.rs
+++ b/crates/dispatch/src/node/platform.rs
@@ -6,14 +6,14 @@
 use http::{Method, Response};
 use tamarackproxy::{
     protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest, WatchEvent},
-    state::ids::{EntryId, HostId, RecordVersion, Term},
+    state::ids::{EntryId, HostId, PoolId, RecordVersion, Term},
 };
 
 use super::callers::{CallerAnswer, CallerCall, Refused};
 use crate::{
     coordination::{
         pool::{LookFailure, LookOrder, LookReport, Order, OrderReply, OrderTarget, WorkerContact},
-        upkeep::{HostView, UpkeepReply},
+        upkeep::{HostOrderReply, HostView},
     },
     state::{ServingDocument, WaveNumber, WaveRequest, WaveState, WorkerEntry},
 };
@@ -152,7 +152,16 @@
         term: Term,
         host: &HostId,
         wave: WaveNumber,
-    ) -> impl Future<Output = UpkeepReply>;
+    ) -> impl Future<Output = HostOrderReply>;
+
+    /// Moves a host to another pool.
+    fn move_host(
+        &self,
+        holder: &EntryId,
+        term: Term,
+        host: &HostId,
+        pool: &PoolId,
+    ) -> impl Future<Output = HostOrderReply>;
 
     /// Decodes a caller's request.
     ///
--- a/crates/dispatch/src/node/upkeep.rs
+++ b/crates/dispatch/src/node/upkeep.rs
@@ -5,7 +5,8 @@
 use hashbrown::HashSet;
 use tamarackproxy::{
     coordination::control::Tenure,
-    state::ids::{HostId, WorkerId},
+    protocol::store::WatchEvent,
+    state::ids::{HostId, PoolId, WorkerId},
 };
 use tokio::{
     sync::mpsc,
@@ -15,20 +16,26 @@
 
 use super::{
     clock,
-    control::Tenancy,
-    follow::list_until_done,
-    keys::{Fence, UPKEEP_SCOPE, WAVE_PREFIX, decode_wave, upkeep_transaction, wave_of},
+    control::{TaskGuard, Tenancy},
+    follow::{Followed, follow, list_until_done},
+    keys::{
+        Fence, SUMMARY_PREFIX, UPKEEP_SCOPE, WAVE_PREFIX, decode_item, decode_wave,
+        upkeep_transaction, wave_of,
+    },
     platform::{Platform, TransactionReply},
     shared::Shared,
 };
 use crate::{
-    coordination::upkeep::{HostView, UpkeepAction, UpkeepEngine, UpkeepReply, UpkeepTiming},
-    state::{WaveNumber, WaveRecord},
+    coordination::balance::{BalanceAction, BalanceEngine, BalanceTiming},
+    coordination::upkeep::{HostOrderReply, HostView, UpkeepAction, UpkeepEngine, UpkeepTiming},
+    state::{Summary, WaveNumber, WaveRecord},
 };
 
 enum Input {
     Listed(Option<Vec<HostView>>),
-    Replied(WaveNumber, HostId, UpkeepReply),
+    Replied(WaveNumber, HostId, HostOrderReply),
+    Moved(HostId, HostOrderReply),
+    Summary(Followed),
     Written { is_written: bool, is_fenced: bool },
 }
 
@@ -48,6 +55,15 @@
     let fence = Rc::new(Fence::new(UPKEEP_SCOPE, tenure.key_version));
     let (inputs, mut receiver) = mpsc::unbounded_channel();
     let mut calls = JoinSet::new();
+    let mut balance = BalanceEngine::new(BalanceTiming { move_ms: shared.settings.move_ms });
+    let sink = {
+        let inputs = inputs.clone();
+        // The receiver is gone when control has ended.
+        move |followed| drop(inputs.send(Input::Summary(followed)))
+    };
+    let summaries = follow(Rc::clone(&shared), SUMMARY_PREFIX.into(), None, 0, sink);
+    let summaries = tokio::task::spawn_local(summaries);
+    let _summaries = TaskGuard::new(&summaries);
     let set = |workers: &Rc<HashSet<WorkerId>>| workers.iter().cloned().collect::<Vec<_>>();
     engine.on_requests(set(&vacate.borrow_and_update()), set(&vacated.borrow_and_update()));
     loop {
@@ -64,7 +80,15 @@
         }
         while let Ok(input) = receiver.try_recv() {
             match input {
-                Input::Listed(hosts) => engine.on_list(clock::read(), hosts),
+                Input::Listed(hosts) => {
+                    engine.on_list(clock::read(), hosts);
+                    if let Some((sent_ms, hosts)) = engine.list() {
+                        balance.on_list(sent_ms, &hosts);
+                    }
+                }
+                Input::Moved(_, HostOrderReply::OldTerm) => return lease.report_fenced(),
+                Input::Moved(host, reply) => balance.on_reply(clock::read(), &host, reply),
+                Input::Summary(followed) => on_summary(&mut balance, followed),
                 Input::Replied(wave, host, reply) => {
                     let actions = engine.on_reply(clock::read(), wave, &host, reply);
                     if actions.contains(&UpkeepAction::Fenced) {
@@ -75,7 +99,22 @@
                 Input::Written { is_written, .. } => engine.on_write(clock::read(), is_written),
             }
         }
-        for action in engine.step(clock::read()) {
+        set_pools(&mut balance, &shared);
+        balance.on_workers(shared.registry.borrow().values());
+        let empty = Rc::clone(&vacated.borrow());
+        let mut actions: Vec<Action> = Vec::new();
+        let (mut vacate_for_move, mut release) = (Vec::new(), Vec::new());
+        for action in balance.step(clock::read(), &empty, |host| engine.is_busy(host)) {
+            match action {
+                BalanceAction::Vacate(worker) => vacate_for_move.push(worker),
+                BalanceAction::Release(worker) => release.push(worker),
+                BalanceAction::Move(host, pool) => actions.push(Action::Move(host, pool)),
+            }
+        }
+        engine.add_requests(vacate_for_move, release);
+        let steps = engine.step(clock::read(), |host| balance.is_moving(host));
+        actions.extend(steps.into_iter().map(Action::Upkeep));
+        for action in actions {
             carry_out(&shared, &fence, tenure, action, &inputs, &mut calls);
         }
         while calls.try_join_next().is_some() {}
@@ -94,11 +133,41 @@
     }
 }
 
+/// What the two engines ask for.
+enum Action {
+    Upkeep(UpkeepAction),
+    Move(HostId, PoolId),
+}
+
+fn set_pools<P>(balance: &mut BalanceEngine, shared: &Shared<P>)
+where
+    P: Platform,
+{
+    let Some(document) = shared.document() else { return };
+    let standby = document.pools.iter().find(|pool| pool.is_standby);
+    let working = document.working_pools().cloned();
+    balance.set_pools(working, standby.map(|pool| pool.pool.clone()));
+}
+
+fn on_summary(balance: &mut BalanceEngine, followed: Followed) {
+    let items = match followed {
+        Followed::Listed(items) => items,
+        Followed::Changed(WatchEvent::Put(item)) => vec![item],
+        Followed::Changed(WatchEvent::Deleted { .. } | WatchEvent::Interrupted) => return,
+    };
+    for item in items {
+        let pool = item.key.strip_prefix(SUMMARY_PREFIX).and_then(|pool| pool.parse().ok());
+        if let (Some(pool), Some(summary)) = (pool, decode_item::<Summary>(&item)) {
+            balance.on_demand(clock::read(), pool, summary.demand);
+        }
+    }
+}
+
 fn carry_out<P>(
     shared: &Rc<Shared<P>>,
     fence: &Rc<Fence>,
     tenure: Tenure,
-    action: UpkeepAction,
+    action: Action,
     inputs: &mpsc::UnboundedSender<Input>,
     calls: &mut JoinSet<()>,
 ) where
@@ -107,14 +176,20 @@
     let (shared, fence, inputs) = (Rc::clone(shared), Rc::clone(fence), inputs.clone());
     calls.spawn_local(async move {
         let input = match action {
-            UpkeepAction::List => Input::Listed(shared.platform.hosts().await),
-            UpkeepAction::Order(host, wave) => {
+            Action::Move(host, pool) => {
+                let holder = &shared.settings.entry;
+                let platform = &shared.platform;
+                let reply = platform.move_host(holder, tenure.term, &host, &pool).await;
+                Input::Moved(host, reply)
+            }
+            Action::Upkeep(UpkeepAction::List) => Input::Listed(shared.platform.hosts().await),
+            Action::Upkeep(UpkeepAction::Order(host, wave)) => {
                 let holder = shared.settings.entry.clone();
                 let term = tenure.term;
                 let reply = shared.platform.maintain(&holder, term, &host, wave).await;
                 Input::Replied(wave, host, reply)
             }
-            UpkeepAction::Write(write) => {
+            Action::Upkeep(UpkeepAction::Write(write)) => {
                 let state = |wave, state| shared.platform.wave_state(wave, state);
                 let transaction = match upkeep_transaction(&fence, &write, state) {
                     Ok(transaction) => transaction,
@@ -131,7 +206,7 @@
                 }
                 Input::Written { is_written, is_fenced }
             }
-            UpkeepAction::Fenced => return,
+            Action::Upkeep(UpkeepAction::Fenced) => return,
         };
         // The receiver is gone when control has ended.
         let _ = inputs.send(input);
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -41,6 +41,8 @@
     pub status_ms: u64,
     /// Time that a host is down for upkeep, in milliseconds.
     pub maintenance_ms: u64,
+    /// Time that a host takes to join another pool, in milliseconds.
+    pub move_ms: u64,
     /// Connections that may be open at once.
     pub connections_max: usize,
     /// Least severe level that is logged.
@@ -92,8 +94,9 @@
         let hold_max_ms = reader.or_default("worker_lease_max_ms", COUNT, 10_000_u64);
         let status_ms = milliseconds(reader, "ended_jobs_s", 120.0);
         let maintenance_ms = milliseconds(reader, "maintenance_s", 2.0);
+        let move_ms = milliseconds(reader, "host_move_s", 1.5);
         let descriptors = reader.or_default("descriptors", COUNT, 1_024_usize);
-        Some((stop_ms, hold_max_ms, status_ms, maintenance_ms, descriptors))
+        Some((stop_ms, hold_max_ms, status_ms, maintenance_ms, move_ms, descriptors))
     });
     let level = section(sections, "log", errors, |reader| {
         Some(reader.or_default("level", LEVEL, LevelFilter::Info))
@@ -110,7 +113,7 @@
     let (entry, data_centre) = entry?;
     let (callers, ready, metrics) = listen?;
     let (store, hosts, advice) = platform?;
-    let (stop_ms, hold_max_ms, status_ms, maintenance_ms, descriptors) = limits?;
+    let (stop_ms, hold_max_ms, status_ms, maintenance_ms, move_ms, descriptors) = limits?;
     Some(DispatchSettings {
         entry,
         data_centre,
@@ -124,6 +127,7 @@
         hold_max_ms,
         status_ms,
         maintenance_ms,
+        move_ms,
         // Files, own connections to store and workers, and reserve take half.
         connections_max: (descriptors / 2).max(64),
         level: level?,
--- a/crates/dispatch/src/state/mod.rs
+++ b/crates/dispatch/src/state/mod.rs
@@ -12,8 +12,8 @@
     ids::{JobNumber, JobNumberError, RunNumber, TaskAddress},
     job::{InvalidJob, JobSpec, Schedule, StepSpec, TASKS_MAX},
     record::{
-        JobOutcome, JobRecord, JobState, ProgressRecord, RecordError, Roster, RosterEntry,
-        StepProgress, Summary, TaskProgress, Vacancy, VacateRequest, decode, encode,
+        Demand, JobOutcome, JobRecord, JobState, ProgressRecord, RecordError, Roster, RosterEntry,
+        StepProgress, Summary, TaskProgress, Vacancy, VacateReason, VacateRequest, decode, encode,
     },
     serving::{AdviceSettings, CallerLimits, PoolSettings, QueueSettings, ServingDocument},
     wave::{WaveNumber, WaveRecord, WaveRequest, WaveState},
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -141,13 +141,37 @@
 pub struct Summary {
     /// Queues with the number of their jobs of which no task has started.
     pub waiting: Vec<(QueueId, u64)>,
+    /// What the pool needs.
+    pub demand: Demand,
+}
+
+/// What a pool's work asks for, as far as its controller knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Work that arrives, in thousandths of a core.
+    pub arriving_millicores: u64,
+    /// Work that has arrived and was not started, in core-milliseconds.
+    pub backlog_core_ms: u64,
+    /// Tasks that last, in thousandths of a core.
+    pub lasting_millicores: u64,
+    /// Workers on which nothing runs.
+    pub idle: Vec<WorkerId>,
 }
 
 /// Value of `fleet/vacate/<worker>`: the pool's controller is to empty it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VacateRequest {
-    /// The wave that the worker's host is part of.
-    pub wave: WaveNumber,
+    /// What its host is needed for.
+    pub reason: VacateReason,
+}
+
+/// Why a worker is emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VacateReason {
+    /// Upkeep in a wave.
+    Wave(WaveNumber),
+    /// A move to another pool.
+    Move,
 }
 
 /// Value of `fleet/vacated/<worker>`: nothing runs on the worker and nothing
