Keep jobs waiting that arrive while control is not confirmed

Ruled out: the lease of the worker, as the job was accepted after the change. Change: a job starts only if it arrived before control was last confirmed.

--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -50,7 +50,11 @@
     fn waiting_steps(&self, now_ms: u64) -> Vec<(Rank, TaskRef)> {
         let mut waiting = Vec::new();
         for (key, job) in self.ledger.iter() {
-            if job.outcome.is_some() || (job.is_inherited && self.unsettled.is_some()) {
+            // A successor may have started a job that arrived while control was
+            // not confirmed.
+            let may_be_anothers = job.arrived_ms >= self.confirmed_until_ms
+                || (job.is_inherited && self.unsettled.is_some());
+            if job.outcome.is_some() || may_be_anothers {
                 continue;
             }
             let mut common = None;
--- a/crates/dispatch/src/coordination/pool/tests/control.rs
+++ b/crates/dispatch/src/coordination/pool/tests/control.rs
@@ -90,3 +90,19 @@
     assert!(world.is_fenced(0));
     assert!(!world.is_fenced(1));
 }
+
+/// Guards against a former holder that learns of a job which its successor has
+/// started already: the cut between it and the store heals before it learns of
+/// the successor.
+#[test]
+fn job_that_arrives_under_unconfirmed_control_waits() {
+    let mut world = World::new(2, 32);
+    let confirmed_until_ms = world.now_ms + 500;
+    world.engine(0).confirm_control(confirmed_until_ms);
+    world.run_ms(1_000);
+    let number = world.submit(job(vec![step(1, 1_000, 300)]));
+    world.run_ms(1_000);
+    assert_eq!(world.starts, 0);
+    world.engine(0).confirm_control(u64::MAX);
+    world.run_until(1_000, |world| world.outcome(number) == Some(JobOutcome::Done));
+}
