Expect the peak of a surge from its onset and switch idle hosts off

Change: demand leaves out the largest job of late; a surge is half of what a pool holds at first, smoothed over a second, and its peak is expected from earlier peaks; hosts are usable when their move is over; pools whose turn is not next give up and switch off what they do not need.

--- a/crates/dispatch/src/coordination/balance/engine.rs
+++ b/crates/dispatch/src/coordination/balance/engine.rs
@@ -20,8 +20,10 @@
 /// Share of a host's processors that work fills in practice, in percent.
 const FILL_PERCENT: u64 = 85;
 /// Share of its first size that a pool keeps when others need hosts, in
-/// percent: its own surge begins on these.
-const KEEP_PERCENT: u64 = 50;
+/// percent, if its turn may be next: its own surge begins on these.
+const KEEP_NEXT_PERCENT: usize = 60;
+/// The same for a pool that others come before.
+const KEEP_PERCENT: usize = 25;
 /// Moves and requests under way at once.
 const UNDER_WAY_MAX: usize = 24;
 /// Time after which a request to empty a worker that was not met is withdrawn,
@@ -32,10 +34,9 @@
 const ORDER_RETRY_MS: u64 = 400;
 /// Time by which the host list may lag behind, in milliseconds.
 const LIST_LAG_MS: u64 = 1_200;
-/// Time without any need after which hosts beyond the pools' first sizes are
-/// switched off, in milliseconds; two moves cost about as much as a host that
-/// is on for this time.
-const PARK_AFTER_MS: u64 = 3_000;
+/// Time without any need after which spare hosts are switched off, in
+/// milliseconds: backlog that grows shows within it.
+const PARK_AFTER_MS: u64 = 1_000;
 /// Age up to which a pool's report is believed, in milliseconds.
 const REPORT_MAX_MS: u64 = 10_000;
 
@@ -91,8 +92,13 @@
     working: HashSet<PoolId>,
     reports: HashMap<PoolId, Report>,
     transfers: BTreeMap<HostId, Transfer>,
+    /// Pools of hosts whose moves are over and that older lists do not show,
+    /// with the time from which a list shows them.
+    arrived: HashMap<HostId, (PoolId, u64)>,
     /// Workers whose requests have served their purpose.
     served: Vec<WorkerId>,
+    /// Workers that ended with a move; the registry lists them for seconds.
+    left: HashSet<WorkerId>,
     turns: Turns,
     last_need_ms: u64,
 }
@@ -109,7 +115,9 @@
             working: HashSet::new(),
             reports: HashMap::new(),
             transfers: BTreeMap::new(),
+            arrived: HashMap::new(),
             served: Vec::new(),
+            left: HashSet::new(),
             turns: Turns::default(),
             last_need_ms: 0,
         }
@@ -127,7 +135,9 @@
     /// Takes in a pool's report.
     pub fn on_demand(&mut self, now: ClockReading, pool: PoolId, demand: Demand) {
         let at_ms = now.monotonic_ms;
-        self.turns.on_demand(at_ms, &pool, demand.arriving_millicores);
+        let first = self.first_sizes.get(&pool).copied().unwrap_or(0) as u64;
+        let capacity_millicores = first * self.host_millicores;
+        self.turns.on_demand(at_ms, &pool, demand.arriving_millicores, capacity_millicores);
         self.reports.insert(pool, Report { demand, at_ms });
     }
 
@@ -139,12 +149,14 @@
                 *self.first_sizes.entry(view.pool.clone()).or_default() += 1;
             }
         }
-        let settled_ms = self.timing.move_ms + LIST_LAG_MS;
         let known = &self.hosts;
-        self.transfers.retain(|host, transfer| match transfer.stage {
-            Stage::Moved { at_ms } => sent_ms < at_ms + settled_ms && known.contains_key(host),
-            _ => known.contains_key(host),
-        });
+        self.transfers.retain(|host, _| known.contains_key(host));
+        self.arrived.retain(|_, (_, shown_ms)| sent_ms < *shown_ms);
+        for (host, (pool, _)) in &self.arrived {
+            if let Some(view) = self.hosts.get_mut(host) {
+                arrive(view, pool);
+            }
+        }
     }
 
     /// Takes in the registry, which tells a host's worker sooner than the list.
@@ -153,6 +165,9 @@
         I: IntoIterator<Item = &'a WorkerEntry>,
     {
         for entry in workers {
+            if self.left.contains(&entry.worker) {
+                continue;
+            }
             self.host_millicores = self.host_millicores.max(entry.capacity.cpu_millicores);
             if let Some(view) = self.hosts.get_mut(&entry.host) {
                 view.worker = Some(entry.worker.clone());
@@ -170,6 +185,7 @@
             "move was ordered");
         match reply {
             HostOrderReply::Begun => {
+                self.left.extend(worker.clone());
                 self.served.extend(worker.take());
                 transfer.stage = Stage::Moved { at_ms: now_ms };
             }
@@ -247,7 +263,7 @@
         actions: &mut Vec<BalanceAction>,
     ) {
         actions.extend(self.served.drain(..).map(BalanceAction::Release));
-        let mut given_up = Vec::new();
+        let mut over = Vec::new();
         for (host, transfer) in &mut self.transfers {
             match &mut transfer.stage {
                 Stage::Vacating { worker, .. } if vacated.contains(worker) => {
@@ -257,16 +273,24 @@
                 }
                 Stage::Vacating { worker, since_ms } if now_ms > *since_ms + VACATE_MAX_MS => {
                     actions.push(BalanceAction::Release(worker.clone()));
-                    given_up.push(host.clone());
+                    over.push(host.clone());
                 }
                 Stage::Ordering { next_ms, in_flight, .. } if !*in_flight && now_ms >= *next_ms => {
                     *in_flight = true;
                     actions.push(BalanceAction::Move(host.clone(), transfer.to.clone()));
                 }
+                Stage::Moved { at_ms } if now_ms >= *at_ms + self.timing.move_ms => {
+                    let shown_ms = *at_ms + self.timing.move_ms + LIST_LAG_MS;
+                    self.arrived.insert(host.clone(), (transfer.to.clone(), shown_ms));
+                    if let Some(view) = self.hosts.get_mut(host) {
+                        arrive(view, &transfer.to);
+                    }
+                    over.push(host.clone());
+                }
                 _ => {}
             }
         }
-        for host in given_up {
+        for host in over {
             self.transfers.remove(&host);
         }
     }
@@ -319,8 +343,8 @@
             if self.standby.as_ref() == Some(pool) {
                 return usize::MAX;
             }
-            let first = self.first_sizes.get(pool).copied().unwrap_or(0);
-            let kept = (first * KEEP_PERCENT as usize).div_ceil(100);
+            let percent = if self.may_be_next(pool) { KEEP_NEXT_PERCENT } else { KEEP_PERCENT };
+            let kept = self.share_of_first(pool, percent);
             size.saturating_sub(needs.get(pool).copied().unwrap_or(0).max(kept))
         };
         let idle: HashSet<&WorkerId> =
@@ -356,7 +380,15 @@
         self.transfers.insert(host, Transfer { to, stage });
     }
 
-    /// Switches off idle hosts beyond the pools' first sizes.
+    fn may_be_next(&self, pool: &PoolId) -> bool {
+        self.turns.may_be_next(pool, &self.working)
+    }
+
+    fn share_of_first(&self, pool: &PoolId, percent: usize) -> usize {
+        (self.first_sizes.get(pool).copied().unwrap_or(0) * percent).div_ceil(100)
+    }
+
+    /// Switches off idle hosts of pools whose turn is not next.
     fn park<F>(
         &mut self,
         now_ms: u64,
@@ -367,11 +399,9 @@
         F: Fn(&HostId) -> bool,
     {
         let Some(standby) = self.standby.clone() else { return };
-        let sizes = self.sizes();
-        let total: usize = self.working.iter().filter_map(|pool| sizes.get(pool)).sum();
-        let first: usize = self.working.iter().filter_map(|pool| self.first_sizes.get(pool)).sum();
-        for _ in first..total {
-            let Some(host) = self.choose_idle(needs, is_reserved) else { return };
+        while self.transfers.len() < UNDER_WAY_MAX
+            && let Some(host) = self.choose_idle(needs, is_reserved)
+        {
             self.begin(now_ms, host, standby.clone(), actions);
         }
     }
@@ -383,8 +413,9 @@
         let sizes = self.sizes();
         let beyond = |pool: &PoolId| {
             let size = sizes.get(pool).copied().unwrap_or(0);
-            let first = self.first_sizes.get(pool).copied().unwrap_or(0);
-            size.saturating_sub(needs.get(pool).copied().unwrap_or(0).max(first))
+            let percent = if self.may_be_next(pool) { 100 } else { KEEP_PERCENT };
+            let kept = self.share_of_first(pool, percent);
+            size.saturating_sub(needs.get(pool).copied().unwrap_or(0).max(kept))
         };
         let idle: HashSet<&WorkerId> =
             self.reports.values().flat_map(|report| &report.demand.idle).collect();
@@ -399,3 +430,12 @@
         found.map(|view| view.host.clone())
     }
 }
+
+/// Notes that a host has joined a pool; its worker is known once it registers.
+fn arrive(view: &mut HostView, pool: &PoolId) {
+    if view.pool != *pool || view.state != HostState::Up {
+        view.pool = pool.clone();
+        view.state = HostState::Up;
+        view.worker = None;
+    }
+}
--- a/crates/dispatch/src/coordination/balance/turns.rs
+++ b/crates/dispatch/src/coordination/balance/turns.rs
@@ -4,28 +4,34 @@
 
 use tamarackproxy::state::ids::PoolId;
 
-/// Arriving work that makes a surge, as a multiple of the pool's mean.
-const SURGE_FACTOR: f64 = 1.6;
-/// Arriving work below which a surge is over, as a multiple of the mean.
-const LULL_FACTOR: f64 = 0.8;
-/// Smallest arriving work that counts as a surge, in thousandths of a core.
-const SURGE_MIN_MILLICORES: f64 = 24_000.0;
-/// Time over which a pool's mean is taken, in milliseconds: two rounds of
-/// turns.
-const MEAN_MS: f64 = 20_000.0;
+/// Arriving work that makes a surge, as a share of what the pool holds at
+/// first: the users' surges ask for more than all of it.
+const SURGE_SHARE: f64 = 0.5;
+/// Arriving work below which a surge is over, as the same share.
+const LULL_SHARE: f64 = 0.2;
+/// Time over which arriving work is averaged, in milliseconds: a few of the
+/// largest jobs.
+const SMOOTHING_MS: f64 = 1_000.0;
+/// Peak of a surge as a multiple of what the pool holds at first, before any
+/// surge was seen: the users' surges ask for more than the pool holds.
+const FIRST_PEAK_RATIO: f64 = 1.4;
+/// Time from the start of a surge in which its peak is expected rather than
+/// measured, in milliseconds: twice the smoothing.
+const ONSET_MS: u64 = 2_000;
 /// Shortest time of a turn, in milliseconds; shorter peaks are noise.
 const TURN_MIN_MS: u64 = 1_200;
 
 #[derive(Clone, Debug, Default)]
 struct PoolTurns {
-    mean_millicores: f64,
+    smooth_millicores: f64,
     updated_ms: u64,
     surge_since_ms: Option<u64>,
     last_start_ms: Option<u64>,
     /// Length of the last whole surge.
     length_ms: Option<u64>,
-    /// Largest demand of the last surges.
+    /// Largest demand of the last surge.
     peak_millicores: u64,
+    capacity_millicores: u64,
     /// Pool whose surge followed this one's the last time.
     successor: Option<PoolId>,
 }
@@ -38,21 +44,29 @@
 }
 
 impl Turns {
-    /// Takes in the work that arrives at a pool.
-    pub(super) fn on_demand(&mut self, now_ms: u64, pool: &PoolId, arriving_millicores: u64) {
-        let arriving = arriving_millicores as f64;
+    /// Takes in the work that arrives at a pool, which holds `capacity` at first;
+    /// both in thousandths of a core.
+    pub(super) fn on_demand(
+        &mut self,
+        now_ms: u64,
+        pool: &PoolId,
+        arriving_millicores: u64,
+        capacity_millicores: u64,
+    ) {
+        let capacity = capacity_millicores as f64;
         let turns = self.pools.entry(pool.clone()).or_default();
         let elapsed_ms = now_ms.saturating_sub(turns.updated_ms) as f64;
-        let weight = if turns.updated_ms == 0 { 1.0 } else { (elapsed_ms / MEAN_MS).min(1.0) };
+        let weight = 1.0 - (-elapsed_ms / SMOOTHING_MS).exp();
         turns.updated_ms = now_ms;
-        turns.mean_millicores += weight * (arriving - turns.mean_millicores);
-        let is_surge =
-            arriving > turns.mean_millicores * SURGE_FACTOR && arriving > SURGE_MIN_MILLICORES;
+        turns.capacity_millicores = capacity_millicores;
+        turns.smooth_millicores += weight * (arriving_millicores as f64 - turns.smooth_millicores);
+        let arriving = turns.smooth_millicores;
+        let is_surge = capacity > 0.0 && arriving > capacity * SURGE_SHARE;
         match turns.surge_since_ms {
             None if is_surge => {
                 turns.surge_since_ms = Some(now_ms);
                 turns.last_start_ms = Some(now_ms);
-                turns.peak_millicores = arriving_millicores;
+                turns.peak_millicores = arriving as u64;
                 let previous = self.latest.replace(pool.clone());
                 if let Some(previous) = previous.filter(|previous| previous != pool)
                     && let Some(previous) = self.pools.get_mut(&previous)
@@ -60,18 +74,55 @@
                     previous.successor = Some(pool.clone());
                 }
             }
-            Some(since_ms) if arriving < turns.mean_millicores * LULL_FACTOR => {
+            Some(since_ms) if arriving < capacity * LULL_SHARE => {
                 turns.surge_since_ms = None;
                 let length_ms = now_ms.saturating_sub(since_ms);
                 if length_ms >= TURN_MIN_MS {
                     turns.length_ms = Some(length_ms);
                 }
             }
-            Some(_) => turns.peak_millicores = turns.peak_millicores.max(arriving_millicores),
+            Some(_) => turns.peak_millicores = turns.peak_millicores.max(arriving as u64),
             None => {}
         }
     }
 
+    /// Tells whether a pool's surge may come next: it does not surge now, and no
+    /// other pool has waited longer for its turn.
+    pub(super) fn may_be_next<'a, I>(&self, pool: &PoolId, pools: I) -> bool
+    where
+        I: IntoIterator<Item = &'a PoolId>,
+    {
+        let turn = |pool: &PoolId| self.pools.get(pool).map(|turns| turns.last_start_ms);
+        let own = turn(pool).flatten();
+        let is_surging = self.pools.get(pool).is_some_and(|turns| turns.surge_since_ms.is_some());
+        !is_surging && pools.into_iter().all(|other| turn(other).flatten() >= own)
+    }
+
+    /// Returns the mean peak of the surges that are over, as a multiple of what
+    /// their pools hold at first.
+    fn peak_ratio(&self) -> f64 {
+        let ratios = self.pools.values().filter(|turns| turns.length_ms.is_some());
+        let ratios: Vec<f64> = ratios
+            .map(|turns| turns.peak_millicores as f64 / turns.capacity_millicores.max(1) as f64)
+            .collect();
+        if ratios.is_empty() {
+            return FIRST_PEAK_RATIO;
+        }
+        ratios.iter().sum::<f64>() / ratios.len() as f64
+    }
+
+    /// Returns the work that a surge which has just begun will bring, in
+    /// thousandths of a core.
+    fn onset(&self, now_ms: u64, pool: &PoolId) -> u64 {
+        let Some(turns) = self.pools.get(pool) else { return 0 };
+        match turns.surge_since_ms {
+            Some(since_ms) if now_ms < since_ms + ONSET_MS => {
+                (self.peak_ratio() * turns.capacity_millicores as f64) as u64
+            }
+            _ => 0,
+        }
+    }
+
     /// Returns the work expected at a pool within `horizon_ms`, in thousandths
     /// of a core: the peak of its last surge if its turn is about to come.
     pub(super) fn forecast(&self, now_ms: u64, horizon_ms: u64, pool: &PoolId) -> u64 {
@@ -85,6 +136,6 @@
             let is_near = now_ms + horizon_ms >= ends_ms && now_ms < ends_ms + horizon_ms;
             is_near.then(|| self.pools.get(pool).map_or(0, |turns| turns.peak_millicores))
         };
-        expected().unwrap_or(0)
+        expected().unwrap_or(0).max(self.onset(now_ms, pool))
     }
 }
--- a/crates/dispatch/src/coordination/pool/durations.rs
+++ b/crates/dispatch/src/coordination/pool/durations.rs
@@ -8,31 +8,38 @@
 /// Factor around the average within which a declared duration is believed.
 const BELIEF: f64 = 3.0;
 
-/// Time over which arriving work is averaged, in milliseconds: several arrivals
-/// of the queue with the largest jobs, and well below the length of a surge.
-const ARRIVAL_MS: f64 = 700.0;
+/// Time over which arriving work is averaged, in milliseconds: two arrivals of
+/// the queue with the largest jobs, and a tenth of a surge.
+const ARRIVAL_MS: f64 = 400.0;
 
 /// Rate of arriving work, which forgets exponentially.
+///
+/// The largest job of late is left out: a single one is no sign that others
+/// follow.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ArrivalRate {
     core_ms: f64,
+    largest_core_ms: f64,
     at_ms: u64,
 }
 
 impl ArrivalRate {
     pub(super) fn add(&mut self, now_ms: u64, core_ms: f64) {
-        self.core_ms = self.decayed(now_ms) + core_ms;
+        let kept = self.kept_share(now_ms);
+        self.core_ms = self.core_ms * kept + core_ms;
+        self.largest_core_ms = (self.largest_core_ms * kept).max(core_ms);
         self.at_ms = now_ms;
     }
 
-    fn decayed(&self, now_ms: u64) -> f64 {
+    fn kept_share(&self, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.core_ms * (-age_ms / ARRIVAL_MS).exp()
+        (-age_ms / ARRIVAL_MS).exp()
     }
 
     /// Returns the rate in thousandths of a core.
     pub(super) fn millicores(&self, now_ms: u64) -> u64 {
-        (self.decayed(now_ms) / ARRIVAL_MS * 1_000.0) as u64
+        let core_ms = (self.core_ms - self.largest_core_ms) * self.kept_share(now_ms);
+        (core_ms / ARRIVAL_MS * 1_000.0) as u64
     }
 }
 
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -10,6 +10,7 @@
     durations::{ArrivalRate, Durations},
     events::{JobKey, LookOrder, PoolAction, WorkerContact, WorkerKey},
     ledger::{Job, Ledger},
+    placement::TOUCH_MS,
     task::TaskRef,
     workers::{EndMark, Presence, Worker, WorkerTable},
     writer::{PoolWrite, Records, WriteResult, Writer},
@@ -452,6 +453,7 @@
     /// Tells the holder of upkeep what the pool needs. Figures are rounded, so
     /// that small changes cost no write.
     fn demand(&self, now_ms: u64) -> Demand {
+        let in_touch = |worker: &Worker| worker.is_in_touch(now_ms, TOUCH_MS);
         let round = |value: u64, unit: u64| value.div_ceil(unit) * unit;
         let live = || self.ledger.iter().filter(|(_, job)| job.outcome.is_none());
         let backlog_core_ms: f64 = live().map(|(_, job)| self.batch_work_core_ms(job)).sum();
@@ -460,6 +462,7 @@
             lasting.map(|step| u64::from(step.tasks) * step.charge().cpu_millicores).sum();
         let is_idle = |worker: &&Worker| {
             worker.is_empty()
+                && in_touch(worker)
                 && worker.presence == Presence::Registered(Registration::Ready)
                 && !self.vacating.contains(&worker.entry.worker)
         };
--- a/crates/dispatch/src/coordination/pool/writer.rs
+++ b/crates/dispatch/src/coordination/pool/writer.rs
@@ -18,7 +18,7 @@
 /// Interval between summaries, in milliseconds: a fraction of the time that a
 /// host takes to join a pool which asks for it, and of the two seconds that
 /// callers accept as the age of counts.
-const SUMMARY_INTERVAL_MS: u64 = 250;
+const SUMMARY_INTERVAL_MS: u64 = 200;
 /// Delay before a write without reply is sent again, in milliseconds.
 const RETRY_MS: u64 = 100;
 
