Do not wait after a takeover for workers that left with their hosts

Change: the roster leaves out workers confirmed to be empty, and a later life of a host in any pool ends the wait.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -104,6 +104,9 @@
     pub(super) writer: Writer,
     pub(super) durations: Durations,
     pub(super) vacating: HashSet<WorkerId>,
+    /// Start of the latest life on each host of the registry, whatever its
+    /// pool, in milliseconds since 1970.
+    host_lives: HashMap<HostId, u64>,
     /// Until then no successor can hold control, on the own clock.
     pub(super) confirmed_until_ms: u64,
     /// Planned stops wait until then, on the own clock.
@@ -131,6 +134,7 @@
             writer: Writer::default(),
             durations: Durations::default(),
             vacating: HashSet::new(),
+            host_lives: HashMap::new(),
             confirmed_until_ms: 0,
             quiet_until_ms: 0,
             unsettled: Some(Vec::new()),
@@ -169,14 +173,22 @@
 
     /// Takes over the workers that are to be emptied.
     pub fn set_vacating(&mut self, vacating: HashSet<WorkerId>) {
+        let mut is_kept = false;
         for (_, worker) in self.workers.iter_mut() {
-            worker.is_vacated &= vacating.contains(&worker.entry.worker);
+            if worker.is_vacated && !vacating.contains(&worker.entry.worker) {
+                worker.is_vacated = false;
+                worker.is_rostered = false;
+                is_kept = true;
+            }
         }
         self.vacating = vacating;
+        if is_kept {
+            self.roster_changed();
+        }
         self.placing_due = true;
     }
 
-    /// Takes in the pool's part of the registry.
+    /// Takes in the whole registry.
     pub fn on_registry<'a, I>(&mut self, entries: I)
     where
         I: IntoIterator<Item = &'a WorkerEntry>,
@@ -184,7 +196,12 @@
         let mut listed = HashSet::new();
         let mut changed = false;
         let pool = self.tenancy.pool.clone();
-        for entry in entries.into_iter().filter(|entry| entry.pool == pool) {
+        for entry in entries {
+            let born = self.host_lives.entry(entry.host.clone()).or_default();
+            *born = (*born).max(entry.born_unix_ms);
+            if entry.pool != pool {
+                continue;
+            }
             let known = self.workers.find(&entry.worker);
             let same_life = known.filter(|&key| {
                 self.workers.get(key).is_some_and(|worker| {
@@ -235,13 +252,10 @@
     /// Ends the lives of workers whose hosts run a later one: a host runs one
     /// worker at a time.
     fn end_earlier_lives(&mut self) {
-        let mut latest: HashMap<HostId, u64> = HashMap::new();
-        for (_, worker) in self.workers.iter() {
-            let born = latest.entry(worker.entry.host.clone()).or_default();
-            *born = (*born).max(worker.entry.born_unix_ms);
-        }
         let over: Vec<WorkerKey> = (self.workers.iter())
-            .filter(|(_, worker)| worker.entry.born_unix_ms < latest[&worker.entry.host])
+            .filter(|(_, worker)| {
+                self.has_later_life(&worker.entry.host, worker.entry.born_unix_ms)
+            })
             .map(|(key, _)| key)
             .collect();
         for key in over {
@@ -249,13 +263,22 @@
         }
     }
 
+    /// Tells whether a host runs a later life than the one that began at
+    /// `born_unix_ms`.
+    pub(super) fn has_later_life(&self, host: &HostId, born_unix_ms: u64) -> bool {
+        self.host_lives.get(host).is_some_and(|&latest| latest > born_unix_ms)
+    }
+
+    /// Names the workers on which something may run. Those that were confirmed
+    /// to be empty are left out: they may be gone with their host's move.
     pub(super) fn roster_changed(&mut self) {
         let entry = |worker: &Worker| RosterEntry {
             worker: worker.entry.worker.clone(),
             host: worker.entry.host.clone(),
             born_unix_ms: worker.entry.born_unix_ms,
         };
-        let mut workers: Vec<_> = self.workers.iter().map(|(_, worker)| entry(worker)).collect();
+        let named = self.workers.iter().filter(|(_, worker)| !worker.is_vacated);
+        let mut workers: Vec<_> = named.map(|(_, worker)| entry(worker)).collect();
         // Until it is settled what a predecessor started, its workers stay
         // named for a successor.
         for absent in self.unsettled.iter().flatten() {
--- a/crates/dispatch/src/coordination/pool/recovery.rs
+++ b/crates/dispatch/src/coordination/pool/recovery.rs
@@ -66,26 +66,24 @@
     /// Ends the wait for the predecessor's runs once every worker that may run
     /// one was listed, or all that it granted is over.
     pub(super) fn settle(&mut self, now_ms: u64) {
-        let Some(unsettled) = &mut self.unsettled else { return };
+        let Some(mut unsettled) = self.unsettled.take() else { return };
         let workers = &self.workers;
         unsettled.retain(|entry| {
             let found = workers.find(&entry.worker).and_then(|key| workers.get(key));
             let is_listed = found.is_some_and(|worker| worker.looked_ms.is_some());
             // A later life on the host runs nothing of the earlier one.
-            let is_over = workers.iter().any(|(_, worker)| {
-                worker.entry.host == entry.host && worker.entry.born_unix_ms > entry.born_unix_ms
-            });
-            !is_listed && !is_over
+            !is_listed && !self.has_later_life(&entry.host, entry.born_unix_ms)
         });
         let known_are_listed = workers.iter().all(|(_, worker)| worker.looked_ms.is_some());
         let is_over = now_ms >= self.tenancy.predecessor_until_ms;
         if (unsettled.is_empty() && known_are_listed) || is_over {
             log::info!(pool = self.tenancy.pool.as_str(), not_listed = unsettled.len(),
                 timed_out = is_over; "the predecessor's runs are accounted for");
-            self.unsettled = None;
             self.quiet_until_ms = now_ms + HANDOVER_QUIET_MS;
             self.roster_changed();
             self.placing_due = true;
+        } else {
+            self.unsettled = Some(unsettled);
         }
     }
 }
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -138,9 +138,11 @@
         let is_asked = self.vacating.contains(&worker.entry.worker);
         if is_asked && is_over && !worker.is_vacated && self.unsettled.is_none() {
             worker.is_vacated = true;
+            worker.is_rostered = false;
             log::info!(host = worker.entry.host.as_str(), worker = worker.entry.worker.as_str();
                 "host is vacated");
             self.actions.push(PoolAction::Vacated(worker.entry.worker.clone()));
+            self.roster_changed();
         }
     }
 
--- a/crates/dispatch/src/coordination/pool/tests/vacating.rs
+++ b/crates/dispatch/src/coordination/pool/tests/vacating.rs
@@ -3,7 +3,7 @@
 use hashbrown::HashSet;
 
 use super::driver::{World, job, lasting, step};
-use crate::state::Registration;
+use crate::state::{JobOutcome, Registration};
 
 /// Guards against upkeep that makes more tasks of a lasting step unavailable
 /// than the job allows: two workers are emptied at once.
@@ -39,6 +39,23 @@
     assert_eq!(world.starts, 1);
 }
 
+/// Guards against a successor that waits for a worker which was emptied and has
+/// left with its host's move.
+#[test]
+fn successor_does_not_wait_for_an_emptied_worker() {
+    let mut world = World::new(3, 32);
+    let number = world.submit(job(vec![step(2, 1_000, 4_000), step(2, 1_000, 300)]));
+    world.run_ms(300);
+    let at = (0..3).find(|&at| world.workers[at].runs().is_empty()).expect("an idle worker");
+    let name = world.workers[at].entry.worker.clone();
+    world.engine(0).set_vacating([name].into());
+    world.run_ms(500);
+    world.kill(0);
+    world.workers.remove(at);
+    world.add_controller();
+    world.run_until(5_000, |world| world.outcome(number) == Some(JobOutcome::Done));
+}
+
 /// Guards against work for a worker that drains, and against lasting tasks that
 /// wait there for its end.
 #[test]
