Place in rounds and let larger hosts take control first

Change: rounds of placing are 8 ms apart and leave out steps that fit nowhere; stops look only at jobs that changed; the delay before an attempt for control grows with each halving of the host's processors below half a core.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -36,6 +36,9 @@
 /// ask, in milliseconds: clocks of processes differ by less.
 const KEEP_MARGIN_MS: u64 = 30_000;
 
+/// Shortest interval between two rounds of placing, in milliseconds: events
+/// that come closer share a round.
+const PLACE_INTERVAL_MS: u64 = 8;
 /// Unit to which reported needs are rounded up, in thousandths of a core and in
 /// core-milliseconds.
 const ROUNDING: u64 = 16_000;
@@ -118,7 +121,10 @@
     /// Ended jobs by the time of their end, for their removal.
     finished: Vec<(u64, JobNumber)>,
     pub(super) placing_due: bool,
+    next_place_ms: u64,
     next_check_ms: u64,
+    /// Jobs of which runs may have to be stopped.
+    pub(super) unwanted: HashSet<JobKey>,
     pub(super) actions: Vec<PoolAction>,
 }
 
@@ -141,7 +147,9 @@
             arrivals: ArrivalRate::default(),
             finished: Vec::new(),
             placing_due: false,
+            next_place_ms: 0,
             next_check_ms: 0,
+            unwanted: HashSet::new(),
             actions: Vec::new(),
         }
     }
@@ -336,6 +344,7 @@
                 runs = job.live_runs; "job was ended by its record");
         }
         job.outcome = Some(outcome);
+        self.unwanted.insert(key);
         self.writer.forget_job(key);
         self.placing_due = true;
         self.remove_if_over(key);
@@ -356,6 +365,7 @@
         let Some(job) = self.ledger.job_mut(key) else { return };
         if job.outcome.is_none() {
             job.outcome = Some(outcome);
+            self.unwanted.insert(key);
             log::info!(job:display = job.number, queue = job.queue.as_str(),
                 outcome:display = outcome, term = self.tenancy.term.0; "job ended");
             self.writer.end(key);
@@ -421,8 +431,9 @@
             self.next_check_ms = now_ms + CHECK_INTERVAL_MS;
             self.check(now);
         }
-        if self.placing_due {
+        if self.placing_due && now_ms >= self.next_place_ms {
             self.placing_due = false;
+            self.next_place_ms = now_ms + PLACE_INTERVAL_MS;
             self.stop_unwanted(now_ms);
             self.place(now_ms);
             self.summarize(now_ms);
@@ -555,7 +566,8 @@
     pub fn next_step_ms(&self) -> u64 {
         let looks = self.workers.iter().filter(|(_, worker)| worker.look_sent_ms.is_none());
         let looks = looks.map(|(_, worker)| worker.next_look_ms);
-        let times = looks.chain(self.writer.due_ms());
+        let placing = self.placing_due.then_some(self.next_place_ms);
+        let times = looks.chain(self.writer.due_ms()).chain(placing);
         times.fold(self.next_check_ms, u64::min)
     }
 
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -143,6 +143,9 @@
             is_job_done |= self.ledger.complete(member) == Completion::Job;
         }
         let mark = self.mark(now_ms, task);
+        if spec.allows_copies || spec.is_gang {
+            self.unwanted.insert(task.job);
+        }
         if is_job_done {
             self.end_job(task.job, JobOutcome::Done);
         }
@@ -333,6 +336,7 @@
             job.live_runs += 1;
             job.has_started = true;
         }
+        self.unwanted.insert(task.job);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.charge(task, running.run, charge);
         }
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -49,6 +49,7 @@
     /// Lists open steps with waiting tasks, in the order of their ranks.
     fn waiting_steps(&self, now_ms: u64) -> Vec<(Rank, TaskRef)> {
         let mut waiting = Vec::new();
+        let largest = self.largest_room(now_ms);
         for (key, job) in self.ledger.iter() {
             // A successor may have started a job that arrived while control was
             // not confirmed.
@@ -60,7 +61,9 @@
             let mut common = None;
             for (&occurrence, state) in &job.occurrences {
                 for (index, step) in state.steps.iter().enumerate() {
-                    let waits = step.is_open() && step.tasks.iter().any(|task| task.waits(now_ms));
+                    let fits = job.spec.steps[index].charge().fits_in(&largest);
+                    let waits =
+                        fits && step.is_open() && step.tasks.iter().any(|task| task.waits(now_ms));
                     if !waits {
                         continue;
                     }
@@ -76,6 +79,19 @@
         waiting
     }
 
+    /// Returns the largest room in each part, on whatever worker: a task that
+    /// needs more finds no place, whatever its rank.
+    fn largest_room(&self, now_ms: u64) -> Resources {
+        let open = self.workers.iter().filter(|(_, worker)| takes_work(worker, now_ms));
+        open.map(|(_, worker)| worker.room()).fold(Resources::default(), |largest, room| {
+            Resources {
+                cpu_millicores: largest.cpu_millicores.max(room.cpu_millicores),
+                memory_bytes: largest.memory_bytes.max(room.memory_bytes),
+                accelerators: largest.accelerators.max(room.accelerators),
+            }
+        })
+    }
+
     /// Gathers what the order of a job's steps depends on.
     fn view(&self, job: &Job, now_ms: u64) -> Waiting {
         let policy = self.policy(&job.queue);
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -38,7 +38,7 @@
     /// Stops what must not run: tasks of ended jobs, copies of done tasks, and
     /// what stands in the way of upkeep or leaves with its worker.
     pub(super) fn stop_unwanted(&mut self, now_ms: u64) {
-        for key in self.ledger.keys() {
+        for key in std::mem::take(&mut self.unwanted) {
             let Some(job) = self.ledger.job(key) else { continue };
             if job.live_runs == 0 {
                 continue;
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -42,6 +42,12 @@
 /// Delay before an attempt for each scope that is held already, in
 /// milliseconds: several times what an acquisition takes.
 const HELD_DELAY_MS: u64 = 300;
+/// Delay before an attempt for each halving of the host's processors below
+/// [`FULL_CORES`], in milliseconds: control costs processor time, so larger
+/// hosts take it first.
+const HALVING_DELAY_MS: f64 = 350.0;
+/// Processors that are enough to control any pool of the users.
+const FULL_CORES: f64 = 0.5;
 /// Largest drawn part of the delay, in milliseconds.
 const JITTER_MS: u64 = 120;
 /// Longest sleep of an idle lease, in milliseconds.
@@ -177,7 +183,9 @@
     P: Platform,
 {
     let held = shared.held.borrow().len() as u64;
-    held * HELD_DELAY_MS + rand::rng().random_range(0..=JITTER_MS)
+    let halvings = (FULL_CORES / shared.settings.cores.max(0.01)).log2().max(0.0);
+    let size_ms = (halvings * HALVING_DELAY_MS) as u64;
+    held * HELD_DELAY_MS + size_ms + rand::rng().random_range(0..=JITTER_MS)
 }
 
 /// Compares the lease with the holder that the store names.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -12,6 +12,7 @@
 const NAME: &str = "a name of 1 to 64 lower-case letters, digits, '-', '_' and '.'";
 const SECONDS: &str = "a number of seconds such as 6 or 1.5";
 const LEVEL: &str = "off, error, warn, info, debug or trace";
+const CORES: &str = "a number of cores such as 0.25 or 2";
 const COUNT: &str = "a whole number";
 
 /// Settings of one process, complete and checked.
@@ -43,6 +44,8 @@
     pub maintenance_ms: u64,
     /// Time that a host takes to join another pool, in milliseconds.
     pub move_ms: u64,
+    /// Processors of this entry host that the process may use.
+    pub cores: f64,
     /// Connections that may be open at once.
     pub connections_max: usize,
     /// Least severe level that is logged.
@@ -95,8 +98,9 @@
         let status_ms = milliseconds(reader, "ended_jobs_s", 120.0);
         let maintenance_ms = milliseconds(reader, "maintenance_s", 2.0);
         let move_ms = milliseconds(reader, "host_move_s", 1.5);
+        let cores = reader.or_default("cores", CORES, 1.0_f64);
         let descriptors = reader.or_default("descriptors", COUNT, 1_024_usize);
-        Some((stop_ms, hold_max_ms, status_ms, maintenance_ms, move_ms, descriptors))
+        Some((stop_ms, hold_max_ms, status_ms, maintenance_ms, move_ms, cores, descriptors))
     });
     let level = section(sections, "log", errors, |reader| {
         Some(reader.or_default("level", LEVEL, LevelFilter::Info))
@@ -113,7 +117,7 @@
     let (entry, data_centre) = entry?;
     let (callers, ready, metrics) = listen?;
     let (store, hosts, advice) = platform?;
-    let (stop_ms, hold_max_ms, status_ms, maintenance_ms, move_ms, descriptors) = limits?;
+    let (stop_ms, hold_max_ms, status_ms, maintenance_ms, move_ms, cores, descriptors) = limits?;
     Some(DispatchSettings {
         entry,
         data_centre,
@@ -128,6 +132,7 @@
         status_ms,
         maintenance_ms,
         move_ms,
+        cores,
         // Files, own connections to store and workers, and reserve take half.
         connections_max: (descriptors / 2).max(64),
         level: level?,
