--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -29,7 +29,7 @@
 pub(super) const LOOK_RETRY_MS: u64 = 150;
 /// Delay before the next look after one with ends, so that ends which follow
 /// closely share it, in milliseconds.
-pub(super) const LOOK_GAP_MS: u64 = 12;
+pub(super) const LOOK_GAP_MS: u64 = 22;
 /// Interval of checks that depend on time alone, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 100;
 /// Time for which ended jobs are kept beyond the time for which callers may
--- a/crates/dispatch/src/coordination/pool/ledger.rs
+++ b/crates/dispatch/src/coordination/pool/ledger.rs
@@ -127,7 +127,7 @@
                     .map(|(index, task)| TaskProgress {
                         index: index as u32,
                         is_done: task.is_done,
-                        failures: task.failures,
+                        failed_runs: task.failed_runs.clone(),
                         checkpoint: task.checkpoint.clone(),
                     })
                     .collect();
@@ -243,7 +243,7 @@
                 let index = saved.index;
                 let task = TaskRef { job: key, occurrence, step: restored.step, index };
                 if let Some(task) = self.task_mut(task) {
-                    task.failures = saved.failures;
+                    task.failed_runs.clone_from(&saved.failed_runs);
                     task.checkpoint = saved.checkpoint.clone();
                 }
                 if saved.is_done {
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -176,17 +176,18 @@
         let attempts_max = self.policy(&self.ledger.job(task.job)?.queue).attempts_max;
         let gang_failures = self.ledger.step(task)?.gang_failures;
         let state = self.ledger.task_mut(task)?;
-        if state.is_done {
+        if state.is_done || state.failed_runs.contains(&run) {
             return None;
         }
-        state.failures += 1;
         state.failed_on = Some(key);
         if spec.is_lasting {
-            let delay_ms = LASTING_RETRY_MIN_MS << (state.failures - 1).min(4);
+            state.lasting_failures += 1;
+            let delay_ms = LASTING_RETRY_MIN_MS << (state.lasting_failures - 1).min(4);
             state.not_before_ms = now_ms + delay_ms.min(LASTING_RETRY_MAX_MS);
             return None;
         }
-        if state.failures.max(gang_failures) >= attempts_max {
+        state.failed_runs.push(run);
+        if (state.failed_runs.len() as u32).max(gang_failures) >= attempts_max {
             self.end_job(task.job, JobOutcome::Failed);
         }
         Some(self.mark(now_ms, task))
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -155,7 +155,8 @@
         let step = self.ledger.step(task)?;
         let state = step.tasks.get(task.index as usize)?;
         let attempts_max = self.policy(&job.queue).attempts_max;
-        let is_last_attempt = !spec.is_lasting && state.failures + 1 >= attempts_max;
+        let is_last_attempt =
+            !spec.is_lasting && state.failed_runs.len() as u32 + 1 >= attempts_max;
         Some(PlaceQuery { spec, step, task: state, is_last_attempt })
     }
 
--- a/crates/dispatch/src/coordination/pool/task.rs
+++ b/crates/dispatch/src/coordination/pool/task.rs
@@ -56,7 +56,10 @@
 pub(super) struct Task {
     pub(super) runs: Vec<Run>,
     pub(super) is_done: bool,
-    pub(super) failures: u32,
+    /// Runs that failed, each counted once however often it is listed.
+    pub(super) failed_runs: Vec<RunNumber>,
+    /// Failures of a lasting task in this term.
+    pub(super) lasting_failures: u32,
     /// Starts in this term.
     pub(super) starts: u32,
     pub(super) checkpoint: Box<str>,
@@ -82,7 +85,7 @@
 
     /// Tells whether the record of progress differs from that of a new task.
     pub(super) fn has_progress(&self) -> bool {
-        self.is_done || self.failures > 0 || !self.checkpoint.is_empty()
+        self.is_done || !self.failed_runs.is_empty() || !self.checkpoint.is_empty()
     }
 }
 
--- a/crates/dispatch/src/coordination/pool/tests/driver.rs
+++ b/crates/dispatch/src/coordination/pool/tests/driver.rs
@@ -533,6 +533,10 @@
         self.ended.get(&job).map(|&(_, outcome)| outcome)
     }
 
+    pub(super) fn has_progress(&self, job: JobNumber) -> bool {
+        self.progress.get(&job).is_some_and(|progress| !progress.steps.is_empty())
+    }
+
     pub(super) fn is_cancelled(&self, job: JobNumber) -> bool {
         let state = &self.jobs[&job].1.state;
         matches!(state, JobState::Ended { outcome: JobOutcome::Cancelled, .. })
--- a/crates/dispatch/src/coordination/pool/tests/failures.rs
+++ b/crates/dispatch/src/coordination/pool/tests/failures.rs
@@ -89,6 +89,21 @@
     assert_eq!(world.starts, 2);
 }
 
+/// Guards against a failure that counts twice: a successor finds it stored and
+/// listed by the worker, and would give the job up.
+#[test]
+fn failure_counts_once_across_a_change_of_control() {
+    let mut world = World::new(2, 32);
+    world.workers.iter_mut().for_each(|worker| worker.fails_all = true);
+    let number = world.submit(job(vec![step(1, 1_000, 600)]));
+    world.run_until(2_000, |world| world.has_progress(number));
+    world.workers.iter_mut().for_each(|worker| worker.fails_all = false);
+    world.kill(0);
+    world.add_controller();
+    world.run_until(3_000, |world| world.outcome(number).is_some());
+    assert_eq!(world.outcome(number), Some(JobOutcome::Done));
+}
+
 /// Guards against a slow worker that holds up a step which allows copies.
 #[test]
 fn copy_ends_a_slow_step() {
--- a/crates/dispatch/src/node/launch.rs
+++ b/crates/dispatch/src/node/launch.rs
@@ -26,7 +26,10 @@
 
 /// Rest after changes of the registry, in milliseconds: workers renew their
 /// entries all the time, and a worker that joins or drains is noticed soon.
-const REGISTRY_REST_MS: u64 = 250;
+const REGISTRY_REST_MS: u64 = 350;
+/// Rest after changes of requests to empty workers, in milliseconds: moves
+/// come in groups, and each of them changes three keys.
+const FLEET_REST_MS: u64 = 40;
 /// Interval at which log lines are written, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 100;
 /// Share of the time of a graceful stop after which the process ends if no
@@ -219,7 +222,7 @@
             let shared = Rc::clone(&shared);
             move |followed| on_fleet(&shared, followed)
         };
-        tokio::task::spawn_local(follow(shared, FLEET_PREFIX.into(), None, 0, sink))
+        tokio::task::spawn_local(follow(shared, FLEET_PREFIX.into(), None, FLEET_REST_MS, sink))
     };
     [&registry, &fleet].map(TaskGuard::new).into()
 }
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -39,6 +39,9 @@
 /// Orders to one worker that may be under way at once. Connections to workers
 /// are counted; a lost reply must not hold up the others all the same.
 const ORDERS_PER_WORKER: usize = 3;
+/// Rest after changes of jobs, in milliseconds: a burst of submissions shares
+/// calls, and a hundredth of the shortest objective is lost.
+const JOBS_REST_MS: u64 = 12;
 /// Delay before the roster is read again, in milliseconds.
 const READ_RETRY_MS: u64 = 100;
 
@@ -89,7 +92,7 @@
         let inputs = inputs.clone();
         move |followed| drop(inputs.send(Input::Jobs(followed)))
     };
-    let jobs = follow(Rc::clone(&shared), jobs_prefix(&pool), Some(jobs.as_of), 0, sink);
+    let jobs = follow(Rc::clone(&shared), jobs_prefix(&pool), Some(jobs.as_of), JOBS_REST_MS, sink);
     let jobs = tokio::task::spawn_local(jobs);
     let _jobs = TaskGuard::new(&jobs);
 
--- a/crates/dispatch/src/node/upkeep.rs
+++ b/crates/dispatch/src/node/upkeep.rs
@@ -31,6 +31,10 @@
     state::{Summary, WaveNumber, WaveRecord},
 };
 
+/// Rest after changes of summaries, in milliseconds: those of several pools
+/// share a call.
+const SUMMARY_REST_MS: u64 = 60;
+
 enum Input {
     Listed(Option<Vec<HostView>>),
     Replied(WaveNumber, HostId, HostOrderReply),
@@ -61,7 +65,7 @@
         // The receiver is gone when control has ended.
         move |followed| drop(inputs.send(Input::Summary(followed)))
     };
-    let summaries = follow(Rc::clone(&shared), SUMMARY_PREFIX.into(), None, 0, sink);
+    let summaries = follow(Rc::clone(&shared), SUMMARY_PREFIX.into(), None, SUMMARY_REST_MS, sink);
     let summaries = tokio::task::spawn_local(summaries);
     let _summaries = TaskGuard::new(&summaries);
     let set = |workers: &Rc<HashSet<WorkerId>>| workers.iter().cloned().collect::<Vec<_>>();
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -8,7 +8,11 @@
     transport::frame::{self, FrameError},
 };
 
-use super::{ids::JobNumber, job::JobSpec, wave::WaveNumber};
+use super::{
+    ids::{JobNumber, RunNumber},
+    job::JobSpec,
+    wave::WaveNumber,
+};
 
 /// Largest record, in bytes; the platform's store holds values of 1 MiB.
 const RECORD_MAX_BYTES: usize = 1 << 20;
@@ -112,8 +116,9 @@
     pub index: u32,
     /// The task has ended well.
     pub is_done: bool,
-    /// Runs that failed.
-    pub failures: u32,
+    /// Runs that failed. A worker lists an end until it is acknowledged, so a
+    /// successor sees ends again that are counted here.
+    pub failed_runs: Vec<RunNumber>,
     /// Latest checkpoint; empty if there is none.
     pub checkpoint: Box<str>,
 }
