Ask the policy service for permissions and keep leftover tasks apart

Tasks that use leftover capacity and tasks with a goal for response times do not share a worker. Before: the two new tests fail to compile without the parts. After: they pass. Left: pacing, which would let both share a worker.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{
+    advice::Advice,
     durations::{ArrivalRate, Durations},
     events::{JobKey, LookOrder, PoolAction, WorkerContact, WorkerKey},
     ledger::{Job, Ledger},
@@ -16,8 +17,8 @@
     writer::{PoolWrite, Records, WriteResult, Writer},
 };
 use crate::state::{
-    Demand, JobNumber, JobOutcome, JobRecord, JobState, ProgressRecord, Registration, Roster,
-    RosterEntry, Summary, WorkerEntry,
+    AdviceSettings, Demand, JobNumber, JobOutcome, JobRecord, JobState, ProgressRecord,
+    Registration, Roster, RosterEntry, Summary, WorkerEntry,
 };
 
 /// Time that a look waits at a worker that runs something, in milliseconds:
@@ -74,12 +75,14 @@
     pub stretch: f64,
     /// Time on top of that multiple, in milliseconds.
     pub objective_ms: u64,
+    /// The policy allows only some workers; a service names them.
+    pub advice: Option<AdviceSettings>,
 }
 
 impl Default for QueuePolicy {
     /// The policy of a queue that was removed: its accepted jobs still run.
     fn default() -> Self {
-        Self { priority: 0, attempts_max: 2, stretch: 2.0, objective_ms: 1_000 }
+        Self { priority: 0, attempts_max: 2, stretch: 2.0, objective_ms: 1_000, advice: None }
     }
 }
 
@@ -106,6 +109,7 @@
     pub(super) workers: WorkerTable,
     pub(super) writer: Writer,
     pub(super) durations: Durations,
+    pub(super) advice: Advice,
     pub(super) vacating: HashSet<WorkerId>,
     /// Start of the latest life on each host of the registry, whatever its
     /// pool, in milliseconds since 1970.
@@ -139,6 +143,7 @@
             workers: WorkerTable::default(),
             writer: Writer::default(),
             durations: Durations::default(),
+            advice: Advice::default(),
             vacating: HashSet::new(),
             host_lives: HashMap::new(),
             confirmed_until_ms: 0,
@@ -452,6 +457,8 @@
                 self.placing_due |= self.ledger.open_due(key, now.unix_ms);
             }
         }
+        let ledger = &self.ledger;
+        self.advice.retain(|step| ledger.job(step.job).is_some());
         self.settle(now.monotonic_ms);
         self.expire_leases(now.monotonic_ms);
         self.resend_stops(now.monotonic_ms);
--- a/crates/dispatch/src/coordination/pool/events.rs
+++ b/crates/dispatch/src/coordination/pool/events.rs
@@ -188,6 +188,15 @@
     Unreachable,
 }
 
+/// Asks the policy service which workers may run a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdviceQuestion {
+    /// First task of the step.
+    pub step: TaskAddress,
+    /// Workers to judge.
+    pub workers: Vec<WorkerId>,
+}
+
 /// What the owner of an engine does next.
 #[derive(Clone, Debug)]
 pub enum PoolAction {
@@ -207,6 +216,8 @@
         /// What to ask.
         look: LookOrder,
     },
+    /// Ask the policy service and pass the answer to the engine.
+    Advise(AdviceQuestion),
     /// Write to the store and pass the result to the engine.
     Write(PoolWrite),
     /// Nothing runs on the worker, and nothing will be started there.
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -6,6 +6,7 @@
 //! ([`placement`]), expected durations ([`durations`]) and what must be
 //! written to the store ([`writer`]).
 
+mod advice;
 mod durations;
 mod engine;
 mod events;
@@ -24,8 +25,9 @@
 pub use self::{
     engine::{PoolEngine, PoolTiming, QueuePolicy, Tenancy},
     events::{
-        EndKind, EndedTask, JobKey, LookFailure, LookOrder, LookReport, Order, OrderReply,
-        OrderTarget, PoolAction, Refusal, RunningTask, StartOrder, WorkerContact, WorkerKey,
+        AdviceQuestion, EndKind, EndedTask, JobKey, LookFailure, LookOrder, LookReport, Order,
+        OrderReply, OrderTarget, PoolAction, Refusal, RunningTask, StartOrder, WorkerContact,
+        WorkerKey,
     },
     recovery::{Recovered, StoredJob},
     writer::{PoolWrite, WriteResult},
--- a/crates/dispatch/src/coordination/pool/placement.rs
+++ b/crates/dispatch/src/coordination/pool/placement.rs
@@ -57,10 +57,11 @@
     ) -> Option<WorkerKey>
     where
         R: Fn(WorkerKey, &Worker) -> Resources,
-        E: Fn(&Worker) -> bool,
+        E: Fn(WorkerKey, &Worker) -> bool,
     {
-        let candidates =
-            workers.iter().filter(|(_, worker)| takes_work(worker, now_ms) && !excluded(worker));
+        let candidates = workers
+            .iter()
+            .filter(|&(key, worker)| takes_work(worker, now_ms) && !excluded(key, worker));
         let candidates = candidates.filter_map(|(key, worker)| {
             let room = room(key, worker);
             self.accepts(key, worker, &room).then_some((key, worker, room))
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -1,11 +1,18 @@
 //! Starts of tasks and what becomes of them.
 
 use hashbrown::HashMap;
-use tamarackproxy::{coordination::jobs::Resources, state::clock::ClockReading};
+use tamarackproxy::{
+    coordination::jobs::Resources,
+    state::{clock::ClockReading, ids::WorkerId},
+};
 
 use super::{
+    advice::WORKERS_PER_QUESTION,
     engine::{PoolEngine, contact},
-    events::{JobKey, Order, OrderReply, OrderTarget, PoolAction, Refusal, StartOrder, WorkerKey},
+    events::{
+        AdviceQuestion, JobKey, Order, OrderReply, OrderTarget, PoolAction, Refusal, StartOrder,
+        WorkerKey,
+    },
     ledger::Job,
     order::{Rank, Waiting},
     placement::{PlaceQuery, TOUCH_MS, takes_work},
@@ -35,11 +42,15 @@
         let mut lacks_room = false;
         for (_, step) in self.waiting_steps(now_ms) {
             let Some(spec) = self.ledger.spec(step) else { continue };
-            lacks_room |= if spec.is_gang {
-                !self.place_gang(now_ms, step)
+            let is_placed = if spec.is_gang {
+                self.place_gang(now_ms, step)
             } else {
-                !self.place_step(now_ms, step)
+                self.place_step(now_ms, step)
             };
+            if !is_placed {
+                lacks_room = true;
+                self.ask_advice(now_ms, step);
+            }
         }
         if !lacks_room {
             self.place_copies(now_ms);
@@ -145,8 +156,78 @@
 
     fn choose(&self, now_ms: u64, task: TaskRef) -> Option<WorkerKey> {
         let query = self.place_query(task)?;
-        let vacating = |worker: &Worker| self.vacating.contains(&worker.entry.worker);
-        query.choose(&self.workers, now_ms, |_, worker| worker.room(), vacating)
+        let excluded = |key: WorkerKey, worker: &Worker| self.excludes(now_ms, task, key, worker);
+        query.choose(&self.workers, now_ms, |_, worker| worker.room(), excluded)
+    }
+
+    /// Tells whether a worker with room must not get a task.
+    fn excludes(&self, now_ms: u64, task: TaskRef, key: WorkerKey, worker: &Worker) -> bool {
+        let (Some(job), Some(spec)) = (self.ledger.job(task.job), self.ledger.spec(task)) else {
+            return true;
+        };
+        let needs_ticket = self.policy(&job.queue).advice.is_some();
+        self.vacating.contains(&worker.entry.worker)
+            || (needs_ticket && self.advice.ticket(now_ms, task, key).is_none())
+            || self.would_disturb(spec, worker)
+    }
+
+    /// Tells whether a task that uses leftover capacity would share a worker
+    /// with one that serves users: the one slows the other by amounts that
+    /// nobody knows beforehand.
+    fn would_disturb(&self, spec: &StepSpec, worker: &Worker) -> bool {
+        let serves = |spec: &StepSpec| spec.tail_goal_ms.is_some();
+        if !spec.uses_leftover && !serves(spec) {
+            return false;
+        }
+        worker.runs.keys().filter_map(|&task| self.ledger.spec(task)).any(|other| {
+            (spec.uses_leftover && serves(other)) || (serves(spec) && other.uses_leftover)
+        })
+    }
+
+    /// Asks which workers may run a step, if its queue's policy is to be asked.
+    fn ask_advice(&mut self, now_ms: u64, step: TaskRef) {
+        let Some(job) = self.ledger.job(step.job) else { return };
+        if self.policy(&job.queue).advice.is_none() {
+            return;
+        }
+        let Some(charge) = self.ledger.spec(step).map(StepSpec::charge) else { return };
+        let open = self.workers.iter().filter(|&(key, worker)| {
+            takes_work(worker, now_ms)
+                && charge.fits_in(&worker.room())
+                && self.advice.is_open(now_ms, step, key)
+        });
+        let mut workers: Vec<_> = open.map(|(_, worker)| worker.entry.worker.clone()).collect();
+        workers.truncate(WORKERS_PER_QUESTION);
+        let Some(address) = self.ledger.address(step) else { return };
+        if !workers.is_empty() && self.advice.ask(now_ms, step) {
+            let question = AdviceQuestion { step: address, workers };
+            self.actions.push(PoolAction::Advise(question));
+        }
+    }
+
+    /// Takes in the policy service's answer: permissions of the workers that
+    /// were named and may run the step; none if there was no answer.
+    pub fn on_advice(
+        &mut self,
+        now: ClockReading,
+        question: &AdviceQuestion,
+        allowed: Option<Vec<(WorkerId, Box<str>)>>,
+    ) {
+        let Some(task) = self.ledger.resolve(question.step) else { return };
+        let Some(job) = self.ledger.job(task.job) else { return };
+        let valid_ms = self.policy(&job.queue).advice.map_or(0, |advice| advice.valid_ms);
+        log::info!(step:display = question.step, asked = question.workers.len(),
+            allowed = allowed.as_ref().map(Vec::len); "policy was asked for workers");
+        let answers = allowed.map(|mut allowed| {
+            let answer = |name: &WorkerId| {
+                let at = allowed.iter().position(|(worker, _)| worker == name);
+                let ticket = at.map(|at| allowed.swap_remove(at).1);
+                Some((self.workers.find(name)?, ticket))
+            };
+            question.workers.iter().filter_map(answer).collect::<Vec<_>>()
+        });
+        self.advice.on_answer(now.monotonic_ms, task, valid_ms, answers);
+        self.placing_due = true;
     }
 
     fn place_query(&self, task: TaskRef) -> Option<PlaceQuery<'_>> {
@@ -180,8 +261,10 @@
                 Some((_, taken)) => worker.room().minus(taken),
                 None => worker.room(),
             };
-            let vacating = |worker: &Worker| self.vacating.contains(&worker.entry.worker);
-            let Some(worker) = query.choose(&self.workers, now_ms, room, vacating) else {
+            let task = TaskRef { index, ..step };
+            let excluded =
+                |key: WorkerKey, worker: &Worker| self.excludes(now_ms, task, key, worker);
+            let Some(worker) = query.choose(&self.workers, now_ms, room, excluded) else {
                 return false;
             };
             let (count, taken) = planned.entry(worker).or_default();
@@ -260,15 +343,12 @@
             percent_since_ms: now_ms,
         });
         let checkpoint = state.checkpoint.clone();
+        let ticket = self.advice.ticket(now_ms, task, key).unwrap_or_default().into();
         let Some(job) = self.ledger.job_mut(task.job) else { return };
         job.live_runs += 1;
         job.has_started = true;
-        let order = StartOrder {
-            job: std::rc::Rc::clone(&job.spec),
-            valid_until_ms,
-            checkpoint,
-            ticket: "".into(),
-        };
+        let order =
+            StartOrder { job: std::rc::Rc::clone(&job.spec), valid_until_ms, checkpoint, ticket };
         log::debug!(task:display = address, run:display = number,
             worker = contact.worker.as_str(), term = self.tenancy.term.0; "start ordered");
         let target = OrderTarget { worker: key, task: address, run: number };
@@ -332,7 +412,13 @@
                 0
             }
             Refusal::Malformed => MALFORMED_DELAY_MS,
-            Refusal::OldRun | Refusal::Late | Refusal::NoTicket => REFUSAL_DELAY_MS,
+            Refusal::NoTicket => {
+                if let Some(task) = task {
+                    self.advice.on_refused(task, target.worker);
+                }
+                REFUSAL_DELAY_MS
+            }
+            Refusal::OldRun | Refusal::Late => REFUSAL_DELAY_MS,
         };
         self.drop_unstarted(now_ms + delay_ms, target, task);
     }
--- a/crates/dispatch/src/coordination/pool/tests/driver.rs
+++ b/crates/dispatch/src/coordination/pool/tests/driver.rs
@@ -165,6 +165,8 @@
     pub(super) ended: BTreeMap<JobNumber, (u64, JobOutcome)>,
     accepted_ms: BTreeMap<JobNumber, u64>,
     pub(super) starts: u64,
+    pub(super) questions: u64,
+    pub(super) needs_tickets: bool,
     pub(super) vacated: Vec<WorkerId>,
     /// True duration of a task if it differs from its estimate.
     pub(super) duration_ms: Option<fn(TaskAddress) -> u64>,
@@ -188,6 +190,8 @@
             ended: BTreeMap::new(),
             accepted_ms: BTreeMap::new(),
             starts: 0,
+            questions: 0,
+            needs_tickets: false,
             vacated: Vec::new(),
             duration_ms: None,
             copies_allowed: false,
@@ -217,7 +221,13 @@
             predecessor_until_ms: self.now_ms + 12_000,
         };
         let mut engine = PoolEngine::new(tenancy, PoolTiming::new(10_000, 120_000));
-        let policy = QueuePolicy { priority: 0, attempts_max: 2, stretch: 1.6, objective_ms: 600 };
+        let policy = QueuePolicy {
+            priority: 0,
+            attempts_max: 2,
+            stretch: 1.6,
+            objective_ms: 600,
+            advice: None,
+        };
         engine.set_queues([(queue(), policy)]);
         engine.confirm_control(u64::MAX);
         engine.on_registry(self.workers.iter().map(|worker| &worker.entry));
@@ -377,6 +387,14 @@
             }
             PoolAction::Look { contact, look } => self.look(index, &contact, look),
             PoolAction::Write(write) => self.write(index, write),
+            PoolAction::Advise(question) => {
+                // The policy allows every second worker.
+                let allowed = question.workers.iter().step_by(2);
+                let allowed = allowed.map(|worker| (worker.clone(), "ticket".into())).collect();
+                let now = self.now();
+                self.questions += 1;
+                self.controllers[index].engine.on_advice(now, &question, Some(allowed));
+            }
             PoolAction::Vacated(worker) => self.vacated.push(worker),
             PoolAction::Fenced => self.controllers[index].is_fenced = true,
         }
@@ -432,6 +450,9 @@
         worker.term = term;
         match order {
             Order::Start(start) => {
+                if self.needs_tickets && start.ticket.is_empty() {
+                    return OrderReply::Refused(Refusal::NoTicket);
+                }
                 if now_ms > start.valid_until_ms {
                     return OrderReply::Refused(Refusal::Late);
                 }
--- a/crates/dispatch/src/coordination/pool/tests/placing.rs
+++ b/crates/dispatch/src/coordination/pool/tests/placing.rs
@@ -1,7 +1,10 @@
 //! Places of tasks.
 
-use super::driver::{World, job, lasting, step};
-use crate::state::{JobOutcome, StepSpec};
+use super::{
+    super::QueuePolicy,
+    driver::{World, job, lasting, queue, step},
+};
+use crate::state::{AdviceSettings, JobOutcome, StepSpec};
 
 /// Guards against members of a gang that start while others find no room.
 #[test]
@@ -59,3 +62,32 @@
     world.run_ms(1_000);
     assert_eq!(world.starts, 0);
 }
+
+/// Guards against tasks without the permission of their queue's policy, and
+/// against a question for each task.
+#[test]
+fn policy_is_asked_once_for_a_step() {
+    let mut world = World::new(4, 32);
+    world.needs_tickets = true;
+    let advice = AdviceSettings { question_ms: 5, per_worker_ms: 1, valid_ms: 3_000 };
+    let policy = QueuePolicy { advice: Some(advice), ..QueuePolicy::default() };
+    world.engine(0).set_queues([(queue(), policy)]);
+    let number = world.submit(job(vec![step(20, 2_000, 500)]));
+    world.run_until(2_000, |world| world.outcome(number) == Some(JobOutcome::Done));
+    assert_eq!(world.questions, 1);
+    assert!(world.workers[1].runs().is_empty());
+}
+
+/// Guards against tasks that use leftover capacity beside tasks that serve
+/// users, which would slow them beyond their goal.
+#[test]
+fn leftover_tasks_keep_away_from_tasks_that_serve() {
+    let mut world = World::new(2, 32);
+    world.submit(job(vec![StepSpec { tail_goal_ms: Some(80), ..lasting(1) }]));
+    world.run_ms(500);
+    let serving = usize::from(world.workers[0].runs().is_empty());
+    world.submit(job(vec![StepSpec { uses_leftover: true, ..step(6, 4_000, 2_000) }]));
+    world.run_ms(500);
+    assert_eq!(world.workers[serving].runs().len(), 1);
+    assert_eq!(world.workers[1 - serving].runs().len(), 6);
+}
--- a/crates/dispatch/src/node/platform.rs
+++ b/crates/dispatch/src/node/platform.rs
@@ -6,13 +6,16 @@
 use http::{Method, Response};
 use tamarackproxy::{
     protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest, WatchEvent},
-    state::ids::{EntryId, HostId, PoolId, RecordVersion, Term},
+    state::ids::{EntryId, HostId, PoolId, RecordVersion, Term, WorkerId},
 };
 
 use super::callers::{CallerAnswer, CallerCall, Refused};
 use crate::{
     coordination::{
-        pool::{LookFailure, LookOrder, LookReport, Order, OrderReply, OrderTarget, WorkerContact},
+        pool::{
+            AdviceQuestion, LookFailure, LookOrder, LookReport, Order, OrderReply, OrderTarget,
+            WorkerContact,
+        },
         upkeep::{HostOrderReply, HostView},
     },
     state::{ServingDocument, WaveNumber, WaveRequest, WaveState, WorkerEntry},
@@ -142,6 +145,13 @@
         look: &LookOrder,
     ) -> impl Future<Output = Result<LookReport, LookFailure>>;
 
+    /// Asks which of the named workers may run a step, with their permissions;
+    /// none if there was no answer.
+    fn advise(
+        &self,
+        question: &AdviceQuestion,
+    ) -> impl Future<Output = Option<Vec<(WorkerId, Box<str>)>>>;
+
     /// Reads the list of hosts; none if it cannot be had.
     fn hosts(&self) -> impl Future<Output = Option<Vec<HostView>>>;
 
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -29,9 +29,9 @@
 };
 use crate::{
     coordination::pool::{
-        LookFailure, LookReport, Order, OrderReply, OrderTarget, PoolAction, PoolEngine,
-        PoolTiming, PoolWrite, QueuePolicy, Recovered, StoredJob, Tenancy, WorkerContact,
-        WorkerKey, WriteResult,
+        AdviceQuestion, LookFailure, LookReport, Order, OrderReply, OrderTarget, PoolAction,
+        PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered, StoredJob, Tenancy,
+        WorkerContact, WorkerKey, WriteResult,
     },
     state::{ServingDocument, Vacancy, WorkerEntry, encode},
 };
@@ -53,6 +53,7 @@
     Paced,
     Looked(WorkerKey, Result<LookReport, LookFailure>),
     Written(WriteResult),
+    Advised(AdviceQuestion, Option<Vec<(WorkerId, Box<str>)>>),
 }
 
 /// Controls a pool until it is aborted or fenced.
@@ -137,6 +138,7 @@
             attempts_max: queue.attempts_max,
             stretch: queue.stretch,
             objective_ms: queue.objective_ms,
+            advice: queue.advice,
         };
         (queue.queue.clone(), policy)
     });
@@ -248,6 +250,7 @@
             Input::Paced => {}
             Input::Looked(worker, result) => engine.on_look(now, worker, result),
             Input::Written(result) => engine.on_write(now, result),
+            Input::Advised(question, allowed) => engine.on_advice(now, &question, allowed),
         }
     }
 
@@ -263,6 +266,14 @@
                     let _ = inputs.send(Input::Looked(contact.key, result));
                 });
             }
+            PoolAction::Advise(question) => {
+                let (shared, inputs) = (Rc::clone(&self.shared), self.inputs.clone());
+                self.calls.spawn_local(async move {
+                    let allowed = shared.platform.advise(&question).await;
+                    // The receiver is gone when control has ended.
+                    let _ = inputs.send(Input::Advised(question, allowed));
+                });
+            }
             PoolAction::Write(write) => self.write(write),
             PoolAction::Vacated(worker) => {
                 let shared = Rc::clone(&self.shared);
