Store first sizes and surges for the successor of upkeep

Change: first sizes, beginnings and peaks of surges are stored at each change and read by a successor.

--- a/crates/dispatch/src/coordination/balance/engine.rs
+++ b/crates/dispatch/src/coordination/balance/engine.rs
@@ -11,7 +11,7 @@
 use super::turns::Turns;
 use crate::{
     coordination::upkeep::{HostOrderReply, HostState, HostView},
-    state::{Demand, WorkerEntry},
+    state::{BalanceRecord, Demand, WorkerEntry},
 };
 
 /// Time within which backlog is to be worked off, in milliseconds: about twice
@@ -64,6 +64,8 @@
     Release(WorkerId),
     /// Move a host to a pool.
     Move(HostId, PoolId),
+    /// Store what a successor has to know.
+    Save(BalanceRecord),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -134,6 +136,13 @@
         }
     }
 
+    /// Takes over what a predecessor stored.
+    pub fn restore(&mut self, now: ClockReading, record: &BalanceRecord) {
+        let sizes = record.first_sizes.iter().map(|(pool, size)| (pool.clone(), *size as usize));
+        self.first_sizes = sizes.collect();
+        self.turns.restore(now, &record.surges, record.turn_ms);
+    }
+
     /// Takes in which pools work and which one's hosts are off.
     pub fn set_pools<I>(&mut self, working: I, standby: Option<PoolId>)
     where
@@ -159,6 +168,7 @@
             for view in hosts {
                 *self.first_sizes.entry(view.pool.clone()).or_default() += 1;
             }
+            self.turns.mark_changed();
         }
         let known = &self.hosts;
         self.transfers.retain(|host, _| known.contains_key(host));
@@ -233,6 +243,11 @@
     {
         let now_ms = now.monotonic_ms;
         let mut actions = Vec::new();
+        if let Some((surges, turn_ms)) = self.turns.take_changes(now) {
+            let sizes = self.first_sizes.iter();
+            let first_sizes = sizes.map(|(pool, &size)| (pool.clone(), size as u32)).collect();
+            actions.push(BalanceAction::Save(BalanceRecord { first_sizes, surges, turn_ms }));
+        }
         self.advance(now_ms, vacated, &mut actions);
         if self.host_millicores == 0 || self.hosts.is_empty() {
             return actions;
--- a/crates/dispatch/src/coordination/balance/tests.rs
+++ b/crates/dispatch/src/coordination/balance/tests.rs
@@ -15,7 +15,7 @@
 use super::*;
 use crate::{
     coordination::upkeep::{HostOrderReply, HostState, HostView},
-    state::{Demand, Registration, WorkerEntry},
+    state::{BalanceRecord, Demand, Registration, WorkerEntry},
 };
 
 const MOVE_MS: u64 = 1_500;
@@ -41,6 +41,7 @@
     moves: usize,
     on_ms: u64,
     next_worker: u64,
+    saved: BalanceRecord,
     /// Core-milliseconds that waited longer than a second's worth of capacity.
     late: f64,
     total: f64,
@@ -74,6 +75,7 @@
             hosts,
             backlog: [0.0; 4],
             vacated: HashSet::new(),
+            saved: BalanceRecord::default(),
             now_ms: 10_000,
             moves: 0,
             on_ms: 0,
@@ -83,7 +85,7 @@
     }
 
     fn now(&self) -> ClockReading {
-        ClockReading::new(self.now_ms, 0)
+        ClockReading::new(self.now_ms, 1_000_000 + self.now_ms)
     }
 
     fn up(&self, pool: &PoolId) -> usize {
@@ -159,6 +161,7 @@
             match action {
                 BalanceAction::Vacate(worker) => drop(self.vacated.insert(worker)),
                 BalanceAction::Release(worker) => drop(self.vacated.remove(&worker)),
+                BalanceAction::Save(record) => self.saved = record,
                 BalanceAction::Move(host, to) => {
                     let index: usize = host.as_str()[1..].parse().expect("an index");
                     self.moves += 1;
@@ -218,6 +221,30 @@
     assert!(moved.late_percent() < 15.0);
 }
 
+/// Guards against a successor that takes the pools' sizes in the middle of a
+/// surge for their first ones and has to learn all turns again.
+#[test]
+fn successor_knows_first_sizes_and_turns() {
+    let peak = (HOSTS_PER_POOL as u64 * HOST_MILLICORES) * 16 / 10;
+    let mut fleet = Fleet::new();
+    for turn in 0..8 {
+        if turn == 5 {
+            let saved = fleet.saved.clone();
+            fleet.engine = BalanceEngine::new(BalanceTiming { move_ms: MOVE_MS });
+            fleet.engine.set_pools((0..POOLS.len()).map(pool), Some(PoolId::new("off")));
+            fleet.engine.restore(fleet.now(), &saved);
+            (fleet.late, fleet.total) = (0.0, 0.0);
+        }
+        for _ in 0..60 {
+            let mut arriving = [peak / 20; 4];
+            arriving[turn % 4] = peak;
+            fleet.step(arriving, true);
+        }
+    }
+    let late = fleet.late_percent();
+    assert!(late < 15.0, "{late:.1}% of the work is late after the change");
+}
+
 /// Guards against hosts that stay on while nothing needs them and no pool's
 /// turn is near.
 #[test]
@@ -272,7 +299,8 @@
     fleet.engine.on_demand(fleet.now(), pool(0), demand);
     let empty = HashSet::new();
     let first = fleet.engine.step(fleet.now(), &empty, |_| false);
-    let Some(BalanceAction::Move(host, to)) = first.first().cloned() else {
+    let is_move = |action: &&BalanceAction| matches!(action, BalanceAction::Move(..));
+    let Some(BalanceAction::Move(host, to)) = first.iter().find(is_move).cloned() else {
         panic!("expected a move of a host that is off, got {first:?}")
     };
     let now = fleet.now();
--- a/crates/dispatch/src/coordination/balance/turns.rs
+++ b/crates/dispatch/src/coordination/balance/turns.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 
-use tamarackproxy::state::ids::PoolId;
+use tamarackproxy::state::{clock::ClockReading, ids::PoolId};
+
+use crate::state::SurgeRecord;
 
 /// Arriving work that makes a surge, as a share of what the pool holds at
 /// first: the users' surges ask for more than all of it.
@@ -48,9 +50,55 @@
     latest_start_ms: Option<u64>,
     /// Time between the last two beginnings.
     turn_ms: Option<u64>,
+    /// Something changed that a successor has to know.
+    is_changed: bool,
 }
 
 impl Turns {
+    /// Takes over what a predecessor saw. Its times of day are turned into times
+    /// of the own clock; a step of the clock shifts the next turn by as much.
+    pub(super) fn restore(
+        &mut self,
+        now: ClockReading,
+        surges: &[SurgeRecord],
+        turn_ms: Option<u64>,
+    ) {
+        for surge in surges {
+            let age_ms = now.unix_ms.saturating_sub(surge.began_unix_ms);
+            let turns = self.pools.entry(surge.pool.clone()).or_default();
+            turns.last_start_ms = Some(now.monotonic_ms.saturating_sub(age_ms));
+            turns.peak_millicores = surge.peak_millicores;
+            turns.is_measured = surge.is_measured;
+        }
+        self.latest_start_ms = self.pools.values().filter_map(|turns| turns.last_start_ms).max();
+        self.turn_ms = turn_ms;
+    }
+
+    /// Asks for what a successor has to know to be stored again.
+    pub(super) fn mark_changed(&mut self) {
+        self.is_changed = true;
+    }
+
+    /// Returns what a successor has to know, if it changed.
+    pub(super) fn take_changes(
+        &mut self,
+        now: ClockReading,
+    ) -> Option<(Vec<SurgeRecord>, Option<u64>)> {
+        if !std::mem::take(&mut self.is_changed) {
+            return None;
+        }
+        let surges = self.pools.iter().filter_map(|(pool, turns)| {
+            let age_ms = now.monotonic_ms.saturating_sub(turns.last_start_ms?);
+            Some(SurgeRecord {
+                pool: pool.clone(),
+                began_unix_ms: now.unix_ms.saturating_sub(age_ms),
+                peak_millicores: turns.peak_millicores,
+                is_measured: turns.is_measured,
+            })
+        });
+        Some((surges.collect(), self.turn_ms))
+    }
+
     /// Takes in the work that arrives at a pool, which holds `capacity` at first;
     /// both in thousandths of a core.
     pub(super) fn on_demand(
@@ -77,6 +125,7 @@
             None if is_surge => {
                 turns.surge_since_ms = Some(now_ms);
                 turns.last_start_ms = Some(now_ms);
+                self.is_changed = true;
                 turns.peak_millicores = arriving as u64;
                 let previous_ms = self.latest_start_ms.replace(now_ms);
                 let turn_ms = previous_ms.map(|previous_ms| now_ms - previous_ms);
@@ -85,6 +134,7 @@
             Some(since_ms) if arriving < capacity * LULL_SHARE => {
                 turns.surge_since_ms = None;
                 turns.is_measured |= now_ms >= since_ms + TURN_MIN_MS;
+                self.is_changed = true;
             }
             Some(_) => turns.peak_millicores = turns.peak_millicores.max(arriving as u64),
             None => {}
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -1,10 +1,10 @@
 //! Control of one pool: which task runs where.
 //!
 //! [`PoolEngine`] connects parts that keep their own invariants: the
-//! [`ledger`] of jobs and tasks, what is known of each worker ([`workers`]),
-//! the order of waiting work ([`order`]), the choice of a place
-//! ([`placement`]), expected durations ([`durations`]) and what must be
-//! written to the store ([`writer`]).
+//! `ledger` of jobs and tasks, what is known of each worker (`workers`),
+//! the order of waiting work (`order`), the choice of a place
+//! (`placement`), expected durations (`durations`) and what must be
+//! written to the store (`writer`).
 
 mod advice;
 mod durations;
--- a/crates/dispatch/src/node/follow.rs
+++ b/crates/dispatch/src/node/follow.rs
@@ -48,6 +48,23 @@
     }
 }
 
+/// Reads a key, trying until it succeeds.
+pub(super) async fn read_until_done<P>(shared: &Shared<P>, key: &str) -> Option<KeyValue>
+where
+    P: Platform,
+{
+    let mut delay_ms = RETRY_MIN_MS;
+    loop {
+        match shared.read(key).await {
+            Ok(item) => return item,
+            Err(error) => {
+                log::info!(key = key, error:display = error; "key could not be read");
+                delay_ms = pause(delay_ms).await;
+            }
+        }
+    }
+}
+
 /// Waits a drawn part of the delay and returns the next delay.
 async fn pause(delay_ms: u64) -> u64 {
     let drawn_ms = rand::rng().random_range(delay_ms / 2..=delay_ms);
--- a/crates/dispatch/src/node/keys.rs
+++ b/crates/dispatch/src/node/keys.rs
@@ -14,8 +14,8 @@
         upkeep::UpkeepWrite,
     },
     state::{
-        JobNumber, JobRecord, RecordError, VacateRequest, WaveNumber, WaveRecord, WaveState,
-        decode, encode,
+        BalanceRecord, JobNumber, JobRecord, RecordError, VacateRequest, WaveNumber, WaveRecord,
+        WaveState, decode, encode,
     },
 };
 
@@ -27,6 +27,8 @@
 pub(super) const FLEET_PREFIX: &str = "fleet/";
 const VACATE_PREFIX: &str = "fleet/vacate/";
 const VACATED_PREFIX: &str = "fleet/vacated/";
+/// Key of what the holder of upkeep knows of pools and surges.
+pub(super) const BALANCE_KEY: &str = "balance/state";
 /// Prefix of records of waves.
 pub(super) const WAVE_PREFIX: &str = "wave/";
 
@@ -206,6 +208,15 @@
     }
 }
 
+/// Makes the transaction that stores what a successor has to know of surges.
+pub(super) fn balance_transaction(
+    fence: &Fence,
+    record: &BalanceRecord,
+) -> Result<Transaction, RecordError> {
+    let put = vec![encoded(BALANCE_KEY.into(), record)?];
+    Ok(Transaction { expected: vec![fence.condition()], put, remove: Vec::new() })
+}
+
 /// Makes the transaction of a write of the upkeep engine.
 pub(super) fn upkeep_transaction<S>(
     fence: &Fence,
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -19,7 +19,7 @@
 use super::{
     clock,
     control::{TaskGuard, Tenancy as LeaseState, predecessor_ms},
-    follow::{Followed, follow, list_until_done},
+    follow::{Followed, follow, list_until_done, read_until_done},
     keys::{
         Fence, decode_item, job_of, jobs_prefix, pool_result, pool_transaction, progress_prefix,
         roster_key, scope_of, vacated_key,
@@ -42,8 +42,8 @@
 /// Rest after changes of jobs, in milliseconds: a burst of submissions shares
 /// calls, and a hundredth of the shortest objective is lost.
 const JOBS_REST_MS: u64 = 12;
-/// Delay before the roster is read again, in milliseconds.
-const READ_RETRY_MS: u64 = 100;
+/// Delay before a vacancy is confirmed again, in milliseconds.
+const VACANCY_RETRY_MS: u64 = 100;
 
 /// What wakes the controller.
 enum Input {
@@ -153,15 +153,8 @@
     let progress = list_until_done(shared, &progress_prefix(pool)).await;
     let progress = progress.items.iter();
     let progress = progress.filter_map(|item| Some((job_of(&item.key)?, decode_item(item)?)));
-    let roster = loop {
-        match shared.read(&roster_key(pool)).await {
-            Ok(item) => break item.and_then(|item| decode_item(&item)).unwrap_or_default(),
-            Err(error) => {
-                log::info!(pool = pool.as_str(), error:display = error; "roster was not read");
-                tokio::time::sleep(Duration::from_millis(READ_RETRY_MS)).await;
-            }
-        }
-    };
+    let roster = read_until_done(shared, &roster_key(pool)).await;
+    let roster = roster.and_then(|item| decode_item(&item)).unwrap_or_default();
     let progress = progress.collect();
     Recovered { jobs: jobs.iter().filter_map(stored_job).collect(), progress, roster }
 }
@@ -347,7 +340,7 @@
             Err(error) => {
                 log::info!(worker = vacancy.worker.as_str(), error:display = error;
                     "vacancy was not confirmed and is written again");
-                tokio::time::sleep(Duration::from_millis(READ_RETRY_MS)).await;
+                tokio::time::sleep(Duration::from_millis(VACANCY_RETRY_MS)).await;
             }
         }
     }
--- a/crates/dispatch/src/node/upkeep.rs
+++ b/crates/dispatch/src/node/upkeep.rs
@@ -17,10 +17,10 @@
 use super::{
     clock,
     control::{TaskGuard, Tenancy},
-    follow::{Followed, follow, list_until_done},
+    follow::{Followed, follow, list_until_done, read_until_done},
     keys::{
-        Fence, SUMMARY_PREFIX, UPKEEP_SCOPE, WAVE_PREFIX, decode_item, decode_wave,
-        upkeep_transaction, wave_of,
+        BALANCE_KEY, Fence, SUMMARY_PREFIX, UPKEEP_SCOPE, WAVE_PREFIX, balance_transaction,
+        decode_item, decode_wave, upkeep_transaction, wave_of,
     },
     platform::{Platform, TransactionReply},
     shared::Shared,
@@ -28,7 +28,7 @@
 use crate::{
     coordination::balance::{BalanceAction, BalanceEngine, BalanceTiming},
     coordination::upkeep::{HostOrderReply, HostView, UpkeepAction, UpkeepEngine, UpkeepTiming},
-    state::{Summary, WaveNumber, WaveRecord},
+    state::{BalanceRecord, Summary, WaveNumber, WaveRecord},
 };
 
 /// Rest after changes of summaries, in milliseconds: those of several pools
@@ -60,6 +60,10 @@
     let (inputs, mut receiver) = mpsc::unbounded_channel();
     let mut calls = JoinSet::new();
     let mut balance = BalanceEngine::new(BalanceTiming { move_ms: shared.settings.move_ms });
+    let stored = read_until_done(&shared, BALANCE_KEY).await;
+    if let Some(record) = stored.and_then(|item| decode_item(&item)) {
+        balance.restore(clock::read(), &record);
+    }
     let sink = {
         let inputs = inputs.clone();
         // The receiver is gone when control has ended.
@@ -113,6 +117,7 @@
                 BalanceAction::Vacate(worker) => vacate_for_move.push(worker),
                 BalanceAction::Release(worker) => release.push(worker),
                 BalanceAction::Move(host, pool) => actions.push(Action::Move(host, pool)),
+                BalanceAction::Save(record) => actions.push(Action::Save(record)),
             }
         }
         engine.add_requests(vacate_for_move, release);
@@ -141,6 +146,7 @@
 enum Action {
     Upkeep(UpkeepAction),
     Move(HostId, PoolId),
+    Save(BalanceRecord),
 }
 
 fn set_pools<P>(balance: &mut BalanceEngine, shared: &Shared<P>)
@@ -180,6 +186,20 @@
     let (shared, fence, inputs) = (Rc::clone(shared), Rc::clone(fence), inputs.clone());
     calls.spawn_local(async move {
         let input = match action {
+            Action::Save(record) => {
+                let transaction = match balance_transaction(&fence, &record) {
+                    Ok(transaction) => transaction,
+                    Err(error) => {
+                        log::error!(error:display = error; "surges cannot be encoded");
+                        return;
+                    }
+                };
+                // The next change stores the whole again.
+                if let Err(error) = shared.transact(&transaction).await {
+                    log::info!(error:display = error; "surges were not stored");
+                }
+                return;
+            }
             Action::Move(host, pool) => {
                 let holder = &shared.settings.entry;
                 let platform = &shared.platform;
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use strum::{Display as StrumDisplay, EnumString};
 use tamarackproxy::{
-    state::ids::{HostId, QueueId, Term, WorkerId},
+    state::ids::{HostId, PoolId, QueueId, Term, WorkerId},
     transport::frame::{self, FrameError},
 };
 
@@ -189,6 +189,30 @@
     pub term: Term,
 }
 
+/// Value of `balance/state`: what a successor has to know of pools and surges.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BalanceRecord {
+    /// Hosts of each pool before any move.
+    pub first_sizes: Vec<(PoolId, u32)>,
+    /// Surges that were seen.
+    pub surges: Vec<SurgeRecord>,
+    /// Time between the last two beginnings of surges, in milliseconds.
+    pub turn_ms: Option<u64>,
+}
+
+/// The last surge of a pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SurgeRecord {
+    /// The pool.
+    pub pool: PoolId,
+    /// When it began, in milliseconds since 1970.
+    pub began_unix_ms: u64,
+    /// Its largest demand, in thousandths of a core.
+    pub peak_millicores: u64,
+    /// Its end was seen.
+    pub is_measured: bool,
+}
+
 impl JobRecord {
     /// Returns the key of a job's record.
     pub fn key(pool: &str, job: JobNumber) -> Box<str> {
