Withdraw a predecessor's requests and trust its vacancies

Requests to empty workers for moves were forgotten with the holder of upkeep and stood for good. Change: a request stands for 6 s after its move, so that a successor of the pool knows that nothing runs there; a successor of upkeep withdraws what no wave needs after 2.5 s; looks without answer are doubled apart to 1.2 s and logged once; hosts of a quarter of a core no longer wait before they take control.

--- a/crates/dispatch/src/coordination/balance/engine.rs
+++ b/crates/dispatch/src/coordination/balance/engine.rs
@@ -36,6 +36,10 @@
 /// Time that a host which has joined a pool takes to get work, in milliseconds:
 /// registration, first look and roster.
 const JOIN_MS: u64 = 700;
+/// Time for which the registry may list a worker that has left, in
+/// milliseconds: three of its heartbeats and some more. A successor of its
+/// pool's controller sees from the request that nothing runs there.
+const REGISTRY_LAG_MS: u64 = 6_000;
 /// Time by which the host list may lag behind, in milliseconds.
 const LIST_LAG_MS: u64 = 1_200;
 /// Time without any need after which spare hosts are switched off, in
@@ -105,8 +109,9 @@
     /// Pools of hosts whose moves are over and that older lists do not show,
     /// with the time from which a list shows them.
     arrived: HashMap<HostId, (PoolId, u64)>,
-    /// Workers whose requests have served their purpose.
-    served: Vec<WorkerId>,
+    /// Workers whose requests have served their purpose, with the time at which
+    /// these are withdrawn.
+    served: Vec<(u64, WorkerId)>,
     /// Workers that ended with a move; the registry lists them for seconds.
     left: HashSet<WorkerId>,
     turns: Turns,
@@ -207,7 +212,8 @@
         match reply {
             HostOrderReply::Begun => {
                 self.left.extend(worker.clone());
-                self.served.extend(worker.take());
+                let worker = worker.take().map(|worker| (now_ms + REGISTRY_LAG_MS, worker));
+                self.served.extend(worker);
                 transfer.stage = Stage::Moved { at_ms: now_ms };
             }
             HostOrderReply::Unknown => {
@@ -219,7 +225,7 @@
             | HostOrderReply::Refused
             | HostOrderReply::NotDue
             | HostOrderReply::OldTerm => {
-                self.served.extend(worker.take());
+                self.served.extend(worker.take().map(|worker| (now_ms, worker)));
                 self.transfers.remove(host);
             }
         }
@@ -293,7 +299,8 @@
         vacated: &HashSet<WorkerId>,
         actions: &mut Vec<BalanceAction>,
     ) {
-        actions.extend(self.served.drain(..).map(BalanceAction::Release));
+        let due = self.served.extract_if(.., |(at_ms, _)| now_ms >= *at_ms);
+        actions.extend(due.map(|(_, worker)| BalanceAction::Release(worker)));
         let mut over = Vec::new();
         for (host, transfer) in &mut self.transfers {
             match &mut transfer.stage {
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -26,8 +26,12 @@
 const LOOK_WAIT_MS: u64 = 1_000;
 /// Time that a look waits at an idle worker, in milliseconds.
 const IDLE_LOOK_WAIT_MS: u64 = 2_000;
-/// Delay before a worker is asked again after no reply, in milliseconds.
+/// First delay before a worker is asked again after no reply, in milliseconds;
+/// it doubles with each further one.
 pub(super) const LOOK_RETRY_MS: u64 = 150;
+/// Longest such delay, in milliseconds: a worker that returns is noticed within
+/// it.
+pub(super) const LOOK_RETRY_MAX_MS: u64 = 1_200;
 /// Delay before the next look after one with ends, so that ends which follow
 /// closely share it, in milliseconds.
 pub(super) const LOOK_GAP_MS: u64 = 22;
@@ -111,6 +115,7 @@
     pub(super) durations: Durations,
     pub(super) advice: Advice,
     pub(super) vacating: HashSet<WorkerId>,
+    pub(super) vacated: HashSet<WorkerId>,
     /// Start of the latest life on each host of the registry, whatever its
     /// pool, in milliseconds since 1970.
     host_lives: HashMap<HostId, u64>,
@@ -145,6 +150,7 @@
             durations: Durations::default(),
             advice: Advice::default(),
             vacating: HashSet::new(),
+            vacated: HashSet::new(),
             host_lives: HashMap::new(),
             confirmed_until_ms: 0,
             quiet_until_ms: 0,
@@ -195,10 +201,16 @@
             }
         }
         self.vacating = vacating;
+        self.placing_due = true;
         if is_kept {
             self.roster_changed();
         }
-        self.placing_due = true;
+    }
+
+    /// Takes over the workers that were confirmed to be empty, by this controller
+    /// or a predecessor; nothing is started there while the request stands.
+    pub fn set_vacated(&mut self, vacated: HashSet<WorkerId>) {
+        self.vacated = vacated;
     }
 
     /// Takes in the whole registry.
@@ -548,7 +560,7 @@
             }
             // A worker that does not answer gets no longer lease, so that the
             // time after which its runs are surely over stays fixed.
-            let clock = worker.clock.filter(|_| !worker.look_was_missed);
+            let clock = worker.clock.filter(|_| worker.missed_looks == 0);
             let lease_until_ms = clock.map(|clock| clock.now_ms(now_ms) + lease_ms);
             if let Some(until_ms) = lease_until_ms {
                 worker.grant(until_ms);
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -4,7 +4,7 @@
 use tamarackproxy::state::clock::ClockReading;
 
 use super::{
-    engine::{LOOK_GAP_MS, LOOK_RETRY_MS, PoolEngine},
+    engine::{LOOK_GAP_MS, LOOK_RETRY_MAX_MS, LOOK_RETRY_MS, PoolEngine},
     events::{EndKind, EndedTask, LookFailure, LookReport, RunningTask, WorkerKey},
     ledger::Completion,
     task::{Run, RunPhase, TaskRef},
@@ -37,11 +37,14 @@
                 return self.end_life(key, "another life answers at its address");
             }
             Err(failure @ (LookFailure::Refused | LookFailure::Unreachable)) => {
-                log::info!(worker = worker.entry.worker.as_str(), failure:display = failure,
-                    age_ms = worker.looked_ms.map(|looked_ms| now_ms.saturating_sub(looked_ms));
-                    "worker did not list its runs");
-                worker.look_was_missed = true;
-                worker.next_look_ms = now_ms + LOOK_RETRY_MS;
+                if worker.missed_looks == 0 {
+                    let age_ms = worker.looked_ms.map(|looked| now_ms.saturating_sub(looked));
+                    log::info!(worker = worker.entry.worker.as_str(), failure:display = failure,
+                        age_ms = age_ms.unwrap_or(0); "worker did not list its runs");
+                }
+                let delay_ms = LOOK_RETRY_MS << worker.missed_looks.min(4);
+                worker.missed_looks += 1;
+                worker.next_look_ms = now_ms + delay_ms.min(LOOK_RETRY_MAX_MS);
                 return;
             }
         };
@@ -55,7 +58,7 @@
         worker.clock = Some(WorkerClock::new(report.clock_ms, now_ms));
         let was_in_touch = worker.is_in_touch(now_ms, super::placement::TOUCH_MS);
         worker.looked_ms = Some(now_ms);
-        worker.look_was_missed = false;
+        worker.missed_looks = 0;
         worker.next_look_ms = if report.ended.is_empty() { now_ms } else { now_ms + LOOK_GAP_MS };
         self.placing_due |= !was_in_touch || !report.ended.is_empty();
         for end in &report.ended {
--- a/crates/dispatch/src/coordination/pool/recovery.rs
+++ b/crates/dispatch/src/coordination/pool/recovery.rs
@@ -72,9 +72,12 @@
             let found = workers.find(&entry.worker).and_then(|key| workers.get(key));
             let is_listed = found.is_some_and(|worker| worker.looked_ms.is_some());
             // A later life on the host runs nothing of the earlier one.
-            !is_listed && !self.has_later_life(&entry.host, entry.born_unix_ms)
+            let is_empty = self.vacated.contains(&entry.worker);
+            !is_listed && !is_empty && !self.has_later_life(&entry.host, entry.born_unix_ms)
+        });
+        let known_are_listed = workers.iter().all(|(_, worker)| {
+            worker.looked_ms.is_some() || self.vacated.contains(&worker.entry.worker)
         });
-        let known_are_listed = workers.iter().all(|(_, worker)| worker.looked_ms.is_some());
         let is_over = now_ms >= self.tenancy.predecessor_until_ms;
         if (unsettled.is_empty() && known_are_listed) || is_over {
             log::info!(pool = self.tenancy.pool.as_str(), not_listed = unsettled.len(),
--- a/crates/dispatch/src/coordination/pool/tests/vacating.rs
+++ b/crates/dispatch/src/coordination/pool/tests/vacating.rs
@@ -77,6 +77,23 @@
     world.run_until(5_000, |world| world.outcome(number) == Some(JobOutcome::Done));
 }
 
+/// Guards against a successor that waits for a worker which has left with its
+/// host's move and is still in the registry.
+#[test]
+fn successor_takes_a_predecessors_vacancy_for_granted() {
+    let mut world = World::new(3, 32);
+    let number = world.submit(job(vec![step(2, 1_000, 4_000), step(2, 1_000, 300)]));
+    world.run_ms(300);
+    let at = (0..3).find(|&at| world.workers[at].runs().is_empty()).expect("an idle worker");
+    let name = world.workers[at].entry.worker.clone();
+    world.workers[at].cut_from.insert(1);
+    world.kill(0);
+    let successor = world.add_controller();
+    world.engine(successor).set_vacating([name.clone()].into());
+    world.engine(successor).set_vacated([name].into());
+    world.run_until(5_000, |world| world.outcome(number) == Some(JobOutcome::Done));
+}
+
 /// Guards against work for a worker that drains, and against lasting tasks that
 /// wait there for its end.
 #[test]
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -74,8 +74,9 @@
     /// When a look was last answered, on the own clock.
     pub(super) looked_ms: Option<u64>,
     pub(super) look_sent_ms: Option<u64>,
-    /// The latest look had no answer, so its lease may or may not be granted.
-    pub(super) look_was_missed: bool,
+    /// Looks without an answer in a row; the lease of the first may or may not
+    /// be granted.
+    pub(super) missed_looks: u32,
     pub(super) next_look_ms: u64,
     /// Charges of all runs that may exist.
     used: Resources,
@@ -110,7 +111,7 @@
             granted_until_ms: 0,
             looked_ms: None,
             look_sent_ms: None,
-            look_was_missed: false,
+            missed_looks: 0,
             next_look_ms: 0,
             used: Resources::default(),
             runs: HashMap::new(),
--- a/crates/dispatch/src/coordination/upkeep/engine.rs
+++ b/crates/dispatch/src/coordination/upkeep/engine.rs
@@ -258,6 +258,25 @@
         })
     }
 
+    /// Withdraws requests of a predecessor that no wave needs: its moves are not
+    /// known, and their workers would stay empty for good.
+    pub fn release_strays<W>(&mut self, strays: W)
+    where
+        W: IntoIterator<Item = WorkerId>,
+    {
+        let stages = self.waves.values().flat_map(|wave| wave.stages.values());
+        let needed: HashSet<&WorkerId> = stages
+            .filter_map(|stage| match stage {
+                Stage::Vacating { worker } | Stage::Recording { worker: Some(worker) } => {
+                    Some(worker)
+                }
+                _ => None,
+            })
+            .collect();
+        let strays = strays.into_iter().filter(|worker| !needed.contains(worker));
+        self.pending.release.extend(strays);
+    }
+
     /// Takes in whether the write in flight took effect.
     pub fn on_write(&mut self, now: ClockReading, is_written: bool) {
         let Some(write) = self.in_flight.take() else { return };
--- a/crates/dispatch/src/coordination/upkeep/tests.rs
+++ b/crates/dispatch/src/coordination/upkeep/tests.rs
@@ -195,6 +195,23 @@
     assert_eq!(fleet.states, [WaveState::Active, WaveState::Done]);
 }
 
+/// Guards against workers that stay empty for good because their request was a
+/// predecessor's, and against a wave whose own request is withdrawn.
+#[test]
+fn requests_of_a_predecessor_are_withdrawn_unless_a_wave_needs_them() {
+    let mut fleet = Fleet::new(4);
+    fleet.answers_vacate = false;
+    fleet.engine.on_wave(fleet.now(), request(1, 1), None);
+    fleet.run_ms(300);
+    let (needed, stray) = (fleet.worker(0), fleet.worker(2));
+    fleet.vacated = [needed.clone(), stray.clone()].into();
+    fleet.engine.release_strays([needed.clone(), stray.clone()]);
+    fleet.run_ms(100);
+    assert!(!fleet.vacated.contains(&stray));
+    fleet.run_ms(6_000);
+    assert_eq!(fleet.maintained, [1, 0, 0, 0]);
+}
+
 /// Guards against a wave that waits for good for a host that is gone.
 #[test]
 fn host_that_is_gone_does_not_hold_the_wave() {
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -43,11 +43,12 @@
 /// milliseconds: several times what an acquisition takes.
 const HELD_DELAY_MS: u64 = 300;
 /// Delay before an attempt for each halving of the host's processors below
-/// [`FULL_CORES`], in milliseconds: control costs processor time, so larger
-/// hosts take it first.
+/// [`FULL_CORES`], in milliseconds: control costs processor time, so hosts that
+/// have too little come last.
 const HALVING_DELAY_MS: f64 = 350.0;
-/// Processors that are enough to control any pool of the users.
-const FULL_CORES: f64 = 0.5;
+/// Processors of the users' common entry hosts, which control pools of a dozen
+/// workers with a tenth of them.
+const FULL_CORES: f64 = 0.25;
 /// Largest drawn part of the delay, in milliseconds.
 const JITTER_MS: u64 = 120;
 /// Longest sleep of an idle lease, in milliseconds.
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -81,6 +81,7 @@
     set_queues(&mut engine, &mut document, &pool);
     engine.on_registry(registry.borrow_and_update().values());
     engine.set_vacating(HashSet::clone(&vacate.borrow_and_update()));
+    engine.set_vacated(HashSet::clone(&shared.vacated.borrow()));
 
     let jobs = list_until_done(&shared, &jobs_prefix(&pool)).await;
     let recovered = recover(&shared, &pool, jobs.items).await;
@@ -200,6 +201,8 @@
             if vacate.has_changed().unwrap_or(false) {
                 let hosts = HashSet::clone(&vacate.borrow_and_update());
                 self.engine.borrow_mut().set_vacating(hosts);
+                let vacated = HashSet::clone(&self.shared.vacated.borrow());
+                self.engine.borrow_mut().set_vacated(vacated);
             }
             self.engine.borrow_mut().confirm_control(lease.confirmed_until_ms());
             let actions = self.engine.borrow_mut().step(clock::read());
--- a/crates/dispatch/src/node/upkeep.rs
+++ b/crates/dispatch/src/node/upkeep.rs
@@ -19,8 +19,8 @@
     control::{TaskGuard, Tenancy},
     follow::{Followed, follow, list_until_done, read_until_done},
     keys::{
-        BALANCE_KEY, Fence, SUMMARY_PREFIX, UPKEEP_SCOPE, WAVE_PREFIX, balance_transaction,
-        decode_item, decode_wave, upkeep_transaction, wave_of,
+        BALANCE_KEY, FLEET_PREFIX, Fence, FleetKey, SUMMARY_PREFIX, UPKEEP_SCOPE, WAVE_PREFIX,
+        balance_transaction, decode_item, decode_wave, fleet_key, upkeep_transaction, wave_of,
     },
     platform::{Platform, TransactionReply},
     shared::Shared,
@@ -35,6 +35,10 @@
 /// share a call.
 const SUMMARY_REST_MS: u64 = 60;
 
+/// Delay after a change of control before a predecessor's requests are
+/// withdrawn, in milliseconds: its last orders for hosts have ended by then.
+const STRAYS_DELAY_MS: u64 = 2_500;
+
 enum Input {
     Listed(Option<Vec<HostView>>),
     Replied(WaveNumber, HostId, HostOrderReply),
@@ -54,6 +58,12 @@
     let records: hashbrown::HashMap<WaveNumber, WaveRecord> = (records.items.iter())
         .filter_map(|item| Some((wave_of(&item.key)?, decode_wave(item)?)))
         .collect();
+    let strays = list_until_done(&shared, FLEET_PREFIX).await;
+    let strays = strays.items.iter().filter_map(|item| match fleet_key(&item.key)? {
+        FleetKey::Vacate(worker) | FleetKey::Vacated(worker) => Some(worker),
+    });
+    let mut strays: HashSet<WorkerId> = strays.collect();
+    let strays_ms = clock::read().monotonic_ms + STRAYS_DELAY_MS;
     let mut vacate = shared.vacate.subscribe();
     let mut vacated = shared.vacated.subscribe();
     let fence = Rc::new(Fence::new(UPKEEP_SCOPE, tenure.key_version));
@@ -121,6 +131,9 @@
             }
         }
         engine.add_requests(vacate_for_move, release);
+        if clock::read().monotonic_ms >= strays_ms {
+            engine.release_strays(strays.drain());
+        }
         let steps = engine.step(clock::read(), |host| balance.is_moving(host));
         actions.extend(steps.into_iter().map(Action::Upkeep));
         for action in actions {
