--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -107,8 +107,8 @@
         let spec = self.ledger.spec(task)?.clone();
         let job = self.ledger.job(task.job)?;
         log::info!(task:display = end.task, run:display = end.run, end:display = end.how,
-            ran_ms = ran_ms, queue = job.queue.as_str(),
-            worker = self.workers.get(key).map(|worker| worker.entry.worker.as_str());
+            ran_ms = ran_ms.unwrap_or(0), queue = job.queue.as_str(),
+            worker = self.workers.get(key).map_or("", |worker| worker.entry.worker.as_str());
             "run ended");
         if job.outcome.is_some() {
             return None;
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -347,10 +347,12 @@
         let Some(job) = self.ledger.job_mut(task.job) else { return };
         job.live_runs += 1;
         job.has_started = true;
+        let age_ms = job.age_ms(now_ms);
         let order =
             StartOrder { job: std::rc::Rc::clone(&job.spec), valid_until_ms, checkpoint, ticket };
-        log::debug!(task:display = address, run:display = number,
-            worker = contact.worker.as_str(), term = self.tenancy.term.0; "start ordered");
+        log::info!(task:display = address, run:display = number,
+            worker = contact.worker.as_str(), term = self.tenancy.term.0, age_ms = age_ms;
+            "start ordered");
         let target = OrderTarget { worker: key, task: address, run: number };
         self.actions.push(PoolAction::Order { contact, target, order: Order::Start(order) });
     }
--- a/crates/dispatch/src/observability.rs
+++ b/crates/dispatch/src/observability.rs
@@ -23,8 +23,9 @@
 /// Largest piece that is written at once: a pipe takes up to this size whole
 /// or not at all.
 const PIECE_BYTES: usize = 4_096;
-/// Lines of one second below warnings; further ones are dropped.
-const LINES_PER_SECOND: u32 = 400;
+/// Lines of one second below warnings; further ones are dropped. Twice what the
+/// controller of a pool of a dozen workers writes in a surge.
+const LINES_PER_SECOND: u32 = 800;
 
 /// Reasons why logging cannot be set up.
 #[derive(Debug, Display)]
