Let small hosts that start again leave their scopes to larger ones

Ruled out: the wait for the predecessor's runs, which ended within 0.1 s on the other pools. Change: only hosts of a quarter of a core or more replace their own earlier process; others wait for the lease to lapse and try after larger ones. Left: a small host that takes a scope in a rolling restart keeps it.

--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -136,8 +136,11 @@
 {
     let name = scope.name();
     let entry = shared.settings.entry.clone();
-    let mut lease =
-        ControlLease::new(&*name, entry.clone()).with_timing(TIMING).with_self_replacement();
+    let mut lease = ControlLease::new(&*name, entry.clone()).with_timing(TIMING);
+    if shared.settings.cores >= FULL_CORES {
+        // A smaller host that starts again leaves its scopes to larger ones.
+        lease = lease.with_self_replacement();
+    }
     let tenancy = Tenancy::default();
     let mut controller: Option<(Tenure, JoinHandle<()>)> = None;
     let mut holders = shared.holders.subscribe();
