--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -11,14 +11,12 @@
     durations::{ArrivalRate, Durations},
     events::{JobKey, LookOrder, PoolAction, WorkerContact, WorkerKey},
     ledger::{Job, Ledger},
-    placement::TOUCH_MS,
     task::TaskRef,
-    workers::{EndMark, Presence, Worker, WorkerTable},
+    workers::{EndMark, Worker, WorkerTable},
     writer::{PoolWrite, Records, WriteResult, Writer},
 };
 use crate::state::{
-    AdviceSettings, Demand, JobNumber, JobOutcome, JobRecord, JobState, ProgressRecord,
-    Registration, Roster, RosterEntry, Summary, WorkerEntry,
+    AdviceSettings, JobNumber, JobOutcome, JobRecord, JobState, ProgressRecord, RosterEntry,
 };
 
 /// Time that a look waits at a worker that runs something, in milliseconds:
@@ -44,10 +42,6 @@
 /// Shortest interval between two rounds of placing, in milliseconds: events
 /// that come closer share a round.
 const PLACE_INTERVAL_MS: u64 = 8;
-/// Unit to which reported needs are rounded up, in thousandths of a core and in
-/// core-milliseconds.
-const ROUNDING: u64 = 16_000;
-
 /// Times of a pool's control, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoolTiming {
@@ -118,7 +112,7 @@
     pub(super) vacated: HashSet<WorkerId>,
     /// Start of the latest life on each host of the registry, whatever its
     /// pool, in milliseconds since 1970.
-    host_lives: HashMap<HostId, u64>,
+    pub(super) host_lives: HashMap<HostId, u64>,
     /// Until then no successor can hold control, on the own clock.
     pub(super) confirmed_until_ms: u64,
     /// Planned stops wait until then, on the own clock.
@@ -126,12 +120,12 @@
     /// Workers that may run what a predecessor started and have not been
     /// listed; none once that is settled.
     pub(super) unsettled: Option<Vec<RosterEntry>>,
-    arrivals: ArrivalRate,
+    pub(super) arrivals: ArrivalRate,
     /// Ended jobs by the time of their end, for their removal.
     finished: Vec<(u64, JobNumber)>,
     pub(super) placing_due: bool,
     next_place_ms: u64,
-    next_check_ms: u64,
+    pub(super) next_check_ms: u64,
     /// Jobs of which runs may have to be stopped.
     pub(super) unwanted: HashSet<JobKey>,
     pub(super) actions: Vec<PoolAction>,
@@ -190,133 +184,6 @@
         self.queues.get(queue).cloned().unwrap_or_default()
     }
 
-    /// Takes over the workers that are to be emptied.
-    pub fn set_vacating(&mut self, vacating: HashSet<WorkerId>) {
-        let mut is_kept = false;
-        for (_, worker) in self.workers.iter_mut() {
-            if worker.is_vacated && !vacating.contains(&worker.entry.worker) {
-                worker.is_vacated = false;
-                worker.is_rostered = false;
-                is_kept = true;
-            }
-        }
-        self.vacating = vacating;
-        self.placing_due = true;
-        if is_kept {
-            self.roster_changed();
-        }
-    }
-
-    /// Takes over the workers that were confirmed to be empty, by this controller
-    /// or a predecessor; nothing is started there while the request stands.
-    pub fn set_vacated(&mut self, vacated: HashSet<WorkerId>) {
-        self.vacated = vacated;
-    }
-
-    /// Takes in the whole registry.
-    pub fn on_registry<'a, I>(&mut self, entries: I)
-    where
-        I: IntoIterator<Item = &'a WorkerEntry> + Clone,
-    {
-        for entry in entries.clone() {
-            let born = self.host_lives.entry(entry.host.clone()).or_default();
-            *born = (*born).max(entry.born_unix_ms);
-        }
-        let mut listed = HashSet::new();
-        let mut changed = false;
-        let pool = self.tenancy.pool.clone();
-        for entry in entries {
-            // The registry lists a life for seconds after it has ended.
-            if entry.pool != pool || self.has_later_life(&entry.host, entry.born_unix_ms) {
-                continue;
-            }
-            let known = self.workers.find(&entry.worker);
-            let same_life = known.filter(|&key| {
-                self.workers.get(key).is_some_and(|worker| {
-                    worker.entry.born_unix_ms == entry.born_unix_ms
-                        && worker.entry.address == entry.address
-                })
-            });
-            let key = match same_life {
-                Some(key) => key,
-                None => {
-                    if let Some(key) = known {
-                        self.end_life(key, "registered again");
-                    }
-                    changed = true;
-                    log::info!(worker = entry.worker.as_str(), host = entry.host.as_str(),
-                        pool = self.tenancy.pool.as_str(), born_unix_ms = entry.born_unix_ms;
-                        "worker joined the pool");
-                    self.workers.insert(entry.clone())
-                }
-            };
-            listed.insert(key);
-            if let Some(worker) = self.workers.get_mut(key) {
-                let presence = Presence::Registered(entry.registration);
-                if worker.presence != presence {
-                    log::info!(worker = entry.worker.as_str(),
-                        draining = (entry.registration == Registration::Draining);
-                        "worker changed its registration");
-                    worker.presence = presence;
-                    self.placing_due = true;
-                }
-                worker.entry = entry.clone();
-            }
-        }
-        for (key, worker) in self.workers.iter_mut() {
-            if !listed.contains(&key) && worker.presence != Presence::Gone {
-                log::info!(worker = worker.entry.worker.as_str(), runs = worker.runs.len();
-                    "worker is no longer registered");
-                worker.presence = Presence::Gone;
-            }
-        }
-        self.end_earlier_lives();
-        if changed {
-            self.roster_changed();
-        }
-        self.next_check_ms = 0;
-    }
-
-    /// Ends the lives of workers whose hosts run a later one: a host runs one
-    /// worker at a time.
-    fn end_earlier_lives(&mut self) {
-        let over: Vec<WorkerKey> = (self.workers.iter())
-            .filter(|(_, worker)| {
-                self.has_later_life(&worker.entry.host, worker.entry.born_unix_ms)
-            })
-            .map(|(key, _)| key)
-            .collect();
-        for key in over {
-            self.end_life(key, "its host runs a later one");
-        }
-    }
-
-    /// Tells whether a host runs a later life than the one that began at
-    /// `born_unix_ms`.
-    pub(super) fn has_later_life(&self, host: &HostId, born_unix_ms: u64) -> bool {
-        self.host_lives.get(host).is_some_and(|&latest| latest > born_unix_ms)
-    }
-
-    /// Names the workers on which something may run. Those that were confirmed
-    /// to be empty are left out: they may be gone with their host's move.
-    pub(super) fn roster_changed(&mut self) {
-        let entry = |worker: &Worker| RosterEntry {
-            worker: worker.entry.worker.clone(),
-            host: worker.entry.host.clone(),
-            born_unix_ms: worker.entry.born_unix_ms,
-        };
-        let named = self.workers.iter().filter(|(_, worker)| !worker.is_vacated);
-        let mut workers: Vec<_> = named.map(|(_, worker)| entry(worker)).collect();
-        // Until it is settled what a predecessor started, its workers stay
-        // named for a successor.
-        for absent in self.unsettled.iter().flatten() {
-            if !workers.contains(absent) {
-                workers.push(absent.clone());
-            }
-        }
-        self.writer.set_roster(Roster { workers });
-    }
-
     /// Takes in a job's record as the store has it.
     pub fn on_job(
         &mut self,
@@ -489,69 +356,6 @@
         }
     }
 
-    /// Returns the expected work of a job's tasks that end by themselves, as far
-    /// as they were not started, in core-milliseconds.
-    fn batch_work_core_ms(&self, job: &Job) -> f64 {
-        let steps = job.spec.steps.iter().enumerate().filter(|(_, spec)| !spec.is_lasting);
-        let work = steps.map(|(index, spec)| {
-            let occurrence = job.occurrences.values().next_back();
-            let state = occurrence.and_then(|occurrence| occurrence.steps.get(index));
-            let open = state.map_or(spec.tasks as usize, |step| {
-                step.tasks.iter().filter(|task| !task.is_done && task.runs.is_empty()).count()
-            });
-            let cores = spec.charge().cpu_millicores as f64 / 1_000.0;
-            let expected_ms = self.durations.expected_ms(&job.queue, spec.estimate_ms);
-            open as f64 * cores * expected_ms as f64
-        });
-        work.sum()
-    }
-
-    /// Tells the holder of upkeep what the pool needs. Figures are rounded, so
-    /// that small changes cost no write.
-    fn demand(&self, now_ms: u64) -> Demand {
-        let in_touch = |worker: &Worker| worker.is_in_touch(now_ms, TOUCH_MS);
-        let round = |value: u64, unit: u64| value.div_ceil(unit) * unit;
-        let live = || self.ledger.iter().filter(|(_, job)| job.outcome.is_none());
-        let backlog_core_ms: f64 = live().map(|(_, job)| self.batch_work_core_ms(job)).sum();
-        let lasting = live().flat_map(|(_, job)| &job.spec.steps).filter(|step| step.is_lasting);
-        let lasting: u64 =
-            lasting.map(|step| u64::from(step.tasks) * step.charge().cpu_millicores).sum();
-        let is_idle = |worker: &&Worker| {
-            worker.is_empty()
-                && in_touch(worker)
-                && worker.presence == Presence::Registered(Registration::Ready)
-                && !self.vacating.contains(&worker.entry.worker)
-        };
-        let idle = self.workers.iter().map(|(_, worker)| worker).filter(is_idle);
-        let mut idle: Vec<WorkerId> = idle.map(|worker| worker.entry.worker.clone()).collect();
-        idle.sort();
-        Demand {
-            arriving_millicores: round(self.arrivals.millicores(now_ms), ROUNDING),
-            backlog_core_ms: round(backlog_core_ms as u64, ROUNDING),
-            lasting_millicores: round(lasting, ROUNDING),
-            idle,
-        }
-    }
-
-    fn summarize(&mut self, now_ms: u64) {
-        if !self.writer.takes_summary(now_ms) {
-            return;
-        }
-        let mut waiting: Vec<(QueueId, u64)> = Vec::new();
-        for (_, job) in self.ledger.iter() {
-            if job.has_started || job.outcome.is_some() || job.is_scheduled() {
-                continue;
-            }
-            match waiting.iter_mut().find(|(queue, _)| *queue == job.queue) {
-                Some((_, count)) => *count += 1,
-                None => waiting.push((job.queue.clone(), 1)),
-            }
-        }
-        waiting.sort();
-        let demand = self.demand(now_ms);
-        self.writer.set_summary(Summary { waiting, demand });
-    }
-
     fn look(&mut self, now_ms: u64) {
         let (term, lease_ms) = (self.tenancy.term, self.timing.worker_lease_ms);
         for (key, worker) in self.workers.iter_mut() {
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -7,6 +7,7 @@
 //! written to the store (`writer`).
 
 mod advice;
+mod demand;
 mod durations;
 mod engine;
 mod events;
@@ -16,6 +17,7 @@
 mod order;
 mod placement;
 mod recovery;
+mod registry;
 mod starts;
 mod stops;
 mod task;
--- /dev/null
+++ b/crates/dispatch/src/coordination/pool/registry.rs
@@ -0,0 +1,140 @@
+//! Which workers a pool has, as the registry and upkeep tell.
+
+use hashbrown::HashSet;
+use tamarackproxy::state::ids::{HostId, WorkerId};
+
+use super::{
+    engine::PoolEngine,
+    events::WorkerKey,
+    workers::{Presence, Worker},
+};
+use crate::state::{Registration, Roster, RosterEntry, WorkerEntry};
+
+impl PoolEngine {
+    /// Takes over the workers that are to be emptied.
+    pub fn set_vacating(&mut self, vacating: HashSet<WorkerId>) {
+        let mut is_kept = false;
+        for (_, worker) in self.workers.iter_mut() {
+            if worker.is_vacated && !vacating.contains(&worker.entry.worker) {
+                worker.is_vacated = false;
+                worker.is_rostered = false;
+                is_kept = true;
+            }
+        }
+        self.vacating = vacating;
+        self.placing_due = true;
+        if is_kept {
+            self.roster_changed();
+        }
+    }
+
+    /// Takes over the workers that were confirmed to be empty, by this controller
+    /// or a predecessor; nothing is started there while the request stands.
+    pub fn set_vacated(&mut self, vacated: HashSet<WorkerId>) {
+        self.vacated = vacated;
+    }
+
+    /// Takes in the whole registry.
+    pub fn on_registry<'a, I>(&mut self, entries: I)
+    where
+        I: IntoIterator<Item = &'a WorkerEntry> + Clone,
+    {
+        for entry in entries.clone() {
+            let born = self.host_lives.entry(entry.host.clone()).or_default();
+            *born = (*born).max(entry.born_unix_ms);
+        }
+        let mut listed = HashSet::new();
+        let mut changed = false;
+        let pool = self.tenancy.pool.clone();
+        for entry in entries {
+            // The registry lists a life for seconds after it has ended.
+            if entry.pool != pool || self.has_later_life(&entry.host, entry.born_unix_ms) {
+                continue;
+            }
+            let known = self.workers.find(&entry.worker);
+            let same_life = known.filter(|&key| {
+                self.workers.get(key).is_some_and(|worker| {
+                    worker.entry.born_unix_ms == entry.born_unix_ms
+                        && worker.entry.address == entry.address
+                })
+            });
+            let key = match same_life {
+                Some(key) => key,
+                None => {
+                    if let Some(key) = known {
+                        self.end_life(key, "registered again");
+                    }
+                    changed = true;
+                    log::info!(worker = entry.worker.as_str(), host = entry.host.as_str(),
+                        pool = self.tenancy.pool.as_str(), born_unix_ms = entry.born_unix_ms;
+                        "worker joined the pool");
+                    self.workers.insert(entry.clone())
+                }
+            };
+            listed.insert(key);
+            if let Some(worker) = self.workers.get_mut(key) {
+                let presence = Presence::Registered(entry.registration);
+                if worker.presence != presence {
+                    log::info!(worker = entry.worker.as_str(),
+                        draining = (entry.registration == Registration::Draining);
+                        "worker changed its registration");
+                    worker.presence = presence;
+                    self.placing_due = true;
+                }
+                worker.entry = entry.clone();
+            }
+        }
+        for (key, worker) in self.workers.iter_mut() {
+            if !listed.contains(&key) && worker.presence != Presence::Gone {
+                log::info!(worker = worker.entry.worker.as_str(), runs = worker.runs.len();
+                    "worker is no longer registered");
+                worker.presence = Presence::Gone;
+            }
+        }
+        self.end_earlier_lives();
+        if changed {
+            self.roster_changed();
+        }
+        self.next_check_ms = 0;
+    }
+
+    /// Ends the lives of workers whose hosts run a later one: a host runs one
+    /// worker at a time.
+    fn end_earlier_lives(&mut self) {
+        let over: Vec<WorkerKey> = (self.workers.iter())
+            .filter(|(_, worker)| {
+                self.has_later_life(&worker.entry.host, worker.entry.born_unix_ms)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in over {
+            self.end_life(key, "its host runs a later one");
+        }
+    }
+
+    /// Tells whether a host runs a later life than the one that began at
+    /// `born_unix_ms`.
+    pub(super) fn has_later_life(&self, host: &HostId, born_unix_ms: u64) -> bool {
+        self.host_lives.get(host).is_some_and(|&latest| latest > born_unix_ms)
+    }
+
+    /// Names the workers on which something may run. Those that were confirmed
+    /// to be empty are left out: they may be gone with their host's move.
+    pub(super) fn roster_changed(&mut self) {
+        let entry = |worker: &Worker| RosterEntry {
+            worker: worker.entry.worker.clone(),
+            host: worker.entry.host.clone(),
+            born_unix_ms: worker.entry.born_unix_ms,
+        };
+        let named = self.workers.iter().filter(|(_, worker)| !worker.is_vacated);
+        let mut workers: Vec<_> = named.map(|(_, worker)| entry(worker)).collect();
+        // Until it is settled what a predecessor started, its workers stay
+        // named for a successor.
+        for absent in self.unsettled.iter().flatten() {
+            if !workers.contains(absent) {
+                workers.push(absent.clone());
+            }
+        }
+        self.writer.set_roster(Roster { workers });
+    }
+}
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -5,7 +5,7 @@
 use log::LevelFilter;
 use tamarackproxy::state::{
     ids::{DataCentreId, EntryId},
-    ini::{IniError, IniErrors, RawSection, SectionReader, read_sections},
+    ini::{IniError, IniErrors, RawSection, SectionReader, read_section, read_sections},
 };
 
 const ADDRESS: &str = "an IP number and a port such as 10.0.0.1:8080";
@@ -74,25 +74,25 @@
 }
 
 fn read(sections: &[RawSection], errors: &mut Vec<IniError>) -> Option<DispatchSettings> {
-    let entry = section(sections, "entry", errors, |reader| {
+    let entry = read_section(sections, "entry", errors, |reader| {
         let entry: Option<EntryId> = reader.required("name", NAME);
         let data_centre: Option<DataCentreId> = reader.required("data_centre", NAME);
         Some((entry?, data_centre?))
     });
-    let listen = section(sections, "listen", errors, |reader| {
+    let listen = read_section(sections, "listen", errors, |reader| {
         let callers = reader.required("callers", ADDRESS);
         let ready = reader.required("ready", ADDRESS);
         let metrics = reader.required("metrics", ADDRESS);
         Some((callers?, ready?, metrics?))
     });
-    let platform = section(sections, "platform", errors, |reader| {
+    let platform = read_section(sections, "platform", errors, |reader| {
         let store = reader.required("store", ADDRESS);
         let hosts = reader.required("hosts", ADDRESS);
         // An empty value stands for a platform without the service.
         let advice = reader.list("advice", ADDRESS).into_iter().next();
         Some((store?, hosts?, advice))
     });
-    let limits = section(sections, "limits", errors, |reader| {
+    let limits = read_section(sections, "limits", errors, |reader| {
         let stop_ms = milliseconds(reader, "graceful_stop_s", 6.0);
         let hold_max_ms = reader.or_default("worker_lease_max_ms", COUNT, 10_000_u64);
         let status_ms = milliseconds(reader, "ended_jobs_s", 120.0);
@@ -102,7 +102,7 @@
         let descriptors = reader.or_default("descriptors", COUNT, 1_024_usize);
         Some((stop_ms, hold_max_ms, status_ms, maintenance_ms, move_ms, cores, descriptors))
     });
-    let level = section(sections, "log", errors, |reader| {
+    let level = read_section(sections, "log", errors, |reader| {
         Some(reader.or_default("level", LEVEL, LevelFilter::Info))
     });
     for raw in sections.iter().filter(|raw| !SECTIONS.contains(&&*raw.header)) {
@@ -144,21 +144,5 @@
     (seconds.max(0.0) * 1_000.0) as u64
 }
 
-/// Reads one section; a missing one is read as empty, so that each of its
-/// missing keys is reported.
-fn section<T>(
-    sections: &[RawSection],
-    header: &'static str,
-    errors: &mut Vec<IniError>,
-    read: impl FnOnce(&mut SectionReader<'_>) -> Option<T>,
-) -> Option<T> {
-    let empty = RawSection { header: header.into(), entries: Vec::new() };
-    let raw = sections.iter().find(|raw| &*raw.header == header).unwrap_or(&empty);
-    let mut reader = SectionReader::new(raw, errors);
-    let value = read(&mut reader);
-    reader.finish();
-    value
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/tamarackproxy/src/state/ini/reader.rs
+++ b/crates/tamarackproxy/src/state/ini/reader.rs
@@ -172,3 +172,22 @@
         }
     }
 }
+
+/// Reads one section; a missing one is read as empty, so that each of its
+/// missing keys is reported.
+pub fn read_section<T, F>(
+    sections: &[RawSection],
+    header: &'static str,
+    errors: &mut Vec<IniError>,
+    read: F,
+) -> Option<T>
+where
+    F: FnOnce(&mut SectionReader<'_>) -> Option<T>,
+{
+    let empty = RawSection { header: header.into(), entries: Vec::new() };
+    let raw = sections.iter().find(|raw| &*raw.header == header).unwrap_or(&empty);
+    let mut reader = SectionReader::new(raw, errors);
+    let value = read(&mut reader);
+    reader.finish();
+    value
+}
--- a/crates/tamarackproxy/src/state/settings/parse.rs
+++ b/crates/tamarackproxy/src/state/settings/parse.rs
@@ -11,7 +11,8 @@
 use crate::state::{
     ids::{DataCentreId, EntryId},
     ini::{
-        IniError, IniErrorKind, IniErrors, RawSection, SectionReader, did_you_mean, read_sections,
+        IniError, IniErrorKind, IniErrors, RawSection, SectionReader, did_you_mean, read_section,
+        read_sections,
     },
     units::{DurationMs, SizeBytes},
 };
@@ -72,30 +73,30 @@
     }
 
     fn read(sections: &[RawSection], errors: &mut Vec<IniError>) -> Option<Self> {
-        let entry = section(sections, "entry", errors, |reader| {
+        let entry = read_section(sections, "entry", errors, |reader| {
             let entry: Option<EntryId> = reader.required("name", NAME);
             let data_centre: Option<DataCentreId> = reader.required("data_centre", NAME);
             Some((entry?, data_centre?))
         });
-        let listen = section(sections, "listen", errors, |reader| {
+        let listen = read_section(sections, "listen", errors, |reader| {
             let callers = reader.required("callers", ADDRESS);
             let admin = reader.required("admin", ADDRESS);
             let peers = reader.required("peers", ADDRESS);
             Some(ListenSettings { callers: callers?, admin: admin?, peers: peers? })
         });
-        let store = section(sections, "store", errors, |reader| {
+        let store = read_section(sections, "store", errors, |reader| {
             let address = reader.required("address", ADDRESS);
             let timeout = reader.or_default("timeout", DURATION, DurationMs::new(1_000));
             Some(StoreSettings { address: address?, timeout })
         });
-        let platform = section(sections, "platform", errors, |reader| {
+        let platform = read_section(sections, "platform", errors, |reader| {
             let address = reader.required("address", ADDRESS);
             let list_interval =
                 reader.or_default("list_interval", DURATION, DurationMs::new(1_000));
             Some(PlatformSettings { address: address?, list_interval })
         });
-        let limits = section(sections, "limits", errors, limits);
-        let log = section(sections, "log", errors, log_settings);
+        let limits = read_section(sections, "limits", errors, limits);
+        let log = read_section(sections, "log", errors, log_settings);
         let peers = peers(sections, errors);
         let (entry, data_centre) = entry?;
         Some(Self {
@@ -132,22 +133,6 @@
     Some(LogSettings { level, targets })
 }
 
-/// Reads one section; a missing one is read as empty, so that each of its
-/// missing keys is reported.
-fn section<T>(
-    sections: &[RawSection],
-    header: &'static str,
-    errors: &mut Vec<IniError>,
-    read: impl FnOnce(&mut SectionReader<'_>) -> Option<T>,
-) -> Option<T> {
-    let empty = RawSection { header: header.into(), entries: Vec::new() };
-    let raw = sections.iter().find(|raw| &*raw.header == header).unwrap_or(&empty);
-    let mut reader = SectionReader::new(raw, errors);
-    let value = read(&mut reader);
-    reader.finish();
-    value
-}
-
 fn peers(sections: &[RawSection], errors: &mut Vec<IniError>) -> Vec<PeerSettings> {
     let raw = sections.iter().filter(|raw| &*raw.header == "peers");
     let mut peers = Vec::new();
