Ask small holders of control for scopes that larger hosts serve better

At the start one host took two pools within 10 ms while larger ones took none, since an attempt counted only what was held.

Change: the record of a holder says how many processors it has. A host that has more than twice as much for each pool asks the holder in the store, and the holder gives the scope up itself. It is not evicted: a holder that does not know of its successor starts jobs that both think are theirs. Attempts under way count like scopes that are held.

--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -1,18 +1,20 @@
 //! Control of scopes: which pools, and whether upkeep, this process controls.
 //!
-//! Load pattern: all processes start at once and want every scope; later one
-//! dies and its scopes are to move within seconds. A process that holds more
-//! waits longer before it tries, so scopes spread without any exchange.
+//! What is decided here stands in [`crate::coordination::control`]. A holder
+//! that is asked for a scope gives it up itself: it must not act any more when
+//! its successor does.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
+use hashbrown::{HashMap, HashSet};
 use rand::Rng;
 use tamarackproxy::{
     coordination::control::{ControlLease, LeaseTiming, Tenure, decode_tenure},
-    protocol::store::WatchEvent,
+    protocol::store::{KeyValue, WatchEvent},
     state::{
         clock::ClockReading,
-        ids::{EntryId, PoolId},
+        ids::{EntryId, PoolId, RecordVersion, Term},
+        records::TenureRecord,
     },
 };
 use tokio::{
@@ -24,12 +26,19 @@
 use super::{
     clock,
     follow::Followed,
-    keys::{CONTROL_PREFIX, UPKEEP_SCOPE, scope_of},
+    keys::{
+        CONTROL_PREFIX, ControlKey, Fence, UPKEEP_SCOPE, control_key, decode_item,
+        handover_transaction, scope_of,
+    },
     platform::Platform,
     pool,
     shared::Shared,
     upkeep,
 };
+use crate::{
+    coordination::control::{ControlLoad, FULL_MILLICORES, SETTLED_MS, ScopeKind},
+    state::HandoverRequest,
+};
 
 /// Times of control leases, in milliseconds. Three renewals fit into a lease;
 /// a successor is in place within four seconds, before workers' leases end.
@@ -39,18 +48,14 @@
 /// answer, in milliseconds; with the lease, longer than the outages that the
 /// operators expect.
 const OUTAGE_MS: u64 = 6_000;
-/// Delay before an attempt for each scope that is held already, in
-/// milliseconds: several times what an acquisition takes.
-const HELD_DELAY_MS: u64 = 300;
-/// Delay before an attempt for each halving of the host's processors below
-/// [`FULL_CORES`], in milliseconds: control costs processor time, so hosts that
-/// have too little come last.
-const HALVING_DELAY_MS: f64 = 350.0;
-/// Processors of the users' common entry hosts, which control pools of a dozen
-/// workers with a tenth of them.
-const FULL_CORES: f64 = 0.25;
-/// Largest drawn part of the delay, in milliseconds.
+/// Largest drawn part of the delay before an attempt, in milliseconds.
 const JITTER_MS: u64 = 120;
+/// Largest drawn part of the delay before a holder is asked for its scope, in
+/// milliseconds: the hosts that could ask see the first one's request.
+const ASK_JITTER_MS: u64 = 1_000;
+/// Time for which a scope that was given up is left to the host that asked for
+/// it, in milliseconds: three times what release and acquisition take.
+const HANDOVER_MS: u64 = 1_500;
 /// Longest sleep of an idle lease, in milliseconds.
 const IDLE_MS: u64 = 1_000;
 
@@ -97,33 +102,78 @@
     }
 }
 
+/// Holders of scopes and what they were asked.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Holders {
+    scopes: HashMap<Box<str>, Holder>,
+    requests: HashMap<Box<str>, HandoverRequest>,
+}
+
+#[derive(Clone, Debug)]
+struct Holder {
+    tenure: TenureRecord,
+    version: RecordVersion,
+    /// When it was first seen, on the own clock.
+    since_ms: u64,
+}
+
+impl Holders {
+    /// Returns what a process controls.
+    fn load(&self, entry: &EntryId, millicores: u32) -> ControlLoad {
+        let scopes = self.scopes.iter().filter(|(_, holder)| holder.tenure.holder == *entry);
+        ControlLoad::new(millicores).with_scopes(scopes.map(|(scope, _)| kind_of(scope)))
+    }
+
+    fn put(&mut self, now_ms: u64, item: &KeyValue) {
+        match control_key(&item.key) {
+            Some(ControlKey::Holder(scope)) => {
+                let Some(tenure) = decode_tenure(Some(item)) else { return };
+                let since_ms = match self.scopes.get(scope) {
+                    Some(known) if known.version == item.version => known.since_ms,
+                    _ => now_ms,
+                };
+                let holder = Holder { tenure, version: item.version, since_ms };
+                self.scopes.insert(scope.into(), holder);
+            }
+            Some(ControlKey::Handover(scope)) => {
+                if let Some(request) = decode_item(item) {
+                    self.requests.insert(scope.into(), request);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        match control_key(key) {
+            Some(ControlKey::Holder(scope)) => drop(self.scopes.remove(scope)),
+            Some(ControlKey::Handover(scope)) => drop(self.requests.remove(scope)),
+            None => {}
+        }
+    }
+}
+
+fn kind_of(scope: &str) -> ScopeKind {
+    if scope == UPKEEP_SCOPE { ScopeKind::Upkeep } else { ScopeKind::Pool }
+}
+
 /// Takes in who holds which scope.
 pub(super) fn on_holders<P>(shared: &Shared<P>, followed: Followed)
 where
     P: Platform,
 {
-    let mut holders = hashbrown::HashMap::clone(&shared.holders.borrow());
-    let scope = |key: &str| key.strip_prefix(CONTROL_PREFIX).map(Box::<str>::from);
+    let now_ms = clock::read().monotonic_ms;
+    let mut holders = Holders::clone(&shared.holders.borrow());
     match followed {
         Followed::Listed(items) => {
-            holders.clear();
-            for item in items {
-                if let (Some(scope), Some(tenure)) = (scope(&item.key), decode_tenure(Some(&item)))
-                {
-                    holders.insert(scope, tenure.holder);
-                }
-            }
-        }
-        Followed::Changed(WatchEvent::Put(item)) => {
-            if let (Some(scope), Some(tenure)) = (scope(&item.key), decode_tenure(Some(&item))) {
-                holders.insert(scope, tenure.holder);
-            }
-        }
-        Followed::Changed(WatchEvent::Deleted { key, .. }) => {
-            if let Some(scope) = scope(&key) {
-                holders.remove(&scope);
-            }
+            let listed: HashSet<&str> = items.iter().map(|item| &*item.key).collect();
+            let is_listed = |scope: &str| listed.contains(&*format!("{CONTROL_PREFIX}{scope}"));
+            holders.scopes.retain(|scope, _| is_listed(scope));
+            holders.requests.clear();
+            items.iter().for_each(|item| holders.put(now_ms, item));
         }
+        Followed::Changed(WatchEvent::Put(item)) => holders.put(now_ms, &item),
+        Followed::Changed(WatchEvent::Deleted { key, .. }) => holders.remove(&key),
         Followed::Changed(WatchEvent::Interrupted) => return,
     }
     shared.holders.send_replace(Rc::new(holders));
@@ -134,138 +184,253 @@
 where
     P: Platform,
 {
-    let name = scope.name();
-    let entry = shared.settings.entry.clone();
-    let mut lease = ControlLease::new(&*name, entry.clone()).with_timing(TIMING);
-    if shared.settings.cores >= FULL_CORES {
-        // A smaller host that starts again leaves its scopes to larger ones.
-        lease = lease.with_self_replacement();
+    ScopeControl::new(shared, scope).run().await;
+}
+
+/// The lease of one scope and its controller.
+struct ScopeControl<P> {
+    shared: Rc<Shared<P>>,
+    scope: Scope,
+    name: Box<str>,
+    lease: ControlLease,
+    tenancy: Tenancy,
+    controller: Option<(Tenure, JoinHandle<()>)>,
+    /// Load for which the next attempt was delayed.
+    delayed_for: ControlLoad,
+    /// Until then the scope is left to the host that asked for it.
+    left_until_ms: u64,
+    /// Part of the delay before the holder is asked, drawn once a process.
+    ask_jitter_ms: u64,
+    /// Term of the holder that was asked last.
+    asked: Option<Term>,
+}
+
+impl<P> ScopeControl<P>
+where
+    P: Platform,
+{
+    fn new(shared: Rc<Shared<P>>, scope: Scope) -> Self {
+        let name = scope.name();
+        let lease = new_lease(&shared, &name);
+        let delayed_for = ControlLoad::new(shared.settings.millicores());
+        let ask_jitter_ms = rand::rng().random_range(0..=ASK_JITTER_MS);
+        let mut control = Self {
+            shared,
+            scope,
+            name,
+            lease,
+            tenancy: Tenancy::default(),
+            controller: None,
+            delayed_for,
+            left_until_ms: 0,
+            ask_jitter_ms,
+            asked: None,
+        };
+        control.postpone(clock::read().monotonic_ms);
+        control
     }
-    let tenancy = Tenancy::default();
-    let mut controller: Option<(Tenure, JoinHandle<()>)> = None;
-    let mut holders = shared.holders.subscribe();
-    let mut stopping = shared.stopping.subscribe();
-    lease.postpone_until(clock::read().monotonic_ms + attempt_delay_ms(&shared));
-    loop {
-        let now = clock::read();
-        if tenancy.take_fenced() {
-            lease.lose(now);
+
+    async fn run(mut self) {
+        let mut holders = self.shared.holders.subscribe();
+        let mut stopping = self.shared.stopping.subscribe();
+        loop {
+            let now = clock::read();
+            if self.tenancy.take_fenced() {
+                self.lease.lose(now);
+            }
+            if self.shared.is_stopping() {
+                self.release("the process stops").await;
+                return;
+            }
+            self.on_holder(now);
+            if self.is_asked_to_leave() {
+                self.leave().await;
+            }
+            self.ask_holder(now).await;
+            // Decides before and after each call, since a call may take long.
+            self.sync_controller();
+            self.tick().await;
+            let now_ms = clock::read().monotonic_ms;
+            let next_ms =
+                self.lease.next_tick_ms().unwrap_or(0).clamp(now_ms + 10, now_ms + IDLE_MS);
+            let until = Instant::now() + Duration::from_millis(next_ms - now_ms);
+            tokio::select! {
+                () = sleep_until(until) => {}
+                _ = holders.changed() => {}
+                _ = stopping.changed() => {}
+                () = self.tenancy.notify.notified() => {}
+            }
         }
-        if shared.is_stopping() {
-            end_controller(&shared, &name, &mut controller, "the process stops");
-            if let Some(request) = lease.release() {
-                // Without a reply the lease lapses by itself.
-                let _ = shared.store(&request).await;
+    }
+
+    /// Attempts or renews if it is time.
+    async fn tick(&mut self) {
+        let now = clock::read();
+        let is_acting = self.lease.acting(now).is_some();
+        if !is_acting {
+            let load = self.load();
+            if load.exceeds(&self.delayed_for) {
+                self.postpone(now.monotonic_ms);
             }
-            return;
+            self.delayed_for = load;
         }
-        on_holder(&shared, &name, &entry, &mut lease, &controller, now);
-        // Decides before and after each call, since a call may take long.
-        sync_controller(&shared, &scope, &lease, &tenancy, &mut controller);
-        let may_acquire = lease.acting(now).is_some() || shared.is_ready();
-        let mut request = if may_acquire { lease.tick(now) } else { None };
-        while let Some(call) = request {
-            let result = shared.store(&call).await;
-            request = lease.on_store_reply(clock::read(), result);
-            sync_controller(&shared, &scope, &lease, &tenancy, &mut controller);
+        let may_acquire = is_acting || self.shared.is_ready();
+        let mut request = if may_acquire { self.lease.tick(now) } else { None };
+        if request.is_some() && !is_acting {
+            self.shared.attempted.borrow_mut().insert(self.name.clone());
         }
-        let now_ms = clock::read().monotonic_ms;
-        let next_ms = lease.next_tick_ms().unwrap_or(0).clamp(now_ms + 10, now_ms + IDLE_MS);
-        let until = Instant::now() + Duration::from_millis(next_ms - now_ms);
-        tokio::select! {
-            () = sleep_until(until) => {}
-            _ = holders.changed() => {}
-            _ = stopping.changed() => {}
-            () = tenancy.notify.notified() => {}
+        while let Some(call) = request {
+            let result = self.shared.store(&call).await;
+            request = self.lease.on_store_reply(clock::read(), result);
+            self.sync_controller();
         }
+        self.shared.attempted.borrow_mut().remove(&self.name);
     }
-}
 
-/// Draws the delay before an attempt to take a vacant scope.
-fn attempt_delay_ms<P>(shared: &Shared<P>) -> u64
-where
-    P: Platform,
-{
-    let held = shared.held.borrow().len() as u64;
-    let halvings = (FULL_CORES / shared.settings.cores.max(0.01)).log2().max(0.0);
-    let size_ms = (halvings * HALVING_DELAY_MS) as u64;
-    held * HELD_DELAY_MS + size_ms + rand::rng().random_range(0..=JITTER_MS)
-}
+    /// Returns what this process controls or tries to, without this scope.
+    fn load(&self) -> ControlLoad {
+        let held = self.shared.held.borrow();
+        let attempted = self.shared.attempted.borrow();
+        let scopes: HashSet<&str> =
+            held.iter().chain(attempted.iter()).map(|name| &**name).collect();
+        let others = scopes.into_iter().filter(|&name| name != &*self.name);
+        ControlLoad::new(self.shared.settings.millicores()).with_scopes(others.map(kind_of))
+    }
 
-/// Compares the lease with the holder that the store names.
-fn on_holder<P>(
-    shared: &Rc<Shared<P>>,
-    name: &str,
-    entry: &EntryId,
-    lease: &mut ControlLease,
-    controller: &Option<(Tenure, JoinHandle<()>)>,
-    now: ClockReading,
-) where
-    P: Platform,
-{
-    let holder = shared.holders.borrow().get(name).cloned();
-    match (&holder, controller) {
-        (Some(other), Some(_)) if other != entry => {
-            log::warn!(scope = name, holder = other.as_str(); "another entry host took control");
-            lease.lose(now);
-        }
-        (Some(_), _) => {}
-        (None, None) => {
-            // A scope that this process tried to take a moment ago is seen as
-            // vacant until the change arrives; the delay covers that.
-            lease.attempt_by(now.monotonic_ms + attempt_delay_ms(shared));
+    /// Draws the delay before an attempt to take the scope while it is vacant.
+    fn attempt_delay_ms(&self) -> u64 {
+        self.load().attempt_delay_ms() + rand::rng().random_range(0..=JITTER_MS)
+    }
+
+    fn postpone(&mut self, now_ms: u64) {
+        self.lease.postpone_until(self.left_until_ms.max(now_ms + self.attempt_delay_ms()));
+    }
+
+    /// Compares the lease with the holder that the store names.
+    fn on_holder(&mut self, now: ClockReading) {
+        let holders = self.shared.holders.borrow();
+        match (holders.scopes.get(&self.name), &self.controller) {
+            (Some(Holder { tenure, .. }), Some(_))
+                if tenure.holder != self.shared.settings.entry =>
+            {
+                log::warn!(scope = &*self.name, holder = tenure.holder.as_str();
+                    "another entry host took control");
+                self.lease.lose(now);
+            }
+            (None, None) => {
+                // A scope that this process tried to take a moment ago is seen
+                // as vacant until the change arrives; the delay covers that.
+                let at_ms = now.monotonic_ms + self.attempt_delay_ms();
+                self.lease.attempt_by(at_ms.max(self.left_until_ms));
+            }
+            (Some(_), _) | (None, Some(_)) => {}
         }
-        (None, Some(_)) => {}
     }
-}
 
-/// Starts or ends the controller as the lease says.
-fn sync_controller<P>(
-    shared: &Rc<Shared<P>>,
-    scope: &Scope,
-    lease: &ControlLease,
-    tenancy: &Tenancy,
-    controller: &mut Option<(Tenure, JoinHandle<()>)>,
-) where
-    P: Platform,
-{
-    let name = scope.name();
-    tenancy.confirmed_until_ms.set(lease.valid_until_ms());
-    let acting = lease.acting(clock::read());
-    let current = controller.as_ref().map(|(tenure, _)| tenure.term);
-    if current.is_some() && acting.map(|tenure| tenure.term) != current {
-        end_controller(shared, &name, controller, "the tenure is over");
+    /// Tells whether a host with more processors asks for the scope.
+    fn is_asked_to_leave(&self) -> bool {
+        let holders = self.shared.holders.borrow();
+        let request = holders.requests.get(&self.name);
+        self.controller
+            .as_ref()
+            .is_some_and(|(tenure, _)| request.is_some_and(|request| request.term == tenure.term))
     }
-    if let Some(tenure) = acting
-        && controller.is_none()
-    {
-        log::info!(scope = &*name, term = tenure.term.0; "control acquired");
-        metrics::counter!("control_acquired").increment(1);
-        shared.held.send_modify(|held| held.push(name.clone()));
-        let shared = Rc::clone(shared);
-        let tenancy = tenancy.clone();
-        let task = match scope {
-            Scope::Pool(pool) => {
-                tokio::task::spawn_local(pool::control(shared, pool.clone(), tenure, tenancy))
+
+    /// Gives up the scope and leaves it to others for a while.
+    async fn leave(&mut self) {
+        metrics::counter!("control_handed_over").increment(1);
+        self.release("a host with more processors asks for the scope").await;
+        self.left_until_ms = clock::read().monotonic_ms + HANDOVER_MS;
+        self.lease = new_lease(&self.shared, &self.name);
+        self.lease.postpone_until(self.left_until_ms);
+    }
+
+    /// Asks the holder for the scope if this process has far more processors
+    /// for it.
+    async fn ask_holder(&mut self, now: ClockReading) {
+        let entry = &self.shared.settings.entry;
+        let holders = Rc::clone(&self.shared.holders.borrow());
+        let Some(holder) = holders.scopes.get(&self.name) else { return };
+        let Holder { tenure, version, since_ms } = holder;
+        let is_due = now.monotonic_ms >= since_ms + SETTLED_MS + self.ask_jitter_ms;
+        let was_asked = holders.requests.get(&self.name).is_some_and(|it| it.term >= tenure.term);
+        if !is_due || was_asked || tenure.holder == *entry || self.asked == Some(tenure.term) {
+            return;
+        }
+        let kind = kind_of(&self.name);
+        let load = holders.load(&tenure.holder, tenure.millicores);
+        if !self.shared.is_ready() || !self.load().may_ask_for(kind, &load) {
+            return;
+        }
+        let request = HandoverRequest { asker: entry.clone(), term: tenure.term };
+        let fence = Fence::new(&self.name, *version);
+        let result = match handover_transaction(&fence, &self.name, &request) {
+            Ok(transaction) => {
+                self.shared.transact(&transaction).await.map_err(|it| it.to_string())
             }
-            Scope::Upkeep => tokio::task::spawn_local(upkeep::control(shared, tenure, tenancy)),
+            Err(error) => Err(error.to_string()),
         };
-        *controller = Some((tenure, task));
+        self.asked = result.is_ok().then_some(tenure.term);
+        log::info!(scope = &*self.name, holder = tenure.holder.as_str(), term = tenure.term.0,
+            holder_millicores = tenure.millicores, result:? = result;
+            "holder with few processors was asked to give up the scope");
+    }
+
+    /// Starts or ends the controller as the lease says.
+    fn sync_controller(&mut self) {
+        self.tenancy.confirmed_until_ms.set(self.lease.valid_until_ms());
+        let acting = self.lease.acting(clock::read());
+        let current = self.controller.as_ref().map(|(tenure, _)| tenure.term);
+        if current.is_some() && acting.map(|tenure| tenure.term) != current {
+            self.end_controller("the tenure is over");
+        }
+        if let Some(tenure) = acting
+            && self.controller.is_none()
+        {
+            log::info!(scope = &*self.name, term = tenure.term.0; "control acquired");
+            metrics::counter!("control_acquired").increment(1);
+            self.shared.held.send_modify(|held| held.push(self.name.clone()));
+            let shared = Rc::clone(&self.shared);
+            let tenancy = self.tenancy.clone();
+            let task = match &self.scope {
+                Scope::Pool(pool) => {
+                    tokio::task::spawn_local(pool::control(shared, pool.clone(), tenure, tenancy))
+                }
+                Scope::Upkeep => tokio::task::spawn_local(upkeep::control(shared, tenure, tenancy)),
+            };
+            self.controller = Some((tenure, task));
+        }
+    }
+
+    fn end_controller(&mut self, reason: &str) {
+        let Some((tenure, task)) = self.controller.take() else { return };
+        log::info!(scope = &*self.name, term = tenure.term.0, reason = reason; "control ended");
+        task.abort();
+        self.shared.held.send_modify(|held| held.retain(|held| **held != *self.name));
+    }
+
+    /// Ends the controller and its lease.
+    async fn release(&mut self, reason: &str) {
+        self.end_controller(reason);
+        if let Some(request) = self.lease.release()
+            && let Err(error) = self.shared.store(&request).await
+        {
+            log::info!(scope = &*self.name, error:display = error;
+                "control was not released and lapses with its lease");
+        }
     }
 }
 
-fn end_controller<P>(
-    shared: &Shared<P>,
-    name: &str,
-    controller: &mut Option<(Tenure, JoinHandle<()>)>,
-    reason: &str,
-) where
+fn new_lease<P>(shared: &Shared<P>, scope: &str) -> ControlLease
+where
     P: Platform,
 {
-    let Some((tenure, task)) = controller.take() else { return };
-    log::info!(scope = name, term = tenure.term.0, reason = reason; "control ended");
-    task.abort();
-    shared.held.send_modify(|held| held.retain(|held| **held != *name));
+    let millicores = shared.settings.millicores();
+    let lease = ControlLease::new(scope, shared.settings.entry.clone())
+        .with_timing(TIMING)
+        .with_millicores(millicores);
+    // A smaller host that starts again leaves its scopes to larger ones.
+    if millicores >= FULL_MILLICORES { lease.with_self_replacement() } else { lease }
 }
 
 /// Ends a task when it is dropped.
--- a/crates/dispatch/src/node/keys.rs
+++ b/crates/dispatch/src/node/keys.rs
@@ -14,13 +14,16 @@
         upkeep::UpkeepWrite,
     },
     state::{
-        BalanceRecord, JobNumber, JobRecord, RecordError, VacateRequest, WaveNumber, WaveRecord,
-        WaveState, decode, encode,
+        BalanceRecord, HandoverRequest, JobNumber, JobRecord, RecordError, VacateRequest,
+        WaveNumber, WaveRecord, WaveState, decode, encode,
     },
 };
 
 /// Prefix of keys bound to the leases of holders.
 pub(super) const CONTROL_PREFIX: &str = "control/";
+/// Prefix of requests to holders to give up their scopes; below
+/// [`CONTROL_PREFIX`], so that one watch shows both.
+const HANDOVER_PREFIX: &str = "control/handover/";
 /// Scope of upkeep beside those of pools.
 pub(super) const UPKEEP_SCOPE: &str = "upkeep";
 /// Prefix of requests to empty workers and of their confirmations.
@@ -36,6 +39,33 @@
     format!("pool-{pool}").into()
 }
 
+/// What a key below [`CONTROL_PREFIX`] concerns.
+pub(super) enum ControlKey<'a> {
+    /// The holder of a scope.
+    Holder(&'a str),
+    /// A request to the holder of a scope.
+    Handover(&'a str),
+}
+
+/// Reads a key below [`CONTROL_PREFIX`].
+pub(super) fn control_key(key: &str) -> Option<ControlKey<'_>> {
+    match key.strip_prefix(HANDOVER_PREFIX) {
+        Some(scope) => Some(ControlKey::Handover(scope)),
+        None => key.strip_prefix(CONTROL_PREFIX).map(ControlKey::Holder),
+    }
+}
+
+/// Makes the transaction that asks the holder of a scope to give it up, unless
+/// its tenure is over.
+pub(super) fn handover_transaction(
+    fence: &Fence,
+    scope: &str,
+    request: &HandoverRequest,
+) -> Result<Transaction, RecordError> {
+    let put = vec![encoded(format!("{HANDOVER_PREFIX}{scope}").into(), request)?];
+    Ok(Transaction { expected: vec![fence.condition()], put, remove: Vec::new() })
+}
+
 pub(super) fn jobs_prefix(pool: &PoolId) -> Box<str> {
     format!("jobs/{pool}/").into()
 }
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -8,12 +8,13 @@
 use hashbrown::{HashMap, HashSet};
 use tamarackproxy::{
     protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest, WatchEvent},
-    state::ids::{EntryId, PoolId, RecordVersion, RequestId, WorkerId},
+    state::ids::{PoolId, RecordVersion, RequestId, WorkerId},
 };
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::{
     clock,
+    control::Holders,
     follow::Followed,
     platform::{
         Changes, ChangesError, Listing, OperatorRecord, Platform, Transaction, TransactionReply,
@@ -47,9 +48,11 @@
     pub(super) vacate: watch::Sender<Rc<HashSet<WorkerId>>>,
     pub(super) vacated: watch::Sender<Rc<HashSet<WorkerId>>>,
     /// Holders of scopes, as last seen.
-    pub(super) holders: watch::Sender<Rc<HashMap<Box<str>, EntryId>>>,
+    pub(super) holders: watch::Sender<Rc<Holders>>,
     /// Scopes that this process holds.
     pub(super) held: watch::Sender<Vec<Box<str>>>,
+    /// Scopes that this process tries to acquire.
+    pub(super) attempted: RefCell<HashSet<Box<str>>>,
     /// Engines of the pools that this process controls.
     pub(super) engines: RefCell<HashMap<PoolId, Rc<RefCell<PoolEngine>>>>,
     pub(super) submissions: RefCell<Submissions>,
@@ -77,6 +80,7 @@
             vacated: watch::Sender::new(Rc::default()),
             holders: watch::Sender::new(Rc::default()),
             held: watch::Sender::new(Vec::new()),
+            attempted: RefCell::default(),
             engines: RefCell::default(),
             submissions: RefCell::default(),
             submission_replies: RefCell::default(),
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -52,6 +52,13 @@
     pub level: LevelFilter,
 }
 
+impl DispatchSettings {
+    /// Returns the processors of this entry host, in thousandths of a core.
+    pub fn millicores(&self) -> u32 {
+        (self.cores * 1_000.0) as u32
+    }
+}
+
 const SECTIONS: [&str; 5] = ["entry", "listen", "platform", "limits", "log"];
 
 impl DispatchSettings {
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use strum::{Display as StrumDisplay, EnumString};
 use tamarackproxy::{
-    state::ids::{HostId, PoolId, QueueId, Term, WorkerId},
+    state::ids::{EntryId, HostId, PoolId, QueueId, Term, WorkerId},
     transport::frame::{self, FrameError},
 };
 
@@ -163,6 +163,16 @@
     pub idle: Vec<WorkerId>,
 }
 
+/// Value of `control/handover/<scope>`: a host with more processors asks the
+/// holder to give up the scope.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandoverRequest {
+    /// Who asks.
+    pub asker: EntryId,
+    /// Term of the holder that is asked; later ones are not concerned.
+    pub term: Term,
+}
+
 /// Value of `fleet/vacate/<worker>`: the pool's controller is to empty it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VacateRequest {
--- a/crates/tamarackproxy/src/coordination/control/lease.rs
+++ b/crates/tamarackproxy/src/coordination/control/lease.rs
@@ -96,6 +96,8 @@
     expired: bool,
     timing: LeaseTiming,
     replaces_itself: bool,
+    /// Processors of this entry host, in thousandths of a core.
+    millicores: u32,
     other: Option<EntryId>,
     /// When the scope was last found to be held by another.
     other_since_ms: Option<u64>,
@@ -122,6 +124,7 @@
             expired: true,
             timing: LeaseTiming::default(),
             replaces_itself: false,
+            millicores: 0,
             other: None,
             other_since_ms: None,
             backoff: Backoff::new(BACKOFF_MIN_MS, BACKOFF_MAX_MS),
@@ -145,6 +148,14 @@
         self
     }
 
+    /// Tells others how many processors the holder has, in thousandths of a
+    /// core.
+    #[must_use]
+    pub fn with_millicores(mut self, millicores: u32) -> Self {
+        self.millicores = millicores;
+        self
+    }
+
     /// Sets the delay between attempts while another entry host holds the
     /// scope, in milliseconds.
     pub fn set_retry_ms(&mut self, retry_ms: u64) {
@@ -327,6 +338,7 @@
             term: last.next(),
             released: false,
             operation: self.operation(now),
+            millicores: self.millicores,
         };
         let (key, term_key) = (self.key.clone(), self.term_key.clone());
         let acquisition = Acquisition::raise(key, term_key, record, version);
--- a/crates/tamarackproxy/src/coordination/seats/engine/exchange.rs
+++ b/crates/tamarackproxy/src/coordination/seats/engine/exchange.rs
@@ -99,6 +99,7 @@
                 term,
                 released: false,
                 operation: Default::default(),
+                millicores: 0,
             };
             self.directory.learn(heartbeat.data_centre.clone(), index, record);
         }
--- a/crates/tamarackproxy/src/coordination/seats/seat.rs
+++ b/crates/tamarackproxy/src/coordination/seats/seat.rs
@@ -237,6 +237,7 @@
             term,
             released: false,
             operation: OperationId(self.random.random()),
+            millicores: 0,
         }
     }
 
--- a/crates/tamarackproxy/src/state/records/tenure.rs
+++ b/crates/tamarackproxy/src/state/records/tenure.rs
@@ -21,4 +21,11 @@
     pub released: bool,
     /// Id of the acquisition that wrote the record.
     pub operation: OperationId,
+    /// Processors of the holder, in thousandths of a core; 0 if not told.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub millicores: u32,
+}
+
+fn is_zero(millicores: &u32) -> bool {
+    *millicores == 0
 }
