Let the number of moves at once grow with the fleet; keep the registry in place

Cause: 24 moves at once fit 50 hosts.

Change: the limit is a share of the hosts; sizes, idle hosts and candidates are gathered once a step; the registry is changed in place and passed on only when an entry says something else.

--- a/crates/dispatch/src/coordination/balance/engine.rs
+++ b/crates/dispatch/src/coordination/balance/engine.rs
@@ -25,8 +25,9 @@
 const KEEP_NEXT_PERCENT: usize = 60;
 /// The same for a pool that others come before.
 const KEEP_PERCENT: usize = 25;
-/// Moves and requests under way at once.
-const UNDER_WAY_MAX: usize = 24;
+/// Moves and requests under way at once, in percent of all hosts: a surge wants
+/// a third of them within seconds, and the rest keeps working.
+const UNDER_WAY_PERCENT: usize = 40;
 /// Time after which a request to empty a worker that was not met is withdrawn,
 /// in milliseconds; its work may outlast the surge it was meant for.
 const VACATE_MAX_MS: u64 = 2_500;
@@ -88,6 +89,14 @@
     stage: Stage,
 }
 
+/// A host that could change its pool now.
+#[derive(Clone, Debug)]
+struct Available {
+    host: HostId,
+    pool: PoolId,
+    is_off: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Report {
     demand: Demand,
@@ -196,8 +205,12 @@
             }
             self.host_millicores = self.host_millicores.max(entry.capacity.cpu_millicores);
             if let Some(view) = self.hosts.get_mut(&entry.host) {
-                view.worker = Some(entry.worker.clone());
-                view.pool = entry.pool.clone();
+                if view.worker.as_ref() != Some(&entry.worker) {
+                    view.worker = Some(entry.worker.clone());
+                }
+                if view.pool != entry.pool {
+                    view.pool = entry.pool.clone();
+                }
             }
         }
     }
@@ -263,7 +276,7 @@
         while self.recent_needs.front().is_some_and(|(at, _)| now_ms > at + NEED_MEMORY_MS) {
             self.recent_needs.pop_front();
         }
-        let sizes = self.sizes();
+        let mut sizes = self.sizes();
         let mut deficits: Vec<(usize, PoolId)> = (needs.iter())
             .filter_map(|(pool, &need)| {
                 let size = sizes.get(pool).copied().unwrap_or(0);
@@ -274,24 +287,33 @@
         if !deficits.is_empty() {
             self.last_need_ms = now_ms;
         }
+        let parks = now_ms > self.last_need_ms + PARK_AFTER_MS;
+        if deficits.is_empty() && !parks {
+            return actions;
+        }
+        let mut available = self.available(is_reserved);
         for (missing, to) in deficits {
             for _ in 0..missing {
-                if self.transfers.len() >= UNDER_WAY_MAX {
+                if self.is_busy() {
                     return actions;
                 }
-                let Some(host) = self.choose_donor(&needs, &to, &is_reserved) else {
-                    break;
-                };
-                self.begin(now_ms, host, to.clone(), &mut actions);
+                let Some(donor) = self.choose_donor(&available, &sizes, &needs, &to) else { break };
+                let donor = available.swap_remove(donor);
+                self.begin(now_ms, donor, to.clone(), &mut sizes, &mut actions);
             }
         }
-        if now_ms > self.last_need_ms + PARK_AFTER_MS {
+        if parks {
             let needs = self.largest_recent_needs();
-            self.park(now_ms, &needs, &is_reserved, &mut actions);
+            self.park(now_ms, &needs, available, &mut sizes, &mut actions);
         }
         actions
     }
 
+    /// Tells whether no more moves may begin now.
+    fn is_busy(&self) -> bool {
+        self.transfers.len() * 100 >= self.hosts.len() * UNDER_WAY_PERCENT
+    }
+
     /// Moves every transfer as far as it gets.
     fn advance(
         &mut self,
@@ -373,48 +395,82 @@
         sizes
     }
 
-    /// Chooses a host for a pool: one that is off, else an idle one of the pool
-    /// that can spare most.
-    fn choose_donor<F>(
-        &self,
-        needs: &HashMap<PoolId, usize>,
-        to: &PoolId,
-        is_reserved: &F,
-    ) -> Option<HostId>
+    /// Lists the hosts that are off or idle and on which nobody else counts.
+    fn available<F>(&self, is_reserved: F) -> Vec<Available>
     where
         F: Fn(&HostId) -> bool,
     {
-        let sizes = self.sizes();
-        let spare = |pool: &PoolId| {
-            let size = sizes.get(pool).copied().unwrap_or(0);
-            if self.standby.as_ref() == Some(pool) {
-                return usize::MAX;
-            }
-            let percent = if self.may_be_next(pool) { KEEP_NEXT_PERCENT } else { KEEP_PERCENT };
-            let kept = self.share_of_first(pool, percent);
-            size.saturating_sub(needs.get(pool).copied().unwrap_or(0).max(kept))
-        };
         let idle: HashSet<&WorkerId> =
             self.reports.values().flat_map(|report| &report.demand.idle).collect();
-        let candidates = self.hosts.values().filter(|view| {
+        let hosts = self.hosts.values().filter_map(|view| {
             let is_off = self.standby.as_ref() == Some(&view.pool);
-            view.state == HostState::Up
-                && view.pool != *to
+            let is_idle = view.worker.as_ref().is_some_and(|worker| idle.contains(worker));
+            let is_available = view.state == HostState::Up
+                && (is_off || is_idle)
                 && !self.transfers.contains_key(&view.host)
-                && !is_reserved(&view.host)
-                && (is_off || view.worker.as_ref().is_some_and(|worker| idle.contains(worker)))
-                && spare(&view.pool) > 0
+                && !is_reserved(&view.host);
+            is_available.then(|| Available {
+                host: view.host.clone(),
+                pool: view.pool.clone(),
+                is_off,
+            })
         });
-        let best = candidates.max_by_key(|view| spare(&view.pool));
-        best.map(|view| view.host.clone())
+        hosts.collect()
+    }
+
+    /// Returns how many hosts a pool has beyond what it needs and a share of
+    /// its first size, in percent.
+    fn beyond(
+        &self,
+        sizes: &HashMap<PoolId, usize>,
+        needs: &HashMap<PoolId, usize>,
+        pool: &PoolId,
+        kept_percent: usize,
+    ) -> usize {
+        let size = sizes.get(pool).copied().unwrap_or(0);
+        let kept = self.share_of_first(pool, kept_percent);
+        size.saturating_sub(needs.get(pool).copied().unwrap_or(0).max(kept))
+    }
+
+    /// Chooses a host for a pool: one that is off, else one of the pool that can
+    /// spare most.
+    fn choose_donor(
+        &self,
+        available: &[Available],
+        sizes: &HashMap<PoolId, usize>,
+        needs: &HashMap<PoolId, usize>,
+        to: &PoolId,
+    ) -> Option<usize> {
+        let spare = |from: &Available| {
+            if from.is_off {
+                return usize::MAX;
+            }
+            let percent =
+                if self.may_be_next(&from.pool) { KEEP_NEXT_PERCENT } else { KEEP_PERCENT };
+            self.beyond(sizes, needs, &from.pool, percent)
+        };
+        let others = available.iter().enumerate().filter(|(_, from)| from.pool != *to);
+        let spares = others.map(|(index, from)| (spare(from), index));
+        spares.filter(|&(spare, _)| spare > 0).max().map(|(_, index)| index)
     }
 
-    fn begin(&mut self, now_ms: u64, host: HostId, to: PoolId, actions: &mut Vec<BalanceAction>) {
-        let Some(view) = self.hosts.get(&host) else { return };
-        let is_off = self.standby.as_ref() == Some(&view.pool);
-        log::info!(host = host.as_str(), from = view.pool.as_str(), to = to.as_str();
+    fn begin(
+        &mut self,
+        now_ms: u64,
+        from: Available,
+        to: PoolId,
+        sizes: &mut HashMap<PoolId, usize>,
+        actions: &mut Vec<BalanceAction>,
+    ) {
+        let Available { host, pool, is_off } = from;
+        log::info!(host = host.as_str(), from = pool.as_str(), to = to.as_str();
             "host is to change its pool");
-        let stage = match view.worker.clone().filter(|_| !is_off) {
+        *sizes.entry(to.clone()).or_default() += 1;
+        if let Some(size) = sizes.get_mut(&pool) {
+            *size = size.saturating_sub(1);
+        }
+        let worker = self.hosts.get(&host).and_then(|view| view.worker.clone());
+        let stage = match worker.filter(|_| !is_off) {
             Some(worker) => {
                 actions.push(BalanceAction::Vacate(worker.clone()));
                 Stage::Vacating { worker, since_ms: now_ms }
@@ -436,46 +492,26 @@
     }
 
     /// Switches off idle hosts of pools whose turn is not next.
-    fn park<F>(
+    fn park(
         &mut self,
         now_ms: u64,
         needs: &HashMap<PoolId, usize>,
-        is_reserved: &F,
+        available: Vec<Available>,
+        sizes: &mut HashMap<PoolId, usize>,
         actions: &mut Vec<BalanceAction>,
-    ) where
-        F: Fn(&HostId) -> bool,
-    {
+    ) {
         let Some(standby) = self.standby.clone() else { return };
-        while self.transfers.len() < UNDER_WAY_MAX
-            && let Some(host) = self.choose_idle(needs, is_reserved)
-        {
-            self.begin(now_ms, host, standby.clone(), actions);
+        for from in available {
+            if self.is_busy() {
+                return;
+            }
+            let percent = if self.may_be_next(&from.pool) { 100 } else { KEEP_PERCENT };
+            let is_working = self.working.contains(&from.pool);
+            if is_working && self.beyond(sizes, needs, &from.pool, percent) > 0 {
+                self.begin(now_ms, from, standby.clone(), sizes, actions);
+            }
         }
     }
-
-    fn choose_idle<F>(&self, needs: &HashMap<PoolId, usize>, is_reserved: &F) -> Option<HostId>
-    where
-        F: Fn(&HostId) -> bool,
-    {
-        let sizes = self.sizes();
-        let beyond = |pool: &PoolId| {
-            let size = sizes.get(pool).copied().unwrap_or(0);
-            let percent = if self.may_be_next(pool) { 100 } else { KEEP_PERCENT };
-            let kept = self.share_of_first(pool, percent);
-            size.saturating_sub(needs.get(pool).copied().unwrap_or(0).max(kept))
-        };
-        let idle: HashSet<&WorkerId> =
-            self.reports.values().flat_map(|report| &report.demand.idle).collect();
-        let found = self.hosts.values().find(|view| {
-            view.state == HostState::Up
-                && beyond(&view.pool) > 0
-                && self.working.contains(&view.pool)
-                && !self.transfers.contains_key(&view.host)
-                && !is_reserved(&view.host)
-                && view.worker.as_ref().is_some_and(|worker| idle.contains(worker))
-        });
-        found.map(|view| view.host.clone())
-    }
 }
 
 /// Notes that a host has joined a pool; its worker is known once it registers.
--- a/crates/dispatch/src/coordination/balance/tests.rs
+++ b/crates/dispatch/src/coordination/balance/tests.rs
@@ -57,13 +57,17 @@
 
 impl Fleet {
     fn new() -> Self {
+        Self::with_hosts(HOSTS_PER_POOL, STANDBY)
+    }
+
+    fn with_hosts(hosts_per_pool: usize, standby: usize) -> Self {
         let mut hosts = Vec::new();
         for index in 0..POOLS.len() {
-            for _ in 0..HOSTS_PER_POOL {
+            for _ in 0..hosts_per_pool {
                 hosts.push(FakeHost { pool: pool(index), worker: hosts.len() as u64, joins_ms: 0 });
             }
         }
-        for _ in 0..STANDBY {
+        for _ in 0..standby {
             let worker = hosts.len() as u64;
             hosts.push(FakeHost { pool: PoolId::new("off"), worker, joins_ms: 0 });
         }
@@ -186,11 +190,14 @@
 /// Plays turns of 6 s in which one pool asks for 1.6 times what it holds and
 /// the others for a twentieth of that.
 fn play_turns(may_move: bool) -> Fleet {
+    play_turns_of(Fleet::new(), HOSTS_PER_POOL, may_move)
+}
+
+fn play_turns_of(mut fleet: Fleet, hosts_per_pool: usize, may_move: bool) -> Fleet {
     let seed = 11;
     println!("seed {seed}");
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut fleet = Fleet::new();
-    let peak = (HOSTS_PER_POOL as u64 * HOST_MILLICORES) * 16 / 10;
+    let peak = (hosts_per_pool as u64 * HOST_MILLICORES) * 16 / 10;
     for turn in 0..8 {
         for _ in 0..60 {
             let noise = random.random_range(80..=120);
@@ -221,6 +228,18 @@
     assert!(moved.late_percent() < 15.0);
 }
 
+/// Guards against a number of moves at once that fits a small fleet only: at
+/// seven times the size the same surges are met as well.
+#[test]
+fn large_fleet_follows_surges_like_a_small_one() {
+    let small = play_turns(true);
+    let large = Fleet::with_hosts(7 * HOSTS_PER_POOL, 7 * STANDBY);
+    let large = play_turns_of(large, 7 * HOSTS_PER_POOL, true);
+    println!("late {:.1}% small, {:.1}% large", small.late_percent(), large.late_percent());
+    assert!(large.late_percent() < 15.0);
+    assert!(large.late_percent() < small.late_percent() + 2.0);
+}
+
 /// Guards against a successor that takes the pools' sizes in the middle of a
 /// surge for their first ones and has to learn all turns again.
 #[test]
--- a/crates/dispatch/src/coordination/pool/registry.rs
+++ b/crates/dispatch/src/coordination/pool/registry.rs
@@ -40,8 +40,10 @@
         I: IntoIterator<Item = &'a WorkerEntry> + Clone,
     {
         for entry in entries.clone() {
-            let born = self.host_lives.entry(entry.host.clone()).or_default();
-            *born = (*born).max(entry.born_unix_ms);
+            match self.host_lives.get_mut(&entry.host) {
+                Some(born) => *born = (*born).max(entry.born_unix_ms),
+                None => drop(self.host_lives.insert(entry.host.clone(), entry.born_unix_ms)),
+            }
         }
         let mut listed = HashSet::new();
         let mut changed = false;
@@ -81,7 +83,9 @@
                     worker.presence = presence;
                     self.placing_due = true;
                 }
-                worker.entry = entry.clone();
+                if worker.entry != *entry {
+                    worker.entry = entry.clone();
+                }
             }
         }
         for (key, worker) in self.workers.iter_mut() {
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -184,7 +184,7 @@
         mut self,
         mut receiver: mpsc::UnboundedReceiver<Input>,
         mut document: watch::Receiver<Option<Rc<ServingDocument>>>,
-        mut registry: watch::Receiver<Rc<HashMap<WorkerId, WorkerEntry>>>,
+        mut registry: watch::Receiver<HashMap<WorkerId, WorkerEntry>>,
         mut vacate: watch::Receiver<Rc<HashSet<WorkerId>>>,
         lease: LeaseState,
     ) {
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -43,7 +43,7 @@
     pub(super) waves: RefCell<HashMap<WaveNumber, WaveRequest>>,
     pub(super) waves_changed: Notify,
     /// Registered workers.
-    pub(super) registry: watch::Sender<Rc<HashMap<WorkerId, WorkerEntry>>>,
+    pub(super) registry: watch::Sender<HashMap<WorkerId, WorkerEntry>>,
     /// Workers that are to be emptied, and those that are confirmed empty.
     pub(super) vacate: watch::Sender<Rc<HashSet<WorkerId>>>,
     pub(super) vacated: watch::Sender<Rc<HashSet<WorkerId>>>,
@@ -75,7 +75,7 @@
             document: watch::Sender::new(None),
             waves: RefCell::default(),
             waves_changed: Notify::new(),
-            registry: watch::Sender::new(Rc::default()),
+            registry: watch::Sender::default(),
             vacate: watch::Sender::new(Rc::default()),
             vacated: watch::Sender::new(Rc::default()),
             holders: watch::Sender::new(Rc::default()),
@@ -208,32 +208,33 @@
         }
     }
 
-    /// Takes in the registry of workers.
+    /// Takes in the registry of workers. Entries are renewed all the time; only
+    /// changes of what they say are passed on.
     pub(super) fn on_registry(&self, followed: Followed) {
-        let mut workers = HashMap::clone(&self.registry.borrow());
-        match followed {
+        let platform = &self.platform;
+        self.registry.send_if_modified(|workers| match followed {
             Followed::Listed(items) => {
-                let entries = items.iter().filter_map(|item| self.platform.decode_worker(item));
-                workers = entries.map(|entry| (entry.worker.clone(), entry)).collect();
+                let entries = items.iter().filter_map(|item| platform.decode_worker(item));
+                *workers = entries.map(|entry| (entry.worker.clone(), entry)).collect();
+                true
             }
-            Followed::Changed(WatchEvent::Put(item)) => match self.platform.decode_worker(&item) {
-                Some(entry) if workers.get(&entry.worker) == Some(&entry) => return,
-                Some(entry) => drop(workers.insert(entry.worker.clone(), entry)),
-                None => self.remove_worker(&mut workers, &item.key),
+            Followed::Changed(WatchEvent::Put(item)) => match platform.decode_worker(&item) {
+                Some(entry) if workers.get(&entry.worker) == Some(&entry) => false,
+                Some(entry) => {
+                    workers.insert(entry.worker.clone(), entry);
+                    true
+                }
+                None => self.remove_worker(workers, &item.key),
             },
-            Followed::Changed(WatchEvent::Deleted { key, .. }) => {
-                self.remove_worker(&mut workers, &key);
-            }
-            Followed::Changed(WatchEvent::Interrupted) => return,
-        }
-        self.registry.send_replace(Rc::new(workers));
+            Followed::Changed(WatchEvent::Deleted { key, .. }) => self.remove_worker(workers, &key),
+            Followed::Changed(WatchEvent::Interrupted) => false,
+        });
     }
 
-    fn remove_worker(&self, workers: &mut HashMap<WorkerId, WorkerEntry>, key: &str) {
-        if let Some(name) = key.strip_prefix(self.platform.registry_prefix())
-            && let Ok(worker) = name.parse::<WorkerId>()
-        {
-            workers.remove(&worker);
-        }
+    /// Removes the worker of a key; tells whether it was known.
+    fn remove_worker(&self, workers: &mut HashMap<WorkerId, WorkerEntry>, key: &str) -> bool {
+        let name = key.strip_prefix(self.platform.registry_prefix());
+        let worker = name.and_then(|name| name.parse::<WorkerId>().ok());
+        worker.is_some_and(|worker| workers.remove(&worker).is_some())
     }
 }
