Attempt a scope only when its vacancy is seen; keep requests to empty workers in place

The profile shows 5% of the processor time in copies of the sets of workers to be emptied, and 4.6% in the exclusion of workers from a choice.

--- a/crates/dispatch/src/coordination/pool/demand.rs
+++ b/crates/dispatch/src/coordination/pool/demand.rs
@@ -46,7 +46,7 @@
             worker.is_empty()
                 && in_touch(worker)
                 && worker.presence == Presence::Registered(Registration::Ready)
-                && !self.vacating.contains(&worker.entry.worker)
+                && !worker.is_vacating
         };
         let idle = self.workers.iter().map(|(_, worker)| worker).filter(is_idle);
         let mut idle: Vec<WorkerId> = idle.map(|worker| worker.entry.worker.clone()).collect();
--- a/crates/dispatch/src/coordination/pool/registry.rs
+++ b/crates/dispatch/src/coordination/pool/registry.rs
@@ -15,6 +15,7 @@
     pub fn set_vacating(&mut self, vacating: HashSet<WorkerId>) {
         let mut is_kept = false;
         for (_, worker) in self.workers.iter_mut() {
+            worker.is_vacating = vacating.contains(&worker.entry.worker);
             if worker.is_vacated && !vacating.contains(&worker.entry.worker) {
                 worker.is_vacated = false;
                 worker.is_rostered = false;
@@ -70,7 +71,11 @@
                     log::info!(worker = entry.worker.as_str(), host = entry.host.as_str(),
                         pool = self.tenancy.pool.as_str(), born_unix_ms = entry.born_unix_ms;
                         "worker joined the pool");
-                    self.workers.insert(entry.clone())
+                    let key = self.workers.insert(entry.clone());
+                    if let Some(worker) = self.workers.get_mut(key) {
+                        worker.is_vacating = self.vacating.contains(&entry.worker);
+                    }
+                    key
                 }
             };
             listed.insert(key);
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -156,19 +156,20 @@
 
     fn choose(&self, now_ms: u64, task: TaskRef) -> Option<WorkerKey> {
         let query = self.place_query(task)?;
-        let excluded = |key: WorkerKey, worker: &Worker| self.excludes(now_ms, task, key, worker);
+        let excluded = self.exclusion(now_ms, task);
         query.choose(&self.workers, now_ms, |_, worker| worker.room(), excluded)
     }
 
-    /// Tells whether a worker with room must not get a task.
-    fn excludes(&self, now_ms: u64, task: TaskRef, key: WorkerKey, worker: &Worker) -> bool {
-        let (Some(job), Some(spec)) = (self.ledger.job(task.job), self.ledger.spec(task)) else {
-            return true;
-        };
-        let needs_ticket = self.policy(&job.queue).advice.is_some();
-        self.vacating.contains(&worker.entry.worker)
-            || (needs_ticket && self.advice.ticket(now_ms, task, key).is_none())
-            || self.would_disturb(spec, worker)
+    /// Returns what tells whether a worker with room must not get a task.
+    fn exclusion(&self, now_ms: u64, task: TaskRef) -> impl Fn(WorkerKey, &Worker) -> bool {
+        let spec = self.ledger.spec(task);
+        let needs_ticket =
+            self.ledger.job(task.job).is_some_and(|job| self.policy(&job.queue).advice.is_some());
+        move |key, worker| {
+            worker.is_vacating
+                || (needs_ticket && self.advice.ticket(now_ms, task, key).is_none())
+                || spec.is_none_or(|spec| self.would_disturb(spec, worker))
+        }
     }
 
     /// Tells whether a task that uses leftover capacity would share a worker
@@ -262,8 +263,7 @@
                 None => worker.room(),
             };
             let task = TaskRef { index, ..step };
-            let excluded =
-                |key: WorkerKey, worker: &Worker| self.excludes(now_ms, task, key, worker);
+            let excluded = self.exclusion(now_ms, task);
             let Some(worker) = query.choose(&self.workers, now_ms, room, excluded) else {
                 return false;
             };
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -67,7 +67,7 @@
     fn empty_workers(&mut self, now_ms: u64) {
         let leaving = |worker: &Worker| {
             let is_draining = worker.presence == Presence::Registered(Registration::Draining);
-            let is_vacating = self.vacating.contains(&worker.entry.worker);
+            let is_vacating = worker.is_vacating;
             (is_draining || is_vacating).then_some(is_draining)
         };
         let leaving: Vec<_> = (self.workers.iter())
@@ -135,7 +135,7 @@
         let is_over = worker.is_empty()
             && (worker.is_in_touch(now_ms, TOUCH_MS)
                 || (worker.looked_ms.is_some() && worker.is_lease_over(now_ms)));
-        let is_asked = self.vacating.contains(&worker.entry.worker);
+        let is_asked = worker.is_vacating;
         if is_asked && is_over && !worker.is_vacated && self.unsettled.is_none() {
             worker.is_vacated = true;
             worker.is_rostered = false;
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -91,6 +91,8 @@
     pub(super) health: Health,
     /// The roster in the store names it.
     pub(super) is_rostered: bool,
+    /// Upkeep or a move asks for it to be emptied.
+    pub(super) is_vacating: bool,
     /// A confirmation that nothing runs there was given.
     pub(super) is_vacated: bool,
 }
@@ -121,6 +123,7 @@
             acknowledged: 0,
             health: Health::default(),
             is_rostered: false,
+            is_vacating: false,
             is_vacated: false,
         }
     }
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -251,8 +251,9 @@
             self.sync_controller();
             self.tick().await;
             let now_ms = clock::read().monotonic_ms;
-            let next_ms =
-                self.lease.next_tick_ms().unwrap_or(0).clamp(now_ms + 10, now_ms + IDLE_MS);
+            let next_ms = self.lease.next_tick_ms().unwrap_or(0);
+            let next_ms = self.ask_due_ms().map_or(next_ms, |due_ms| next_ms.min(due_ms));
+            let next_ms = next_ms.clamp(now_ms + 10, now_ms + IDLE_MS);
             let until = Instant::now() + Duration::from_millis(next_ms - now_ms);
             tokio::select! {
                 () = sleep_until(until) => {}
@@ -268,6 +269,11 @@
         let now = clock::read();
         let is_acting = self.lease.acting(now).is_some();
         if !is_acting {
+            if self.is_held_by_other() {
+                // The watch shows the vacancy; a poll would skip the delay.
+                self.lease.postpone_until(now.monotonic_ms + IDLE_MS);
+                return;
+            }
             let load = self.load();
             if load.exceeds(&self.delayed_for) {
                 self.postpone(now.monotonic_ms);
@@ -287,6 +293,12 @@
         self.shared.attempted.borrow_mut().remove(&self.name);
     }
 
+    fn is_held_by_other(&self) -> bool {
+        let holders = self.shared.holders.borrow();
+        let holder = holders.scopes.get(&self.name);
+        holder.is_some_and(|holder| holder.tenure.holder != self.shared.settings.entry)
+    }
+
     /// Returns what this process controls or tries to, without this scope.
     fn load(&self) -> ControlLoad {
         let held = self.shared.held.borrow();
@@ -345,24 +357,31 @@
         self.lease.postpone_until(self.left_until_ms);
     }
 
+    /// Returns when the holder may be asked for the scope, in milliseconds on
+    /// the own clock; none if it was asked or is this process.
+    fn ask_due_ms(&self) -> Option<u64> {
+        let holders = self.shared.holders.borrow();
+        let Holder { tenure, since_ms, .. } = holders.scopes.get(&self.name)?;
+        let request = holders.requests.get(&self.name);
+        let was_asked = self.asked == Some(tenure.term)
+            || request.is_some_and(|request| request.term >= tenure.term);
+        let is_own = tenure.holder == self.shared.settings.entry;
+        let load = holders.load(&tenure.holder, tenure.millicores);
+        let may_ask = self.load().may_ask_for(kind_of(&self.name), &load);
+        (may_ask && !was_asked && !is_own).then_some(since_ms + SETTLED_MS + self.ask_jitter_ms)
+    }
+
     /// Asks the holder for the scope if this process has far more processors
     /// for it.
     async fn ask_holder(&mut self, now: ClockReading) {
-        let entry = &self.shared.settings.entry;
-        let holders = Rc::clone(&self.shared.holders.borrow());
-        let Some(holder) = holders.scopes.get(&self.name) else { return };
-        let Holder { tenure, version, since_ms } = holder;
-        let is_due = now.monotonic_ms >= since_ms + SETTLED_MS + self.ask_jitter_ms;
-        let was_asked = holders.requests.get(&self.name).is_some_and(|it| it.term >= tenure.term);
-        if !is_due || was_asked || tenure.holder == *entry || self.asked == Some(tenure.term) {
+        let is_due = self.ask_due_ms().is_some_and(|due_ms| now.monotonic_ms >= due_ms);
+        if !is_due || !self.shared.is_ready() {
             return;
         }
-        let kind = kind_of(&self.name);
-        let load = holders.load(&tenure.holder, tenure.millicores);
-        if !self.shared.is_ready() || !self.load().may_ask_for(kind, &load) {
-            return;
-        }
-        let request = HandoverRequest { asker: entry.clone(), term: tenure.term };
+        let holders = Rc::clone(&self.shared.holders.borrow());
+        let Some(Holder { tenure, version, .. }) = holders.scopes.get(&self.name) else { return };
+        let asker = self.shared.settings.entry.clone();
+        let request = HandoverRequest { asker, term: tenure.term };
         let fence = Fence::new(&self.name, *version);
         let result = match handover_transaction(&fence, &self.name, &request) {
             Ok(transaction) => {
--- a/crates/dispatch/src/node/launch.rs
+++ b/crates/dispatch/src/node/launch.rs
@@ -10,6 +10,7 @@
 };
 use tokio::{
     signal::unix::{SignalKind, signal},
+    sync::watch,
     task::{JoinHandle, LocalSet},
     time::{Instant, sleep},
 };
@@ -232,12 +233,9 @@
 where
     P: Platform,
 {
-    let mut vacate: HashSet<WorkerId> = HashSet::clone(&shared.vacate.borrow());
-    let mut vacated: HashSet<WorkerId> = HashSet::clone(&shared.vacated.borrow());
     match followed {
         Followed::Listed(items) => {
-            vacate.clear();
-            vacated.clear();
+            let (mut vacate, mut vacated) = (HashSet::new(), HashSet::new());
             for item in items {
                 match fleet_key(&item.key) {
                     Some(FleetKey::Vacate(worker)) => drop(vacate.insert(worker)),
@@ -245,26 +243,35 @@
                     None => {}
                 }
             }
+            replace_if_changed(&shared.vacate, vacate);
+            replace_if_changed(&shared.vacated, vacated);
         }
         Followed::Changed(WatchEvent::Put(item)) => match fleet_key(&item.key) {
-            Some(FleetKey::Vacate(worker)) => drop(vacate.insert(worker)),
-            Some(FleetKey::Vacated(worker)) => drop(vacated.insert(worker)),
+            Some(FleetKey::Vacate(worker)) => {
+                shared.vacate.send_if_modified(|workers| workers.insert(worker));
+            }
+            Some(FleetKey::Vacated(worker)) => {
+                shared.vacated.send_if_modified(|workers| workers.insert(worker));
+            }
             None => {}
         },
         Followed::Changed(WatchEvent::Deleted { key, .. }) => match fleet_key(&key) {
-            Some(FleetKey::Vacate(worker)) => drop(vacate.remove(&worker)),
-            Some(FleetKey::Vacated(worker)) => drop(vacated.remove(&worker)),
+            Some(FleetKey::Vacate(worker)) => {
+                shared.vacate.send_if_modified(|workers| workers.remove(&worker));
+            }
+            Some(FleetKey::Vacated(worker)) => {
+                shared.vacated.send_if_modified(|workers| workers.remove(&worker));
+            }
             None => {}
         },
-        Followed::Changed(WatchEvent::Interrupted) => return,
+        Followed::Changed(WatchEvent::Interrupted) => {}
     }
-    let replace = |sender: &tokio::sync::watch::Sender<Rc<HashSet<WorkerId>>>, hosts| {
-        sender.send_if_modified(|current| {
-            let changed = **current != hosts;
-            *current = Rc::new(hosts);
-            changed
-        });
-    };
-    replace(&shared.vacate, vacate);
-    replace(&shared.vacated, vacated);
+}
+
+fn replace_if_changed(sender: &watch::Sender<HashSet<WorkerId>>, workers: HashSet<WorkerId>) {
+    sender.send_if_modified(|current| {
+        let is_changed = *current != workers;
+        *current = workers;
+        is_changed
+    });
 }
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -185,7 +185,7 @@
         mut receiver: mpsc::UnboundedReceiver<Input>,
         mut document: watch::Receiver<Option<Rc<ServingDocument>>>,
         mut registry: watch::Receiver<HashMap<WorkerId, WorkerEntry>>,
-        mut vacate: watch::Receiver<Rc<HashSet<WorkerId>>>,
+        mut vacate: watch::Receiver<HashSet<WorkerId>>,
         lease: LeaseState,
     ) {
         loop {
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -45,8 +45,8 @@
     /// Registered workers.
     pub(super) registry: watch::Sender<HashMap<WorkerId, WorkerEntry>>,
     /// Workers that are to be emptied, and those that are confirmed empty.
-    pub(super) vacate: watch::Sender<Rc<HashSet<WorkerId>>>,
-    pub(super) vacated: watch::Sender<Rc<HashSet<WorkerId>>>,
+    pub(super) vacate: watch::Sender<HashSet<WorkerId>>,
+    pub(super) vacated: watch::Sender<HashSet<WorkerId>>,
     /// Holders of scopes, as last seen.
     pub(super) holders: watch::Sender<Rc<Holders>>,
     /// Scopes that this process holds.
@@ -76,8 +76,8 @@
             waves: RefCell::default(),
             waves_changed: Notify::new(),
             registry: watch::Sender::default(),
-            vacate: watch::Sender::new(Rc::default()),
-            vacated: watch::Sender::new(Rc::default()),
+            vacate: watch::Sender::default(),
+            vacated: watch::Sender::default(),
             holders: watch::Sender::new(Rc::default()),
             held: watch::Sender::new(Vec::new()),
             attempted: RefCell::default(),
--- a/crates/dispatch/src/node/upkeep.rs
+++ b/crates/dispatch/src/node/upkeep.rs
@@ -82,7 +82,7 @@
     let summaries = follow(Rc::clone(&shared), SUMMARY_PREFIX.into(), None, SUMMARY_REST_MS, sink);
     let summaries = tokio::task::spawn_local(summaries);
     let _summaries = TaskGuard::new(&summaries);
-    let set = |workers: &Rc<HashSet<WorkerId>>| workers.iter().cloned().collect::<Vec<_>>();
+    let set = |workers: &HashSet<WorkerId>| workers.iter().cloned().collect::<Vec<_>>();
     engine.on_requests(set(&vacate.borrow_and_update()), set(&vacated.borrow_and_update()));
     loop {
         let now = clock::read();
@@ -92,9 +92,7 @@
             engine.on_wave(now, wave, record);
         }
         if vacated.has_changed().unwrap_or(false) || vacate.has_changed().unwrap_or(false) {
-            let (asked, empty) =
-                (vacate.borrow_and_update().clone(), vacated.borrow_and_update().clone());
-            engine.on_requests(set(&asked), set(&empty));
+            engine.on_requests(set(&vacate.borrow_and_update()), set(&vacated.borrow_and_update()));
         }
         while let Ok(input) = receiver.try_recv() {
             match input {
@@ -119,10 +117,10 @@
         }
         set_pools(&mut balance, &shared);
         balance.on_workers(shared.registry.borrow().values());
-        let empty = Rc::clone(&vacated.borrow());
         let mut actions: Vec<Action> = Vec::new();
         let (mut vacate_for_move, mut release) = (Vec::new(), Vec::new());
-        for action in balance.step(clock::read(), &empty, |host| engine.is_busy(host)) {
+        let moves = balance.step(clock::read(), &vacated.borrow(), |host| engine.is_busy(host));
+        for action in moves {
             match action {
                 BalanceAction::Vacate(worker) => vacate_for_move.push(worker),
                 BalanceAction::Release(worker) => release.push(worker),
