--- a/crates/standins/src/net/client.rs
+++ b/crates/standins/src/net/client.rs
@@ -85,6 +85,49 @@
     Broken(Box<str>),
 }
 
+/// A connection that stays open between calls; dropping it closes it.
+#[derive(Debug)]
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    _driver: JoinSet<hyper::Result<()>>,
+}
+
+impl Connection {
+    /// Connects to a call's address.
+    ///
+    /// # Errors
+    ///
+    /// Returns that nothing was sent.
+    pub async fn open(call: &Call) -> Result<Self, CallError> {
+        let stream = connect(call).await.map_err(CallError::NotConnected)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(broken)?;
+        let mut driver = JoinSet::new();
+        driver.spawn(connection);
+        Ok(Self { sender, _driver: driver })
+    }
+
+    /// Makes a call and reads the whole reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the connection has ended; the call may have been served.
+    pub async fn send(&mut self, call: Call) -> Result<Reply, CallError> {
+        let mut request = Request::builder().method(call.method).uri(call.path.as_ref());
+        if !call.headers.iter().any(|(name, _)| *name == "host") {
+            request = request.header("host", call.address.to_string());
+        }
+        for (name, value) in &call.headers {
+            request = request.header(*name, value.as_ref());
+        }
+        let request = request.body(Full::new(call.body)).map_err(broken)?;
+        self.sender.ready().await.map_err(broken)?;
+        let response = self.sender.send_request(request).await.map_err(broken)?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(broken)?.to_bytes();
+        Ok(Reply { status: head.status, headers: head.headers, body })
+    }
+}
+
 /// Makes the call and reads the whole reply; dropping the future closes the
 /// connection.
 ///
@@ -92,24 +135,8 @@
 ///
 /// Returns whether the connection failed before or after something was sent.
 pub async fn call(call: Call) -> Result<Reply, CallError> {
-    let stream = connect(&call).await.map_err(CallError::NotConnected)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(broken)?;
-    let mut request = Request::builder()
-        .method(call.method)
-        .uri(call.path.as_ref())
-        .header("host", call.address.to_string())
-        .header("connection", "close");
-    for (name, value) in &call.headers {
-        request = request.header(*name, value.as_ref());
-    }
-    let request = request.body(Full::new(call.body)).map_err(broken)?;
-    // Dropping the set closes the connection.
-    let mut driver = JoinSet::new();
-    driver.spawn(connection);
-    let response = sender.send_request(request).await.map_err(broken)?;
-    let (head, body) = response.into_parts();
-    let body = body.collect().await.map_err(broken)?.to_bytes();
-    Ok(Reply { status: head.status, headers: head.headers, body })
+    let mut connection = Connection::open(&call).await?;
+    connection.send(call.with_header("connection", "close")).await
 }
 
 async fn connect(call: &Call) -> io::Result<tokio::net::TcpStream> {
--- a/crates/standins/src/net/mod.rs
+++ b/crates/standins/src/net/mod.rs
@@ -7,7 +7,7 @@
 
 pub use self::{
     body::{Body, BodySender, channel_body, full_body},
-    client::{Call, CallError, Reply, call},
+    client::{Call, CallError, Connection, Reply, call},
     relay::{Relay, RelayMode},
     server::{Handler, Server, ServerOptions},
 };
--- a/crates/standins/src/net/relay.rs
+++ b/crates/standins/src/net/relay.rs
@@ -28,10 +28,39 @@
     /// Holds what is under way until the relay is open again, as a network
     /// that drops packets does; new connections are closed at once.
     Silent,
+    /// Holds what comes back until the relay is open again; requests arrive.
+    RepliesHeld,
+    /// Passes everything on after a further delay in each direction.
+    Delayed(Duration),
     /// Closes all connections.
     Closed,
 }
 
+/// Direction of one half of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    Requests,
+    Replies,
+}
+
+impl RelayMode {
+    fn accepts(self) -> bool {
+        matches!(self, Self::Open | Self::RepliesHeld | Self::Delayed(_))
+    }
+
+    fn passes(self, direction: Direction) -> bool {
+        match self {
+            Self::Open | Self::Delayed(_) => true,
+            Self::RepliesHeld => direction == Direction::Requests,
+            Self::Silent | Self::Closed => false,
+        }
+    }
+
+    fn delay(self) -> Duration {
+        if let Self::Delayed(delay) = self { delay } else { Duration::ZERO }
+    }
+}
+
 /// Handle of a relay; dropping it stops the relay.
 #[derive(Debug)]
 pub struct Relay {
@@ -75,7 +104,7 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => if let Ok((stream, _)) = accepted
-                && *mode.borrow() == RelayMode::Open
+                && mode.borrow().accepts()
             {
                 connections.spawn(pass(stream, to, one_way, mode.clone()));
             },
@@ -106,12 +135,13 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     tokio::join!(
-        direction(near_read, far_write, one_way, mode.clone()),
-        direction(far_read, near_write, one_way, mode)
+        pass_on(Direction::Requests, near_read, far_write, one_way, mode.clone()),
+        pass_on(Direction::Replies, far_read, near_write, one_way, mode)
     );
 }
 
-async fn direction(
+async fn pass_on(
+    direction: Direction,
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     one_way: Duration,
@@ -130,8 +160,9 @@
     };
     let write = async move {
         while let Some((due, piece)) = pieces.recv().await {
-            tokio::time::sleep_until(due).await;
-            if mode.wait_for(|mode| *mode == RelayMode::Open).await.is_err() {
+            let delay = mode.borrow().delay();
+            tokio::time::sleep_until(due + delay).await;
+            if mode.wait_for(|mode| mode.passes(direction)).await.is_err() {
                 return;
             }
             if to.write_all(&piece).await.is_err() {
@@ -139,7 +170,7 @@
             }
         }
         // The peer learns that this direction has ended, once it is reachable.
-        if mode.wait_for(|mode| *mode == RelayMode::Open).await.is_err() {
+        if mode.wait_for(|mode| mode.passes(direction)).await.is_err() {
             return;
         }
         let _ = to.shutdown().await;
--- a/crates/standins/src/store/state.rs
+++ b/crates/standins/src/store/state.rs
@@ -246,6 +246,44 @@
         Ok(true)
     }
 
+    /// Applies all writes at one revision if every key has the revision that
+    /// is expected of it, 0 for an absent one; returns that revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns the id of a lease that a write names and that has lapsed.
+    pub fn transact(
+        &mut self,
+        now_ms: u64,
+        expected: &[(Box<[u8]>, u64)],
+        writes: Vec<(Box<[u8]>, Write)>,
+    ) -> Result<Option<u64>, u64> {
+        self.expire(now_ms);
+        let revision_of = |key: &[u8]| self.get(key).map_or(0, |stored| stored.mod_revision);
+        if expected.iter().any(|(key, revision)| revision_of(key) != *revision) {
+            return Ok(None);
+        }
+        let leases = writes.iter().filter_map(|(_, write)| match write {
+            Write::Put { lease, .. } => *lease,
+            Write::Delete => None,
+        });
+        if let Some(lapsed) = leases.into_iter().find(|id| !self.present.leases.contains(*id)) {
+            return Err(lapsed);
+        }
+        let before = self.present.revision;
+        for (key, write) in writes {
+            // Each write takes the next revision, which they share.
+            self.present.revision = before;
+            match write {
+                Write::Put { value, lease } => self.put(now_ms, &key, value, lease)?,
+                Write::Delete => self.remove(now_ms, key),
+            }
+        }
+        let is_changed = self.history.back().is_some_and(|change| change.revision > before);
+        self.present.revision = before + u64::from(is_changed);
+        Ok(Some(self.present.revision))
+    }
+
     /// Writes a key unconditionally.
     ///
     /// # Errors
