Pace leftover tasks beside tasks that serve

Cause: leftover tasks kept away from workers that serve, so they never ran where every worker serves, and a serving task found no place where leftover tasks were on all. Now they keep apart as long as they can; on a shared worker they begin at a fifth of their pace, halve it while the tail nears its goal and gain a tenth while it is far below. A run that is slowed down does not count as stalled.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -24,6 +24,9 @@
 const LOOK_WAIT_MS: u64 = 1_000;
 /// Time that a look waits at an idle worker, in milliseconds.
 const IDLE_LOOK_WAIT_MS: u64 = 2_000;
+/// Time that a look waits at a worker on which leftover tasks share with tasks
+/// that serve, in milliseconds: their tail covers half a second.
+const SHARED_LOOK_WAIT_MS: u64 = 400;
 /// First delay before a worker is asked again after no reply, in milliseconds;
 /// it doubles with each further one.
 pub(super) const LOOK_RETRY_MS: u64 = 150;
@@ -373,6 +376,7 @@
             let wait_ms = match (&clock, worker.is_empty()) {
                 (None, _) => 0,
                 (Some(_), true) => IDLE_LOOK_WAIT_MS,
+                (Some(_), false) if worker.is_shared => SHARED_LOOK_WAIT_MS,
                 (Some(_), false) => LOOK_WAIT_MS,
             };
             let acknowledged = worker.acknowledged;
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -65,6 +65,7 @@
             self.on_end(now, key, end);
         }
         self.reconcile(now_ms, key, sent_ms, &report);
+        self.pace_leftover(now_ms, key, &report);
         self.acknowledge(key);
         self.settle(now_ms);
     }
@@ -335,6 +336,7 @@
             start_until_ms: 0,
             percent: running.percent,
             percent_since_ms: now_ms,
+            pace: None,
         });
         if let Some(job) = self.ledger.job_mut(task.job) {
             job.live_runs += 1;
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -15,6 +15,7 @@
 mod ledger;
 mod looks;
 mod order;
+mod pacing;
 mod placement;
 mod recovery;
 mod registry;
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -36,6 +36,15 @@
 /// Largest value of a job relative to others of its queue; the users' own cap.
 const VALUE_MAX: f64 = 4.0;
 
+/// Whether leftover tasks and tasks that serve may share a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sharing {
+    /// They keep apart.
+    Apart,
+    /// They share, and the leftover tasks are slowed down.
+    Paced,
+}
+
 impl PoolEngine {
     /// Starts what waits, in order, as far as there is room.
     pub(super) fn place(&mut self, now_ms: u64) {
@@ -156,19 +165,32 @@
 
     fn choose(&self, now_ms: u64, task: TaskRef) -> Option<WorkerKey> {
         let query = self.place_query(task)?;
-        let excluded = self.exclusion(now_ms, task);
-        query.choose(&self.workers, now_ms, |_, worker| worker.room(), excluded)
+        let room = |_, worker: &Worker| worker.room();
+        let apart = self.exclusion(now_ms, task, Sharing::Apart);
+        let found = query.choose(&self.workers, now_ms, room, apart);
+        if found.is_some() || !(query.spec.uses_leftover || query.spec.tail_goal_ms.is_some()) {
+            return found;
+        }
+        let paced = self.exclusion(now_ms, task, Sharing::Paced);
+        query.choose(&self.workers, now_ms, room, paced)
     }
 
     /// Returns what tells whether a worker with room must not get a task.
-    fn exclusion(&self, now_ms: u64, task: TaskRef) -> impl Fn(WorkerKey, &Worker) -> bool {
+    fn exclusion(
+        &self,
+        now_ms: u64,
+        task: TaskRef,
+        sharing: Sharing,
+    ) -> impl Fn(WorkerKey, &Worker) -> bool {
         let spec = self.ledger.spec(task);
         let needs_ticket =
             self.ledger.job(task.job).is_some_and(|job| self.policy(&job.queue).advice.is_some());
         move |key, worker| {
             worker.is_vacating
                 || (needs_ticket && self.advice.ticket(now_ms, task, key).is_none())
-                || spec.is_none_or(|spec| self.would_disturb(spec, worker))
+                || spec.is_none_or(|spec| {
+                    sharing == Sharing::Apart && self.would_disturb(spec, worker)
+                })
         }
     }
 
@@ -263,7 +285,7 @@
                 None => worker.room(),
             };
             let task = TaskRef { index, ..step };
-            let excluded = self.exclusion(now_ms, task);
+            let excluded = self.exclusion(now_ms, task, Sharing::Apart);
             let Some(worker) = query.choose(&self.workers, now_ms, room, excluded) else {
                 return false;
             };
@@ -341,6 +363,7 @@
             start_until_ms: valid_until_ms,
             percent: 0,
             percent_since_ms: now_ms,
+            pace: None,
         });
         let checkpoint = state.checkpoint.clone();
         let ticket = self.advice.ticket(now_ms, task, key).unwrap_or_default().into();
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -297,7 +297,12 @@
             LASTING_START_MS
         } else {
             let expected_ms = self.durations.expected_ms(&job.queue, spec.estimate_ms);
-            (expected_ms * STALL_FACTOR).max(STALL_MIN_MS)
+            // At pace 0 a run makes no progress by order.
+            let pace = run.pace.map_or(100, |pace| u64::from(pace.percent));
+            let Some(paced_ms) = (expected_ms * STALL_FACTOR * 100).checked_div(pace) else {
+                return false;
+            };
+            paced_ms.max(STALL_MIN_MS)
         };
         now_ms >= run.percent_since_ms + limit_ms
     }
--- a/crates/dispatch/src/coordination/pool/task.rs
+++ b/crates/dispatch/src/coordination/pool/task.rs
@@ -1,6 +1,9 @@
 //! Tasks and their runs.
 
-use super::events::{JobKey, WorkerKey};
+use super::{
+    events::{JobKey, WorkerKey},
+    pacing::Pace,
+};
 use crate::state::{RunNumber, StepSpec};
 
 /// A task by the engine's keys.
@@ -38,6 +41,8 @@
     pub(super) percent: u8,
     /// When `percent` last rose, on the own clock.
     pub(super) percent_since_ms: u64,
+    /// Its pace, if it was ever slowed down.
+    pub(super) pace: Option<Pace>,
 }
 
 impl Run {
--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -6,5 +6,6 @@
 mod failures;
 mod interleavings;
 mod order;
+mod pacing;
 mod placing;
 mod vacating;
--- /dev/null
+++ b/crates/dispatch/src/coordination/pool/tests/pacing.rs
@@ -0,0 +1,66 @@
+//! Leftover tasks beside tasks that serve, with swings of the serving load.
+
+use rstest::rstest;
+
+use super::{
+    super::pacing::Pace,
+    driver::{World, job, lasting, step},
+};
+use crate::state::StepSpec;
+
+const GOAL_MS: u32 = 80;
+
+/// One worker that serves and has two leftover tasks.
+fn shared_worker() -> World {
+    let mut world = World::new(1, 32);
+    world.submit(job(vec![StepSpec { tail_goal_ms: Some(GOAL_MS), ..lasting(1) }]));
+    world.run_ms(500);
+    world.submit(job(vec![StepSpec { uses_leftover: true, ..step(2, 4_000, 60_000) }]));
+    world.run_ms(1_500);
+    world
+}
+
+fn latest(world: &World) -> Option<u8> {
+    world.workers[0].paces.last().map(|(_, percent)| *percent)
+}
+
+/// Guards against leftover tasks that never run because every worker serves,
+/// and against full pace before the tail is known.
+#[test]
+fn leftover_tasks_begin_slowly_beside_tasks_that_serve() {
+    let world = shared_worker();
+    assert_eq!(world.workers[0].runs().len(), 3);
+    assert_eq!(world.workers[0].paces.first().map(|(_, percent)| *percent), Some(20));
+}
+
+/// Guards against leftover tasks that keep their pace while users wait: the
+/// tail is over its goal for three seconds, then far below.
+#[test]
+fn pace_falls_fast_and_rises_slowly() {
+    let mut world = shared_worker();
+    world.workers[0].tail_ms = GOAL_MS * 2;
+    world.run_ms(4_000);
+    let low = latest(&world).expect("a pace was ordered");
+    assert!(low <= 5, "the pace is {low}% after four seconds over the goal");
+    world.workers[0].tail_ms = GOAL_MS / 4;
+    world.run_ms(4_000);
+    let risen = latest(&world).expect("a pace was ordered");
+    assert!(risen > low && risen <= low + 40, "{low}% rose to {risen}% in four seconds");
+}
+
+/// Guards against a worker that stays slow after the serving task has left.
+#[rstest]
+#[case::never_slowed(None, None, None)]
+#[case::slowed(Some(10), None, Some(100))]
+#[case::near_the_goal(Some(40), Some(90), Some(20))]
+#[case::between(Some(40), Some(70), Some(40))]
+#[case::far_below(Some(40), Some(20), Some(50))]
+fn pace_follows_the_worst_tail(
+    #[case] percent: Option<u8>,
+    #[case] tail_percent: Option<u64>,
+    #[case] expected: Option<u8>,
+) {
+    let first = |percent| Pace::new(percent, 0);
+    let next = Pace::next(percent.map(first), 5_000, tail_percent);
+    assert_eq!(next.map(|pace| pace.percent), expected);
+}
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -91,6 +91,8 @@
     pub(super) health: Health,
     /// The roster in the store names it.
     pub(super) is_rostered: bool,
+    /// Leftover tasks share it with tasks that serve.
+    pub(super) is_shared: bool,
     /// Upkeep or a move asks for it to be emptied.
     pub(super) is_vacating: bool,
     /// A confirmation that nothing runs there was given.
@@ -123,6 +125,7 @@
             acknowledged: 0,
             health: Health::default(),
             is_rostered: false,
+            is_shared: false,
             is_vacating: false,
             is_vacated: false,
         }
