--- a/crates/dispatch/src/coordination/pool/tests/cancels.rs
+++ b/crates/dispatch/src/coordination/pool/tests/cancels.rs
@@ -1,6 +1,6 @@
 //! Cancellations.
 
-use super::driver::{World, job, lasting, step};
+use crate::replay::pool::{World, job, lasting, step};
 
 /// Guards against a cancelled job that runs on or starts its next step.
 #[test]
--- a/crates/dispatch/src/coordination/pool/tests/control.rs
+++ b/crates/dispatch/src/coordination/pool/tests/control.rs
@@ -1,6 +1,6 @@
 //! Changes of control: nothing runs twice, nothing is forgotten.
 
-use super::driver::{World, job, lasting, step, task};
+use crate::replay::pool::{World, job, lasting, step, task};
 use crate::state::JobOutcome;
 
 /// Guards against a second run of what the predecessor started.
--- a/crates/dispatch/src/coordination/pool/tests/failures.rs
+++ b/crates/dispatch/src/coordination/pool/tests/failures.rs
@@ -1,6 +1,6 @@
 //! Workers that are cut off, restart, fail, stall or lose replies.
 
-use super::driver::{World, job, lasting, step, task};
+use crate::replay::pool::{World, job, lasting, step, task};
 use crate::state::{JobOutcome, StepSpec};
 
 /// Guards against a lost worker whose tasks are never run again, and against a
--- a/crates/dispatch/src/coordination/pool/tests/interleavings.rs
+++ b/crates/dispatch/src/coordination/pool/tests/interleavings.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use super::driver::{World, job, lasting, step};
+use crate::replay::pool::{World, job, lasting, step};
 use crate::state::{JobNumber, JobOutcome, Registration, StepSpec};
 
 /// Time after which leases and bounds of a lost predecessor are over.
--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -2,7 +2,6 @@
 
 mod cancels;
 mod control;
-mod driver;
 mod failures;
 mod interleavings;
 mod order;
--- a/crates/dispatch/src/coordination/pool/tests/order.rs
+++ b/crates/dispatch/src/coordination/pool/tests/order.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::driver::{World, job, step};
+use crate::replay::pool::{World, job, step};
 use crate::state::JobNumber;
 
 /// Guards against a lull in which late work starves behind new work, and a
--- a/crates/dispatch/src/coordination/pool/tests/pacing.rs
+++ b/crates/dispatch/src/coordination/pool/tests/pacing.rs
@@ -2,11 +2,11 @@
 
 use rstest::rstest;
 
-use super::{
-    super::pacing::Pace,
-    driver::{World, job, lasting, step},
+use super::super::pacing::Pace;
+use crate::{
+    replay::pool::{World, job, lasting, step},
+    state::StepSpec,
 };
-use crate::state::StepSpec;
 
 const GOAL_MS: u32 = 80;
 
--- a/crates/dispatch/src/coordination/pool/tests/placing.rs
+++ b/crates/dispatch/src/coordination/pool/tests/placing.rs
@@ -1,10 +1,10 @@
 //! Places of tasks.
 
-use super::{
-    super::QueuePolicy,
-    driver::{World, job, lasting, queue, step},
+use super::super::QueuePolicy;
+use crate::{
+    replay::pool::{World, job, lasting, queue, step},
+    state::{AdviceSettings, JobOutcome, StepSpec},
 };
-use crate::state::{AdviceSettings, JobOutcome, StepSpec};
 
 /// Guards against members of a gang that start while others find no room.
 #[test]
--- a/crates/dispatch/src/coordination/pool/tests/vacating.rs
+++ b/crates/dispatch/src/coordination/pool/tests/vacating.rs
@@ -2,7 +2,7 @@
 
 use hashbrown::HashSet;
 
-use super::driver::{World, job, lasting, step};
+use crate::replay::pool::{World, job, lasting, step};
 use crate::state::{JobOutcome, Registration};
 
 /// Guards against upkeep that makes more tasks of a lasting step unavailable
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod coordination;
 pub mod node;
 pub mod observability;
+pub mod replay;
 pub mod settings;
 pub mod state;
--- a/crates/dispatch/src/coordination/pool/tests/driver.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -15,14 +15,16 @@
     },
 };
 
-use super::super::{
-    EndKind, EndedTask, LookFailure, LookOrder, LookReport, Order, OrderReply, OrderTarget,
-    PoolAction, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered, Refusal, RunningTask,
-    StoredJob, Tenancy, WorkerContact, WorkerKey, WriteResult,
-};
-use crate::state::{
-    JobNumber, JobOutcome, JobRecord, JobSpec, JobState, ProgressRecord, Registration, Roster,
-    RunNumber, StepSpec, TaskAddress, WorkerEntry,
+use crate::{
+    coordination::pool::{
+        EndKind, EndedTask, LookFailure, LookOrder, LookReport, Order, OrderReply, OrderTarget,
+        PoolAction, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered, Refusal,
+        RunningTask, StoredJob, Tenancy, WorkerContact, WorkerKey, WriteResult,
+    },
+    state::{
+        JobNumber, JobOutcome, JobRecord, JobSpec, JobState, ProgressRecord, Registration, Roster,
+        RunNumber, StepSpec, TaskAddress, WorkerEntry,
+    },
 };
 
 /// Step of virtual time, in milliseconds.
@@ -32,24 +34,24 @@
 /// Start of virtual wall-clock time, in milliseconds since 1970.
 const UNIX_ORIGIN_MS: u64 = 1_700_000_000_000;
 
-pub(super) fn pool() -> PoolId {
+pub fn pool() -> PoolId {
     PoolId::new("p")
 }
 
-pub(super) fn queue() -> QueueId {
+pub fn queue() -> QueueId {
     QueueId::new("q")
 }
 
-pub(super) fn step(tasks: u32, cpu_millicores: u64, estimate_ms: u32) -> StepSpec {
+pub fn step(tasks: u32, cpu_millicores: u64, estimate_ms: u32) -> StepSpec {
     let need = Resources::new(cpu_millicores, 1 << 30, 0);
     StepSpec { tasks, need, estimate_ms, ..StepSpec::default() }
 }
 
-pub(super) fn job(steps: Vec<StepSpec>) -> JobSpec {
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
     JobSpec { payload: "text".into(), steps, schedule: None }
 }
 
-pub(super) fn lasting(tasks: u32) -> StepSpec {
+pub fn lasting(tasks: u32) -> StepSpec {
     StepSpec { is_lasting: true, unavailable_max: 1, ..step(tasks, 1_000, 0) }
 }
 
@@ -63,20 +65,20 @@
 
 /// One life of a worker.
 #[derive(Debug)]
-pub(super) struct FakeWorker {
-    pub(super) entry: WorkerEntry,
+pub struct FakeWorker {
+    pub entry: WorkerEntry,
     /// Controllers, by index, that it cannot be reached from.
-    pub(super) cut_from: HashSet<usize>,
+    pub cut_from: HashSet<usize>,
     /// Orders are carried out and not answered.
-    pub(super) loses_replies: bool,
-    pub(super) fails_all: bool,
+    pub loses_replies: bool,
+    pub fails_all: bool,
     /// Tail that it reports for tasks that last, in milliseconds.
-    pub(super) tail_ms: u32,
+    pub tail_ms: u32,
     /// Paces that were ordered, oldest first.
-    pub(super) paces: Vec<(TaskAddress, u8)>,
-    pub(super) stands_still: bool,
+    pub paces: Vec<(TaskAddress, u8)>,
+    pub stands_still: bool,
     /// Factor on the duration of tasks.
-    pub(super) slowness: u64,
+    pub slowness: u64,
     term: Term,
     running: BTreeMap<TaskAddress, FakeRun>,
     ended: Vec<EndedTask>,
@@ -117,7 +119,7 @@
         }
     }
 
-    pub(super) fn runs(&self) -> Vec<TaskAddress> {
+    pub fn runs(&self) -> Vec<TaskAddress> {
         self.running.keys().copied().collect()
     }
 
@@ -154,9 +156,9 @@
     replies: Vec<(u64, OrderTarget, bool, OrderReply)>,
 }
 
-pub(super) struct World {
-    pub(super) now_ms: u64,
-    pub(super) workers: Vec<FakeWorker>,
+pub struct World {
+    pub now_ms: u64,
+    pub workers: Vec<FakeWorker>,
     controllers: Vec<Controller>,
     version: u64,
     jobs: BTreeMap<JobNumber, (RecordVersion, JobRecord)>,
@@ -164,24 +166,24 @@
     roster: Roster,
     /// Index of the controller whose writes are accepted.
     holder: usize,
-    pub(super) store_is_up: bool,
+    pub store_is_up: bool,
     /// Ends that were acknowledged as done.
     done: StdHashSet<TaskAddress>,
     /// Times at which jobs were stored as ended.
-    pub(super) ended: BTreeMap<JobNumber, (u64, JobOutcome)>,
+    pub ended: BTreeMap<JobNumber, (u64, JobOutcome)>,
     accepted_ms: BTreeMap<JobNumber, u64>,
-    pub(super) starts: u64,
-    pub(super) questions: u64,
-    pub(super) needs_tickets: bool,
-    pub(super) vacated: Vec<WorkerId>,
+    pub starts: u64,
+    pub questions: u64,
+    pub needs_tickets: bool,
+    pub vacated: Vec<WorkerId>,
     /// True duration of a task if it differs from its estimate.
-    pub(super) duration_ms: Option<fn(TaskAddress) -> u64>,
+    pub duration_ms: Option<fn(TaskAddress) -> u64>,
     copies_allowed: bool,
     next_job: u64,
 }
 
 impl World {
-    pub(super) fn new(workers: usize, cores: u64) -> Self {
+    pub fn new(workers: usize, cores: u64) -> Self {
         let mut world = Self {
             now_ms: 1_000,
             workers: (0..workers).map(|index| FakeWorker::new(index, cores)).collect(),
@@ -208,16 +210,16 @@
         world
     }
 
-    pub(super) fn allow_copies(&mut self) {
+    pub fn allow_copies(&mut self) {
         self.copies_allowed = true;
     }
 
-    pub(super) fn now(&self) -> ClockReading {
+    pub fn now(&self) -> ClockReading {
         ClockReading::new(self.now_ms, UNIX_ORIGIN_MS + self.now_ms)
     }
 
     /// Starts a controller that takes the pool over from the store's records.
-    pub(super) fn add_controller(&mut self) -> usize {
+    pub fn add_controller(&mut self) -> usize {
         self.version += 1;
         let index = self.controllers.len();
         let tenancy = Tenancy {
@@ -260,20 +262,20 @@
         index
     }
 
-    pub(super) fn engine(&mut self, controller: usize) -> &mut PoolEngine {
+    pub fn engine(&mut self, controller: usize) -> &mut PoolEngine {
         &mut self.controllers[controller].engine
     }
 
-    pub(super) fn kill(&mut self, controller: usize) {
+    pub fn kill(&mut self, controller: usize) {
         self.controllers[controller].is_alive = false;
     }
 
-    pub(super) fn is_fenced(&self, controller: usize) -> bool {
+    pub fn is_fenced(&self, controller: usize) -> bool {
         self.controllers[controller].is_fenced
     }
 
     /// Stores a job and tells the engines that are alive.
-    pub(super) fn submit(&mut self, spec: JobSpec) -> JobNumber {
+    pub fn submit(&mut self, spec: JobSpec) -> JobNumber {
         spec.check().expect("the job can run");
         let number = JobNumber(self.next_job);
         self.next_job += 1;
@@ -284,7 +286,7 @@
         number
     }
 
-    pub(super) fn cancel(&mut self, job: JobNumber) {
+    pub fn cancel(&mut self, job: JobNumber) {
         let (outcome, ended_unix_ms) = (JobOutcome::Cancelled, self.now().unix_ms);
         let record = JobRecord {
             queue: queue(),
@@ -305,14 +307,14 @@
     }
 
     /// Tells all engines what the registry has.
-    pub(super) fn register(&mut self) {
+    pub fn register(&mut self) {
         for controller in self.controllers.iter_mut().filter(|controller| controller.is_alive) {
             controller.engine.on_registry(self.workers.iter().map(|worker| &worker.entry));
         }
     }
 
     /// Lets a worker crash and start again, with nothing running.
-    pub(super) fn restart_worker(&mut self, index: usize) {
+    pub fn restart_worker(&mut self, index: usize) {
         let cores = self.workers[index].entry.capacity.cpu_millicores / 1_000;
         let mut worker = FakeWorker::new(index, cores);
         worker.entry.born_unix_ms = UNIX_ORIGIN_MS + self.now_ms;
@@ -320,7 +322,7 @@
         self.register();
     }
 
-    pub(super) fn run_until(&mut self, limit_ms: u64, condition: impl Fn(&Self) -> bool) {
+    pub fn run_until(&mut self, limit_ms: u64, condition: impl Fn(&Self) -> bool) {
         let end_ms = self.now_ms + limit_ms;
         while !condition(self) {
             assert!(self.now_ms < end_ms, "the condition does not hold after {limit_ms} ms");
@@ -328,7 +330,7 @@
         }
     }
 
-    pub(super) fn run_ms(&mut self, duration_ms: u64) {
+    pub fn run_ms(&mut self, duration_ms: u64) {
         let end_ms = self.now_ms + duration_ms;
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
@@ -548,29 +550,29 @@
         }
     }
 
-    pub(super) fn is_running(&self, task: TaskAddress) -> bool {
+    pub fn is_running(&self, task: TaskAddress) -> bool {
         self.workers.iter().any(|worker| worker.running.contains_key(&task))
     }
 
-    pub(super) fn running(&self) -> usize {
+    pub fn running(&self) -> usize {
         self.workers.iter().map(|worker| worker.running.len()).sum()
     }
 
-    pub(super) fn outcome(&self, job: JobNumber) -> Option<JobOutcome> {
+    pub fn outcome(&self, job: JobNumber) -> Option<JobOutcome> {
         self.ended.get(&job).map(|&(_, outcome)| outcome)
     }
 
-    pub(super) fn has_progress(&self, job: JobNumber) -> bool {
+    pub fn has_progress(&self, job: JobNumber) -> bool {
         self.progress.get(&job).is_some_and(|progress| !progress.steps.is_empty())
     }
 
-    pub(super) fn is_cancelled(&self, job: JobNumber) -> bool {
+    pub fn is_cancelled(&self, job: JobNumber) -> bool {
         let state = &self.jobs[&job].1.state;
         matches!(state, JobState::Ended { outcome: JobOutcome::Cancelled, .. })
     }
 
     /// Returns the time from a job's acceptance to its stored end.
-    pub(super) fn took_ms(&self, job: JobNumber) -> Option<u64> {
+    pub fn took_ms(&self, job: JobNumber) -> Option<u64> {
         Some(self.ended.get(&job)?.0 - self.accepted_ms[&job])
     }
 }
@@ -598,6 +600,6 @@
 }
 
 /// Names a task of a job that runs once.
-pub(super) fn task(job: JobNumber, step: u16, index: u32) -> TaskAddress {
+pub fn task(job: JobNumber, step: u16, index: u32) -> TaskAddress {
     TaskAddress { job, occurrence: 0, step, index }
 }
--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 mod buffer;
 mod config;
+mod dispatch;
 mod figure;
 mod flood;
 pub mod jobs;
@@ -44,6 +45,8 @@
     Proxy,
     /// Growth of costs with the size of the deployment.
     Slopes,
+    /// Order, moves and pace of the dispatcher under surges.
+    Dispatch,
 }
 
 /// Command line of `tamarack-bench`.
@@ -75,6 +78,7 @@
         BenchName::Matrix => matrix::run(options),
         BenchName::Proxy => proxy::run(options),
         BenchName::Slopes => slopes::run(options),
+        BenchName::Dispatch => dispatch::run(options),
     }
 }
 
