--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -408,12 +408,6 @@
         Some((job.has_started, job.outcome.filter(|_| job.is_outcome_stored)))
     }
 
-    /// Returns the numbers of jobs, workers and runs that the engine knows.
-    pub fn sizes(&self) -> (usize, usize, usize) {
-        let runs = self.workers.iter().map(|(_, worker)| worker.runs.len()).sum();
-        (self.ledger.len(), self.workers.iter().count(), runs)
-    }
-
     pub(super) fn mark(&mut self, now_ms: u64, task: TaskRef) -> EndMark {
         self.writer.touch(now_ms, task.job)
     }
--- a/crates/dispatch/src/coordination/pool/ledger.rs
+++ b/crates/dispatch/src/coordination/pool/ledger.rs
@@ -190,10 +190,6 @@
         self.jobs.iter()
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.jobs.len()
-    }
-
     pub(super) fn keys(&self) -> Vec<JobKey> {
         self.jobs.keys().collect()
     }
--- a/crates/dispatch/src/coordination/submission.rs
+++ b/crates/dispatch/src/coordination/submission.rs
@@ -109,11 +109,6 @@
         self.queue.push_back(key);
     }
 
-    /// Returns the number of submissions without an answer.
-    pub fn len(&self) -> usize {
-        self.pending.len()
-    }
-
     /// Tells whether every submission has its answer.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -351,7 +351,7 @@
     /// Gives up the scope and leaves it to others for a while.
     async fn leave(&mut self) {
         metrics::counter!("control_handed_over").increment(1);
-        self.release("a host with more processors asks for the scope").await;
+        self.release("a host with more processors for each pool asks for the scope").await;
         self.left_until_ms = clock::read().monotonic_ms + HANDOVER_MS;
         self.lease = new_lease(&self.shared, &self.name);
         self.lease.postpone_until(self.left_until_ms);
@@ -392,7 +392,7 @@
         self.asked = result.is_ok().then_some(tenure.term);
         log::info!(scope = &*self.name, holder = tenure.holder.as_str(), term = tenure.term.0,
             holder_millicores = tenure.millicores, result:? = result;
-            "holder with few processors was asked to give up the scope");
+            "holder with fewer processors for each pool was asked to give up the scope");
     }
 
     /// Starts or ends the controller as the lease says.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -5,7 +5,9 @@
 use log::LevelFilter;
 use tamarackproxy::state::{
     ids::{DataCentreId, EntryId},
-    ini::{IniError, IniErrors, RawSection, SectionReader, read_section, read_sections},
+    ini::{
+        IniError, IniErrors, RawSection, SectionReader, check_sections, read_section, read_sections,
+    },
 };
 
 const ADDRESS: &str = "an IP number and a port such as 10.0.0.1:8080";
@@ -112,15 +114,7 @@
     let level = read_section(sections, "log", errors, |reader| {
         Some(reader.or_default("level", LEVEL, LevelFilter::Info))
     });
-    for raw in sections.iter().filter(|raw| !SECTIONS.contains(&&*raw.header)) {
-        let accepted = SECTIONS.join(", ").into();
-        let kind = tamarackproxy::state::ini::IniErrorKind::UnknownSection {
-            accepted,
-            suggestion: "".into(),
-        };
-        let section = raw.header.clone();
-        errors.push(IniError { file: None, section, key: None, kind });
-    }
+    check_sections(sections, &SECTIONS, errors);
     let (entry, data_centre) = entry?;
     let (callers, ready, metrics) = listen?;
     let (store, hosts, advice) = platform?;
--- a/crates/tamarackproxy/src/state/ini/mod.rs
+++ b/crates/tamarackproxy/src/state/ini/mod.rs
@@ -5,4 +5,4 @@
 
 pub use self::error::{IniError, IniErrorKind, IniErrors};
 pub(crate) use self::reader::did_you_mean;
-pub use self::reader::{RawSection, SectionReader, read_section, read_sections};
+pub use self::reader::{RawSection, SectionReader, check_sections, read_section, read_sections};
--- a/crates/tamarackproxy/src/state/ini/reader.rs
+++ b/crates/tamarackproxy/src/state/ini/reader.rs
@@ -191,3 +191,21 @@
     reader.finish();
     value
 }
+
+/// Reports sections whose header is not among the known ones and those that
+/// stand twice.
+pub fn check_sections(sections: &[RawSection], known: &[&str], errors: &mut Vec<IniError>) {
+    let error =
+        |section: &str, kind| IniError { file: None, section: section.into(), key: None, kind };
+    for (index, raw) in sections.iter().enumerate() {
+        if !known.contains(&&*raw.header) {
+            let kind = IniErrorKind::UnknownSection {
+                accepted: known.join(", ").into(),
+                suggestion: did_you_mean(&raw.header, known.iter().copied()),
+            };
+            errors.push(error(&raw.header, kind));
+        } else if sections[..index].iter().any(|other| other.header == raw.header) {
+            errors.push(error(&raw.header, IniErrorKind::DuplicateSection));
+        }
+    }
+}
--- a/crates/tamarackproxy/src/state/settings/parse.rs
+++ b/crates/tamarackproxy/src/state/settings/parse.rs
@@ -11,7 +11,7 @@
 use crate::state::{
     ids::{DataCentreId, EntryId},
     ini::{
-        IniError, IniErrorKind, IniErrors, RawSection, SectionReader, did_you_mean, read_section,
+        IniError, IniErrorKind, IniErrors, RawSection, SectionReader, check_sections, read_section,
         read_sections,
     },
     units::{DurationMs, SizeBytes},
@@ -66,7 +66,7 @@
                 Vec::new()
             }
         };
-        check_sections(&sections, &mut errors);
+        check_sections(&sections, &SECTIONS, &mut errors);
         let settings = Self::read(&sections, &mut errors);
         IniErrors::check(errors)?;
         settings.ok_or_else(|| unreachable!("a missing value is an error"))
@@ -154,19 +154,3 @@
     }
     peers
 }
-
-fn check_sections(sections: &[RawSection], errors: &mut Vec<IniError>) {
-    let error =
-        |section: &str, kind| IniError { file: None, section: section.into(), key: None, kind };
-    for (index, raw) in sections.iter().enumerate() {
-        if !SECTIONS.contains(&&*raw.header) {
-            let kind = IniErrorKind::UnknownSection {
-                accepted: SECTIONS.join(", ").into(),
-                suggestion: did_you_mean(&raw.header, SECTIONS),
-            };
-            errors.push(error(&raw.header, kind));
-        } else if sections[..index].iter().any(|other| other.header == raw.header) {
-            errors.push(error(&raw.header, IniErrorKind::DuplicateSection));
-        }
-    }
-}
