Leave out records from before a job's end; place tasks without a common rack again

Ended jobs are kept by number for as long as callers may ask for them.

Ruled out: the handover (the term was the same before and after), a late order (it would carry another run number).

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -124,8 +124,9 @@
     /// listed; none once that is settled.
     pub(super) unsettled: Option<Vec<RosterEntry>>,
     pub(super) arrivals: ArrivalRate,
-    /// Ended jobs by the time of their end, for their removal.
-    finished: Vec<(u64, JobNumber)>,
+    /// Ended jobs with the time of their end, for their removal. They are never
+    /// new again: a listing may have been read before their end was stored.
+    finished: HashMap<JobNumber, u64>,
     pub(super) placing_due: bool,
     next_place_ms: u64,
     pub(super) next_check_ms: u64,
@@ -153,7 +154,7 @@
             quiet_until_ms: 0,
             unsettled: Some(Vec::new()),
             arrivals: ArrivalRate::default(),
-            finished: Vec::new(),
+            finished: HashMap::new(),
             placing_due: false,
             next_place_ms: 0,
             next_check_ms: 0,
@@ -196,6 +197,10 @@
         record: JobRecord,
     ) {
         match (self.ledger.find(number), record.state) {
+            (None, JobState::Live(_)) if self.finished.contains_key(&number) => {
+                log::info!(job:display = number, version = version.0;
+                    "record from before the job's end is left out");
+            }
             (None, JobState::Live(spec)) => {
                 let is_inherited = version <= self.tenancy.since;
                 let job = Job::new(number, record.queue, spec, version).with_arrival(
@@ -216,7 +221,7 @@
                 }
             }
             (found, JobState::Ended { outcome, ended_unix_ms }) => {
-                self.finished.push((ended_unix_ms, number));
+                self.finished.insert(number, ended_unix_ms);
                 if let Some(key) = found {
                     self.on_ended_record(key, version, outcome);
                 }
@@ -290,7 +295,7 @@
             if let Some(job) = self.ledger.job_mut(key) {
                 job.is_outcome_stored = true;
                 job.version = version;
-                self.finished.push((now.unix_ms, job.number));
+                self.finished.insert(job.number, now.unix_ms);
             }
             self.writer.forget_job(key);
             self.remove_if_over(key);
@@ -352,10 +357,8 @@
         self.placing_due = true;
         let keep_ms = self.timing.status_ms + KEEP_MARGIN_MS;
         if let Some(before) = now.unix_ms.checked_sub(keep_ms) {
-            let (old, kept) = self.finished.drain(..).partition(|&(ended, _)| ended < before);
-            self.finished = kept;
-            let old: Vec<(u64, JobNumber)> = old;
-            self.writer.forget(old.into_iter().map(|(_, number)| number));
+            let old = self.finished.extract_if(|_, ended| *ended < before);
+            self.writer.forget(old.map(|(number, _)| number));
         }
     }
 
--- a/crates/dispatch/src/coordination/pool/placement.rs
+++ b/crates/dispatch/src/coordination/pool/placement.rs
@@ -23,9 +23,6 @@
     pub(super) spec: &'a StepSpec,
     pub(super) step: &'a Step,
     pub(super) task: &'a Task,
-    /// Rack that the task should run on: that of its data, or that of the other
-    /// tasks of its step.
-    pub(super) rack: Option<Box<str>>,
     /// A further failure would fail the job.
     pub(super) is_last_attempt: bool,
 }
@@ -73,7 +70,8 @@
             let doubt = worker.health.is_slow()
                 || self.task.failed_on == Some(key)
                 || (self.is_last_attempt && worker.health.is_doubtful());
-            let off_rack = self.rack.as_deref().is_some_and(|rack| *rack != *worker.entry.rack);
+            let off_rack =
+                self.spec.data_rack.as_deref().is_some_and(|rack| *rack != *worker.entry.rack);
             let crowding =
                 if self.spec.is_lasting { self.crowding(key, worker, workers) } else { (0, 0) };
             let left = room.minus(&self.spec.charge()).dominant_share(&worker.entry.capacity);
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -1,7 +1,5 @@
 //! Starts of tasks and what becomes of them.
 
-use std::cmp::Reverse;
-
 use hashbrown::HashMap;
 use tamarackproxy::{
     coordination::jobs::Resources,
@@ -18,7 +16,7 @@
     ledger::Job,
     order::{Rank, Waiting},
     placement::{PlaceQuery, TOUCH_MS, takes_work},
-    task::{Run, RunPhase, Step, TaskRef},
+    task::{Run, RunPhase, TaskRef},
     workers::Worker,
 };
 use crate::state::{RunNumber, StepSpec};
@@ -166,7 +164,7 @@
     }
 
     fn choose(&self, now_ms: u64, task: TaskRef) -> Option<WorkerKey> {
-        let query = self.place_query(now_ms, task)?;
+        let query = self.place_query(task)?;
         let room = |_, worker: &Worker| worker.room();
         let apart = self.exclusion(now_ms, task, Sharing::Apart);
         let found = query.choose(&self.workers, now_ms, room, apart);
@@ -255,7 +253,7 @@
         self.placing_due = true;
     }
 
-    fn place_query(&self, now_ms: u64, task: TaskRef) -> Option<PlaceQuery<'_>> {
+    fn place_query(&self, task: TaskRef) -> Option<PlaceQuery<'_>> {
         let job = self.ledger.job(task.job)?;
         let spec = self.ledger.spec(task)?;
         let step = self.ledger.step(task)?;
@@ -263,31 +261,7 @@
         let attempts_max = self.policy(&job.queue).attempts_max;
         let is_last_attempt =
             !spec.is_lasting && state.failed_runs.len() as u32 + 1 >= attempts_max;
-        let rack = spec.data_rack.clone().or_else(|| self.common_rack(spec, step, now_ms));
-        Some(PlaceQuery { spec, step, task: state, rack, is_last_attempt })
-    }
-
-    /// Returns the rack for a step whose tasks are to share one: where they run
-    /// already, else where most of them fit.
-    fn common_rack(&self, spec: &StepSpec, step: &Step, now_ms: u64) -> Option<Box<str>> {
-        if !spec.prefers_one_rack {
-            return None;
-        }
-        let mut runs = step.tasks.iter().flat_map(|task| &task.runs);
-        if let Some(worker) = runs.find_map(|run| self.workers.get(run.worker)) {
-            return Some(worker.entry.rack.clone());
-        }
-        let charge = spec.charge();
-        let mut places: HashMap<&str, u64> = HashMap::new();
-        for (_, worker) in self.workers.iter().filter(|(_, worker)| takes_work(worker, now_ms)) {
-            *places.entry(&worker.entry.rack).or_default() += charge.times_in(&worker.room());
-        }
-        // Among racks that hold all, the fullest keeps the others whole.
-        let tasks = u64::from(spec.tasks);
-        let ranked = places
-            .into_iter()
-            .map(|(rack, places)| (places.min(tasks), Reverse(places), Reverse(rack)));
-        ranked.max().map(|(.., Reverse(rack))| rack.into())
+        Some(PlaceQuery { spec, step, task: state, is_last_attempt })
     }
 
     /// Starts all members of a gang or none; tells whether there was room.
@@ -304,7 +278,7 @@
         let mut planned: HashMap<WorkerKey, (u32, Resources)> = HashMap::new();
         let mut places = Vec::with_capacity(members as usize);
         for index in 0..members {
-            let Some(query) = self.place_query(now_ms, TaskRef { index, ..step }) else {
+            let Some(query) = self.place_query(TaskRef { index, ..step }) else {
                 return true;
             };
             let room = |key: WorkerKey, worker: &Worker| match planned.get(&key) {
--- a/crates/dispatch/src/coordination/pool/tests/control.rs
+++ b/crates/dispatch/src/coordination/pool/tests/control.rs
@@ -106,3 +106,19 @@
     world.engine(0).confirm_control(u64::MAX);
     world.run_until(1_000, |world| world.outcome(number) == Some(JobOutcome::Done));
 }
+
+/// Guards against a listing that was read before a job's end was stored and
+/// arrives after it: the job is not a new one.
+#[test]
+fn listing_from_before_an_end_starts_nothing_again() {
+    let mut world = World::new(2, 8);
+    let job = world.submit(job(vec![step(2, 1_000, 300)]));
+    world.run_ms(50);
+    let stale = world.stored_job(job);
+    world.run_until(3_000, |world| world.outcome(job).is_some());
+    world.run_ms(200);
+    let now = world.now();
+    world.engine(0).reread(now, vec![stale]);
+    world.run_ms(300);
+    assert_eq!(world.running(), 0, "a job that has ended runs again");
+}
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -286,6 +286,12 @@
         number
     }
 
+    /// Returns a job as the store has it.
+    pub fn stored_job(&self, number: JobNumber) -> StoredJob {
+        let (version, record) = self.jobs[&number].clone();
+        StoredJob { number, version, record }
+    }
+
     pub fn cancel(&mut self, job: JobNumber) {
         let (outcome, ended_unix_ms) = (JobOutcome::Cancelled, self.now().unix_ms);
         let record = JobRecord {
--- a/crates/tamarackproxy/src/coordination/jobs/resources.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/resources.rs
@@ -26,17 +26,6 @@
             && self.accelerators <= room.accelerators
     }
 
-    /// Returns how many times this amount fits into another; a part of which
-    /// nothing is needed does not count.
-    pub fn times_in(&self, room: &Resources) -> u64 {
-        let parts = [
-            room.cpu_millicores.checked_div(self.cpu_millicores),
-            room.memory_bytes.checked_div(self.memory_bytes),
-            room.accelerators.checked_div(self.accelerators).map(u64::from),
-        ];
-        parts.into_iter().flatten().min().unwrap_or(u64::MAX)
-    }
-
     /// Returns the sum.
     #[must_use]
     pub fn plus(&self, other: &Resources) -> Resources {
