Confirm a vacancy only after the ends of the worker's tasks are stored

A worker was confirmed to be empty as soon as nothing ran there, though its last ends were not stored yet; a successor takes that vacancy for granted and does not wait for the worker's list. A vacancy may wait for one write now.

--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -129,10 +129,12 @@
         })
     }
 
-    /// Confirms that nothing runs on a worker that is to be emptied.
+    /// Confirms that nothing runs on a worker that is to be emptied and that
+    /// nothing has to be read from its list any more.
     fn confirm_vacancy(&mut self, now_ms: u64, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         let is_over = worker.is_empty()
+            && !worker.has_unstored_ends()
             && (worker.is_in_touch(now_ms, TOUCH_MS)
                 || (worker.looked_ms.is_some() && worker.is_lease_over(now_ms)));
         let is_asked = worker.is_vacating;
--- a/crates/dispatch/src/coordination/pool/tests/vacating.rs
+++ b/crates/dispatch/src/coordination/pool/tests/vacating.rs
@@ -108,3 +108,22 @@
     assert!(world.workers[0].runs().is_empty());
     assert_eq!(world.running(), 2);
 }
+
+/// Guards against a vacancy that is confirmed before the ends of the worker's
+/// tasks are stored: a successor would not wait for its list and start them
+/// again.
+#[test]
+fn vacancy_waits_until_ends_are_stored() {
+    let mut world = World::new(1, 32);
+    world.submit(job(vec![step(1, 1_000, 300), step(1, 40_000, 300)]));
+    world.run_ms(100);
+    world.store_is_up = false;
+    let name = world.workers[0].entry.worker.clone();
+    world.engine(0).set_vacating([name.clone()].into());
+    world.run_ms(1_000);
+    assert!(world.workers[0].runs().is_empty(), "the task has ended");
+    assert!(world.vacated.is_empty(), "its end is not stored");
+    world.store_is_up = true;
+    world.run_ms(1_500);
+    assert_eq!(world.vacated, [name]);
+}
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Tells whether it lists ends whose records are not stored.
+    pub(super) fn has_unstored_ends(&self) -> bool {
+        !self.unacknowledged.is_empty()
+    }
+
     pub(super) fn has_label(&self, label: &str) -> bool {
         self.entry.labels.iter().any(|own| &**own == label)
     }
