Stop the orders of a holder before its lease ends where nobody checks terms

Ruled out: a shorter outage time for all scopes, which would give up pools whose workers do compare terms.

Change: coordination::control::orders decides by who checks terms. Without a check, upkeep has no outage time, an order is sent only if it is over before the lease is, the successor waits for orders under way, the permission is checked again when the connection is ready, and an abandoned order's connection is reset. hosts_reject_old_terms in the settings (from enforce_fencing) chooses; unstated means no check.

Tests seen to fail first, by taking the guard out: orders of two holders overlap (2 of 4 tests), late writes, stalls.

--- a/crates/dispatch/src/coordination/balance/engine.rs
+++ b/crates/dispatch/src/coordination/balance/engine.rs
@@ -35,6 +35,13 @@
 /// Delay before an order that was not confirmed is sent again, in
 /// milliseconds.
 const ORDER_RETRY_MS: u64 = 400;
+/// Delay before a host that is not up or is leaving is ordered to move again,
+/// in milliseconds: the host list shows its state by then.
+const BUSY_DELAY_MS: u64 = 1_500;
+/// Delay before a host that the platform does not move to the pool is ordered
+/// to move again, in milliseconds: the cause is in the configuration of either
+/// side, which rarely changes.
+const NOT_MOVABLE_DELAY_MS: u64 = 10_000;
 /// Time from a host's arrival in a pool until it gets work, in milliseconds:
 /// registration, first poll and roster update.
 const JOIN_MS: u64 = 700;
@@ -123,6 +130,9 @@
     /// Workers whose vacate requests are no longer needed, with the time at
     /// which these are withdrawn.
     pending_releases: Vec<(u64, WorkerId)>,
+    /// Hosts whose move was refused, with the time until which they are not
+    /// chosen again, in milliseconds on the local clock.
+    refused_until_ms: HashMap<HostId, u64>,
     /// Workers that ended with the move of their host; the registry still lists
     /// them for seconds.
     departed: HashSet<WorkerId>,
@@ -146,6 +156,7 @@
             transfers: BTreeMap::new(),
             arrived: HashMap::new(),
             pending_releases: Vec::new(),
+            refused_until_ms: HashMap::new(),
             departed: HashSet::new(),
             surges: SurgeHistory::default(),
             recent_needs: VecDeque::new(),
@@ -191,6 +202,7 @@
         let known = &self.hosts;
         self.transfers.retain(|host, _| known.contains_key(host));
         self.arrived.retain(|_, (_, shown_ms)| sent_ms < *shown_ms);
+        self.refused_until_ms.retain(|_, until_ms| sent_ms < *until_ms);
         for (host, (pool, _)) in &self.arrived {
             if let Some(view) = self.hosts.get_mut(host) {
                 mark_arrived(view, pool);
@@ -225,7 +237,7 @@
         let now_ms = now.monotonic_ms;
         let Some(transfer) = self.transfers.get_mut(host) else { return };
         let Stage::Ordering { worker, .. } = &mut transfer.stage else { return };
-        log::info!(host = host.as_str(), pool = transfer.to.as_str(), reply:? = reply;
+        log::info!(host = host.as_str(), pool = transfer.to.as_str(), reply:display = reply;
             "move order was answered");
         match reply {
             HostOrderReply::Begun => {
@@ -243,6 +255,8 @@
             | HostOrderReply::Refused
             | HostOrderReply::NotDue
             | HostOrderReply::OldTerm => {
+                let until_ms = now_ms + refusal_delay_ms(reply);
+                self.refused_until_ms.insert(host.clone(), until_ms);
                 self.pending_releases.extend(worker.take().map(|worker| (now_ms, worker)));
                 self.transfers.remove(host);
             }
@@ -254,11 +268,13 @@
         self.transfers.contains_key(host)
     }
 
-    /// Returns the next actions. `vacated` are the workers confirmed as
-    /// vacated; `is_reserved` tells which hosts maintenance needs.
+    /// Returns the next actions. Without `may_order`, orders wait and no
+    /// transfer begins. `vacated` are the workers confirmed as vacated;
+    /// `is_reserved` tells which hosts maintenance needs.
     pub fn step<F>(
         &mut self,
         now: ClockReading,
+        may_order: bool,
         vacated: &HashSet<WorkerId>,
         is_reserved: F,
     ) -> Vec<BalanceAction>
@@ -273,9 +289,21 @@
             actions.push(BalanceAction::Save(BalanceRecord { first_sizes, surges, turn_ms }));
         }
         self.advance(now_ms, vacated, &mut actions);
-        if self.host_millicores == 0 || self.hosts.is_empty() {
+        if !may_order {
             return actions;
         }
+        if self.host_millicores > 0 && !self.hosts.is_empty() {
+            self.begin_transfers(now_ms, is_reserved, &mut actions);
+        }
+        self.send_orders(now_ms, &mut actions);
+        actions
+    }
+
+    /// Begins the transfers that the pools' needs ask for.
+    fn begin_transfers<F>(&mut self, now_ms: u64, is_reserved: F, actions: &mut Vec<BalanceAction>)
+    where
+        F: Fn(&HostId) -> bool,
+    {
         let needs = self.needs(now_ms);
         self.recent_needs.push_back((now_ms, needs.clone()));
         while self.recent_needs.front().is_some_and(|(at, _)| now_ms > at + NEED_WINDOW_MS) {
@@ -294,24 +322,36 @@
         }
         let may_switch_off = now_ms > self.last_need_ms + SWITCH_OFF_AFTER_MS;
         if deficits.is_empty() && !may_switch_off {
-            return actions;
+            return;
         }
-        let mut available = self.available(is_reserved);
+        let mut available = self.available(now_ms, is_reserved);
         for (missing, to) in deficits {
             for _ in 0..missing {
                 if self.is_at_transfer_limit() {
-                    return actions;
+                    return;
                 }
                 let Some(donor) = self.choose_donor(&available, &sizes, &needs, &to) else { break };
                 let donor = available.swap_remove(donor);
-                self.begin_transfer(now_ms, donor, to.clone(), &mut sizes, &mut actions);
+                self.begin_transfer(now_ms, donor, to.clone(), &mut sizes, actions);
             }
         }
         if may_switch_off {
             let needs = self.largest_recent_needs();
-            self.switch_off_idle(now_ms, &needs, available, &mut sizes, &mut actions);
+            self.switch_off_idle(now_ms, &needs, available, &mut sizes, actions);
+        }
+    }
+
+    /// Sends the move orders that are due.
+    fn send_orders(&mut self, now_ms: u64, actions: &mut Vec<BalanceAction>) {
+        for (host, transfer) in &mut self.transfers {
+            if let Stage::Ordering { next_ms, in_flight, .. } = &mut transfer.stage
+                && !*in_flight
+                && now_ms >= *next_ms
+            {
+                *in_flight = true;
+                actions.push(BalanceAction::Move(host.clone(), transfer.to.clone()));
+            }
         }
-        actions
     }
 
     /// Returns whether no further transfer may begin now.
@@ -333,17 +373,12 @@
             match &mut transfer.stage {
                 Stage::Vacating { worker, .. } if vacated.contains(worker) => {
                     let worker = Some(worker.clone());
-                    actions.push(BalanceAction::Move(host.clone(), transfer.to.clone()));
-                    transfer.stage = Stage::Ordering { worker, next_ms: 0, in_flight: true };
+                    transfer.stage = Stage::Ordering { worker, next_ms: 0, in_flight: false };
                 }
                 Stage::Vacating { worker, since_ms } if now_ms > *since_ms + VACATE_TIMEOUT_MS => {
                     actions.push(BalanceAction::Release(worker.clone()));
                     finished.push(host.clone());
                 }
-                Stage::Ordering { next_ms, in_flight, .. } if !*in_flight && now_ms >= *next_ms => {
-                    *in_flight = true;
-                    actions.push(BalanceAction::Move(host.clone(), transfer.to.clone()));
-                }
                 Stage::Moved { at_ms } if now_ms >= *at_ms + self.timing.move_ms => {
                     let shown_ms = *at_ms + self.timing.move_ms + LIST_LAG_MS;
                     self.arrived.insert(host.clone(), (transfer.to.clone(), shown_ms));
@@ -402,7 +437,7 @@
 
     /// Lists the hosts that are off or idle, are not being moved and are not
     /// reserved.
-    fn available<F>(&self, is_reserved: F) -> Vec<Available>
+    fn available<F>(&self, now_ms: u64, is_reserved: F) -> Vec<Available>
     where
         F: Fn(&HostId) -> bool,
     {
@@ -414,6 +449,7 @@
             let is_available = view.state == HostState::Up
                 && (is_off || is_idle)
                 && !self.transfers.contains_key(&view.host)
+                && self.refused_until_ms.get(&view.host).is_none_or(|&until_ms| now_ms >= until_ms)
                 && !is_reserved(&view.host);
             is_available.then(|| Available {
                 host: view.host.clone(),
@@ -481,10 +517,7 @@
                 actions.push(BalanceAction::Vacate(worker.clone()));
                 Stage::Vacating { worker, since_ms: now_ms }
             }
-            None => {
-                actions.push(BalanceAction::Move(host.clone(), to.clone()));
-                Stage::Ordering { worker: None, next_ms: 0, in_flight: true }
-            }
+            None => Stage::Ordering { worker: None, next_ms: 0, in_flight: false },
         };
         self.transfers.insert(host, Transfer { to, stage });
     }
@@ -521,6 +554,19 @@
     }
 }
 
+/// Returns the time for which a host is not ordered to move again after a
+/// refusal, in milliseconds.
+fn refusal_delay_ms(reply: HostOrderReply) -> u64 {
+    match reply {
+        HostOrderReply::NotDue => NOT_MOVABLE_DELAY_MS,
+        HostOrderReply::Busy => BUSY_DELAY_MS,
+        HostOrderReply::Begun
+        | HostOrderReply::OldTerm
+        | HostOrderReply::Refused
+        | HostOrderReply::Unknown => ORDER_RETRY_MS,
+    }
+}
+
 /// Marks a host as arrived in a pool; its worker is known once it registers.
 fn mark_arrived(view: &mut HostView, pool: &PoolId) {
     if view.pool != *pool || view.state != HostState::Up {
--- a/crates/dispatch/src/coordination/balance/tests.rs
+++ b/crates/dispatch/src/coordination/balance/tests.rs
@@ -128,7 +128,7 @@
     let demand = Demand { backlog_core_ms: 1_000_000, ..Demand::default() };
     fleet.engine.on_demand(fleet.now(), pool(0), demand);
     let empty = HashSet::new();
-    let first = fleet.engine.step(fleet.now(), &empty, |_| false);
+    let first = fleet.engine.step(fleet.now(), true, &empty, |_| false);
     let is_move = |action: &&BalanceAction| matches!(action, BalanceAction::Move(..));
     let Some(BalanceAction::Move(host, to)) = first.iter().find(is_move).cloned() else {
         panic!("expected a move of a host that is off, got {first:?}")
@@ -136,6 +136,6 @@
     let now = fleet.now();
     fleet.engine.on_reply(now, &host, HostOrderReply::Unknown);
     fleet.now_ms += 500;
-    let again = fleet.engine.step(fleet.now(), &empty, |_| false);
+    let again = fleet.engine.step(fleet.now(), true, &empty, |_| false);
     assert!(again.contains(&BalanceAction::Move(host, to)));
 }
--- a/crates/dispatch/src/coordination/control.rs
+++ b/crates/dispatch/src/coordination/control.rs
@@ -8,6 +8,10 @@
 //! whichever host took it last. So hosts with more processors per scope try
 //! first, and request scopes from holders that have far fewer.
 
+mod orders;
+
+pub use self::orders::{Fencing, HOST_ORDER_MAX_MS, OrderPermit, OrderWindow};
+
 /// Delay of an attempt for each pool that the host already controls, in
 /// milliseconds: several times the duration of an acquisition.
 const HELD_DELAY_MS: f64 = 300.0;
--- a/crates/dispatch/src/coordination/control/tests.rs
+++ b/crates/dispatch/src/coordination/control/tests.rs
@@ -1,3 +1,7 @@
+//! Tests of the distribution of scopes.
+
+mod orders;
+
 use super::*;
 
 const LARGE: u32 = 500;
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -281,6 +281,12 @@
             WriteResult::Written(version) => self.on_written(now, version),
             WriteResult::OldTerm => self.fence("the store has a higher term"),
             WriteResult::Failed => self.writer.on_failed(now.monotonic_ms),
+            WriteResult::Superseded(version) => {
+                log::info!(pool = self.control.pool.as_str(), version = version.0;
+                    "an earlier write of the pool's state took effect late; writing again");
+                self.writer.set_previous(version);
+                self.writer.on_failed(now.monotonic_ms);
+            }
             WriteResult::Conflict(records) => {
                 self.writer.on_failed(now.monotonic_ms);
                 for (number, version, record) in records {
@@ -299,7 +305,7 @@
     }
 
     fn on_written(&mut self, now: ClockReading, version: RecordVersion) {
-        let (ended, roster) = self.writer.on_written();
+        let (ended, roster) = self.writer.on_written(version);
         for key in ended {
             if let Some(job) = self.job_table.job_mut(key) {
                 job.is_outcome_stored = true;
--- a/crates/dispatch/src/coordination/pool/recovery.rs
+++ b/crates/dispatch/src/coordination/pool/recovery.rs
@@ -25,6 +25,8 @@
     pub progress: Vec<(JobNumber, ProgressRecord)>,
     /// Workers that may run something.
     pub roster: Roster,
+    /// Version of the pool's last write; 0 if there was none.
+    pub last_write: RecordVersion,
 }
 
 impl PoolEngine {
@@ -32,6 +34,7 @@
     /// done no task of a job from before this term is started.
     pub fn recover(&mut self, now: ClockReading, recovered: Recovered) {
         let (jobs, progress) = (recovered.jobs.len(), recovered.progress.len());
+        self.writer.set_previous(recovered.last_write);
         for job in recovered.jobs {
             self.on_job(now, job.number, job.version, job.record);
         }
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -281,9 +281,17 @@
             }
         }
         for (task, key, number) in stalled {
+            let Some(state) = self.job_table.task_mut(task) else { continue };
+            // A task that stalls on one worker after another is stalled by
+            // itself, and must not take the pool's workers out of use.
+            let is_first = state.stalls == 0;
+            state.stalls += 1;
+            state.failed_on = Some(key);
+            let stalls = state.stalls;
             if let Some(worker) = self.workers.get_mut(key) {
-                worker.health.suspend(now_ms);
+                let suspension_ms = if is_first { worker.health.suspend(now_ms) } else { 0 };
                 log::warn!(task:? = self.job_table.address(task), run:display = number,
+                    stalls = stalls, suspension_ms = suspension_ms,
                     worker = worker.entry.worker.as_str(); "stopping a run that makes no progress");
             }
             self.stop_run(now_ms, task, key, number);
--- a/crates/dispatch/src/coordination/pool/task.rs
+++ b/crates/dispatch/src/coordination/pool/task.rs
@@ -70,7 +70,9 @@
     /// Starts in this term.
     pub(super) starts: u32,
     pub(super) checkpoint: Box<str>,
-    /// Worker on which the latest failed run was.
+    /// Runs that were stopped because they made no progress, in this term.
+    pub(super) stalls: u32,
+    /// Worker on which the latest failed or stalled run was.
     pub(super) failed_on: Option<WorkerKey>,
     /// Earliest time of the next start, on the local clock.
     pub(super) not_before_ms: u64,
--- a/crates/dispatch/src/coordination/pool/tests/control.rs
+++ b/crates/dispatch/src/coordination/pool/tests/control.rs
@@ -123,3 +123,42 @@
     simulation.run_ms(300);
     assert_eq!(simulation.running(), 0, "a job that has ended runs again");
 }
+
+/// Guards against a write without a reply that the store carries out late: it
+/// would replace the progress that a later write stored, and a successor would
+/// start the ended tasks again.
+#[test]
+fn late_write_does_not_replace_newer_progress() {
+    let mut simulation = PoolSimulation::new(2, 32);
+    simulation.duration_ms = Some(|task| match (task.step, task.index) {
+        (0, 0) => 200,
+        (0, _) => 1_500,
+        _ => 6_000,
+    });
+    let number = simulation.submit(job(vec![step(2, 1_000, 500), step(1, 1_000, 6_000)]));
+    simulation.run_ms(400);
+    simulation.write_delay_ms = Some(2_500);
+    simulation.run_ms(600);
+    simulation.write_delay_ms = None;
+    // The second task's end is stored and acknowledged, then the late writes of
+    // the first one's arrive.
+    simulation.run_ms(3_000);
+    simulation.kill(0);
+    simulation.add_controller();
+    simulation.run_until(12_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
+    assert_eq!(simulation.starts, 3, "a task that had ended was started again");
+}
+
+/// Guards against a controller that never stores anything again after a write
+/// without a reply took effect.
+#[test]
+fn writes_go_on_after_a_lost_reply() {
+    let mut simulation = PoolSimulation::new(2, 32);
+    let number = simulation.submit(job(vec![step(2, 1_000, 300), step(1, 1_000, 2_000)]));
+    simulation.run_ms(200);
+    simulation.write_delay_ms = Some(50);
+    simulation.run_ms(800);
+    simulation.write_delay_ms = None;
+    simulation.run_until(6_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
+    assert_eq!(simulation.starts, 3);
+}
--- a/crates/dispatch/src/coordination/pool/tests/failures.rs
+++ b/crates/dispatch/src/coordination/pool/tests/failures.rs
@@ -120,3 +120,16 @@
     let number = simulation.submit(job(vec![spec]));
     simulation.run_until(4_500, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
 }
+
+/// Guards against one task that stalls wherever it runs and takes one worker
+/// after another out of use: other jobs of the pool would wait for seconds.
+#[test]
+fn task_that_stalls_everywhere_leaves_the_pool_in_use() {
+    let mut simulation = PoolSimulation::new(4, 32);
+    let stalled = simulation.submit(job(vec![lasting(1)]));
+    simulation.stalled_job = Some(stalled);
+    simulation.run_ms(60_000);
+    // It needs all four workers at once to end in time.
+    let number = simulation.submit(job(vec![step(15, 8_000, 700)]));
+    simulation.run_until(1_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
+}
--- a/crates/dispatch/src/coordination/pool/writer.rs
+++ b/crates/dispatch/src/coordination/pool/writer.rs
@@ -8,6 +8,9 @@
 
 /// Maximum entries of one transaction; the platform accepts 32.
 const ENTRIES_MAX: usize = 30;
+/// Entries of every transaction: the conditions on the term and on the last
+/// write, and the new last write.
+const ENTRIES_FIXED: usize = 3;
 /// Entries that an ended job takes: the condition on its record's version, its
 /// record and the removal of its progress.
 const ENTRIES_ENDED: usize = 3;
@@ -22,9 +25,13 @@
 /// Delay before a write without reply is sent again, in milliseconds.
 const RETRY_MS: u64 = 100;
 
-/// One atomic transaction, conditional on the engine's term.
+/// One atomic transaction, conditional on the engine's term and on the write
+/// before it. A write whose reply was lost and that the store carries out late
+/// thus can't replace what a later one stored.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PoolWrite {
+    /// Version of the pool's last write that is known; 0 if there was none.
+    pub previous: RecordVersion,
     /// Jobs that have ended, with the version that their records must have.
     pub ended: Vec<(JobNumber, RecordVersion, JobRecord)>,
     /// Progress of live jobs.
@@ -42,6 +49,9 @@
 pub enum WriteResult {
     /// The write took effect.
     Written(RecordVersion),
+    /// The write had no effect: an earlier write without a reply took effect,
+    /// and is the pool's last one at this version.
+    Superseded(RecordVersion),
     /// The write had no effect: the records of these jobs have other versions.
     /// A missing record is none.
     Conflict(Vec<(JobNumber, RecordVersion, Option<JobRecord>)>),
@@ -73,6 +83,8 @@
 /// Tracks changes that are not stored yet.
 #[derive(Debug, Default)]
 pub(super) struct Writer {
+    /// Version of the pool's last write that is known.
+    previous: RecordVersion,
     next_sequence: u64,
     dirty: HashMap<JobKey, Dirty>,
     ended: Vec<JobKey>,
@@ -166,9 +178,8 @@
         if self.due_ms().is_none_or(|due_ms| now_ms < due_ms) {
             return None;
         }
-        let mut write = PoolWrite::default();
-        // The condition on the term takes one entry.
-        let mut entries = 1;
+        let mut write = PoolWrite { previous: self.previous, ..PoolWrite::default() };
+        let mut entries = ENTRIES_FIXED;
         let mut in_flight = InFlight {
             ended: Vec::new(),
             progress: Vec::new(),
@@ -219,10 +230,19 @@
         Some(write)
     }
 
-    /// Handles the success of the write in flight; returns the jobs whose
-    /// outcome is now stored and the workers of the stored roster, if it was
-    /// written.
-    pub(super) fn on_written(&mut self) -> (Vec<JobKey>, Option<HashSet<WorkerId>>) {
+    /// Sets the version of the pool's last write, as read from the store.
+    pub(super) fn set_previous(&mut self, previous: RecordVersion) {
+        self.previous = previous;
+    }
+
+    /// Handles the success of the write in flight at a version; returns the jobs
+    /// whose outcome is now stored and the workers of the stored roster, if it
+    /// was written.
+    pub(super) fn on_written(
+        &mut self,
+        version: RecordVersion,
+    ) -> (Vec<JobKey>, Option<HashSet<WorkerId>>) {
+        self.previous = version;
         let Some(in_flight) = self.in_flight.take() else { return (Vec::new(), None) };
         for (job, sequence) in in_flight.progress {
             let stored = self.stored.entry(job).or_insert(0);
--- a/crates/dispatch/src/coordination/upkeep/engine.rs
+++ b/crates/dispatch/src/coordination/upkeep/engine.rs
@@ -232,7 +232,7 @@
         let Some(known) = self.waves.get_mut(&wave) else { return Vec::new() };
         let Some(stage) = known.stages.get_mut(host) else { return Vec::new() };
         let Stage::Ordered { worker, .. } = stage else { return Vec::new() };
-        log::info!(host = host.as_str(), wave = wave.0, reply:? = reply;
+        log::info!(host = host.as_str(), wave = wave.0, reply:display = reply;
             "maintenance order was answered");
         *stage = match reply {
             HostOrderReply::Begun => Stage::Down { since_ms: now_ms, worker: worker.take() },
@@ -317,8 +317,9 @@
     }
 
     /// Returns the actions that follow from all events since the last call.
-    /// `is_moving` tells which hosts are being moved to another pool.
-    pub fn step<F>(&mut self, now: ClockReading, is_moving: F) -> Vec<UpkeepAction>
+    /// Without `may_order`, orders wait. `is_moving` tells which hosts are being
+    /// moved to another pool.
+    pub fn step<F>(&mut self, now: ClockReading, may_order: bool, is_moving: F) -> Vec<UpkeepAction>
     where
         F: Fn(&HostId) -> bool,
     {
@@ -329,7 +330,10 @@
             actions.push(UpkeepAction::List);
         }
         if self.list_sent_ms.is_some() {
-            self.advance(now_ms, &is_moving, &mut actions);
+            self.advance(now_ms, &is_moving);
+            if may_order {
+                self.send_orders(now_ms, &mut actions);
+            }
         }
         if let Some(write) = self.next_write(now_ms) {
             actions.push(UpkeepAction::Write(write));
@@ -338,7 +342,7 @@
     }
 
     /// Advances every host of every wave through its stages.
-    fn advance<F>(&mut self, now_ms: u64, is_moving: &F, actions: &mut Vec<UpkeepAction>)
+    fn advance<F>(&mut self, now_ms: u64, is_moving: &F)
     where
         F: Fn(&HostId) -> bool,
     {
@@ -365,12 +369,6 @@
                         down += 1;
                         self.changed_records.insert(number);
                     }
-                    Stage::Ordered { next_ms, in_flight, .. }
-                        if !*in_flight && now_ms >= *next_ms =>
-                    {
-                        *in_flight = true;
-                        actions.push(UpkeepAction::Order(host.clone(), number));
-                    }
                     Stage::Down { since_ms, worker } => {
                         let earliest_ms = *since_ms + self.timing.maintenance_ms + LIST_LAG_MS;
                         let is_fresh = self.list_sent_ms.is_some_and(|sent| sent >= earliest_ms);
@@ -396,6 +394,21 @@
         }
     }
 
+    /// Sends the maintenance orders that are due.
+    fn send_orders(&mut self, now_ms: u64, actions: &mut Vec<UpkeepAction>) {
+        for (&number, wave) in &mut self.waves {
+            for (host, stage) in &mut wave.stages {
+                if let Stage::Ordered { next_ms, in_flight, .. } = stage
+                    && !*in_flight
+                    && now_ms >= *next_ms
+                {
+                    *in_flight = true;
+                    actions.push(UpkeepAction::Order(host.clone(), number));
+                }
+            }
+        }
+    }
+
     /// Chooses the hosts that are vacated next, within the limits of the wave
     /// and of each pool.
     fn begin_hosts<F>(&mut self, now_ms: u64, number: WaveNumber, is_moving: &F)
--- a/crates/dispatch/src/coordination/upkeep/events.rs
+++ b/crates/dispatch/src/coordination/upkeep/events.rs
@@ -1,5 +1,6 @@
 //! Events and actions of the upkeep engine.
 
+use displaydoc::Display;
 use tamarackproxy::state::ids::{HostId, PoolId, WorkerId};
 
 use crate::state::{VacateReason, WaveNumber, WaveRecord, WaveState};
@@ -29,19 +30,19 @@
 }
 
 /// Result of an order for a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum HostOrderReply {
-    /// Carried out, or had been before.
+    /// carried out
     Begun,
-    /// The host is not up or is leaving.
+    /// the host is not up or is leaving
     Busy,
-    /// A higher term was seen.
+    /// a higher term was seen
     OldTerm,
-    /// The wave does not name the host, or there is no such host.
+    /// no such host, or it is not part of the wave, or its pool takes other hosts
     NotDue,
-    /// Refused for another reason; nothing was done.
+    /// refused for another reason, or not sent
     Refused,
-    /// No reply; the order may still be carried out.
+    /// no reply, the order may still be carried out
     Unknown,
 }
 
--- a/crates/dispatch/src/coordination/upkeep/tests.rs
+++ b/crates/dispatch/src/coordination/upkeep/tests.rs
@@ -27,6 +27,8 @@
     /// Whether replies to orders are lost.
     loses_replies: bool,
     answers_vacate: bool,
+    /// Whether orders may be sent.
+    may_order: bool,
 }
 
 fn host(index: usize) -> HostId {
@@ -52,6 +54,7 @@
             vacated: HashSet::new(),
             loses_replies: false,
             answers_vacate: true,
+            may_order: true,
         }
     }
 
@@ -81,7 +84,7 @@
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
             self.engine.on_requests(Vec::new(), self.vacated.iter().cloned().collect::<Vec<_>>());
-            for action in self.engine.step(self.now(), |_| false) {
+            for action in self.engine.step(self.now(), self.may_order, |_| false) {
                 self.execute(action);
             }
             let now_ms = self.now_ms;
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -38,7 +38,9 @@
     upkeep,
 };
 use crate::{
-    coordination::control::{ControlLoad, FULL_MILLICORES, NEW_HOLDER_GRACE_MS, ScopeKind},
+    coordination::control::{
+        ControlLoad, FULL_MILLICORES, Fencing, NEW_HOLDER_GRACE_MS, ScopeKind,
+    },
     state::HandoverRequest,
 };
 
@@ -48,8 +50,9 @@
 const TIMING: LeaseTiming =
     LeaseTiming { ttl_ms: 3_000, renew_ms: 900, retry_ms: 4_000, outage_ms: OUTAGE_MS };
 /// Time after the end of its lease for which a holder keeps control while the
-/// store is unreachable, in milliseconds. Lease and this time together exceed
-/// the store outages that the operators expect.
+/// store is unreachable, in milliseconds, if the receivers of its orders reject
+/// old terms. Lease and this time together exceed the store outages that the
+/// operators expect.
 const OUTAGE_MS: u64 = 6_000;
 /// Maximum random jitter of the delay before an acquisition attempt, in
 /// milliseconds.
@@ -73,6 +76,15 @@
 }
 
 impl Scope {
+    /// Returns who rejects the orders of a former holder: workers compare
+    /// terms, the host service only where the deployment enforces it.
+    fn fencing(&self, host_fencing: Fencing) -> Fencing {
+        match self {
+            Self::Pool(_) => Fencing::Receiver,
+            Self::Upkeep => host_fencing,
+        }
+    }
+
     /// Returns the scope's name in the store's keys.
     pub(super) fn name(&self) -> Box<str> {
         match self {
@@ -221,7 +233,7 @@
 {
     fn new(shared: Rc<Shared<P>>, scope: Scope) -> Self {
         let name = scope.name();
-        let lease = new_lease(&shared, &name);
+        let lease = new_lease(&shared, &scope);
         let delayed_for = ControlLoad::new(shared.settings.millicores());
         let request_jitter_ms = rand::rng().random_range(0..=REQUEST_JITTER_MS);
         let mut control = Self {
@@ -368,7 +380,7 @@
         metrics::counter!("control_handed_over").increment(1);
         self.release("a host with more processors for each pool requested the scope").await;
         self.reserved_until_ms = clock::read().monotonic_ms + HANDOVER_RESERVED_MS;
-        self.lease = new_lease(&self.shared, &self.name);
+        self.lease = new_lease(&self.shared, &self.scope);
         self.lease.postpone_until(self.reserved_until_ms);
     }
 
@@ -462,13 +474,15 @@
     }
 }
 
-fn new_lease<P>(shared: &Shared<P>, scope: &str) -> ControlLease
+fn new_lease<P>(shared: &Shared<P>, scope: &Scope) -> ControlLease
 where
     P: Platform,
 {
     let millicores = shared.settings.millicores();
-    let lease = ControlLease::new(scope, shared.settings.entry.clone())
-        .with_timing(TIMING)
+    let fencing = scope.fencing(shared.settings.host_fencing);
+    let timing = LeaseTiming { outage_ms: fencing.outage_ms(OUTAGE_MS), ..TIMING };
+    let lease = ControlLease::new(scope.name(), shared.settings.entry.clone())
+        .with_timing(timing)
         .with_millicores(millicores);
     // After a restart a smaller host leaves its former scopes to larger hosts.
     if millicores >= FULL_MILLICORES { lease.with_self_replacement() } else { lease }
--- a/crates/dispatch/src/node/keys.rs
+++ b/crates/dispatch/src/node/keys.rs
@@ -81,6 +81,12 @@
     format!("roster/{pool}").into()
 }
 
+/// Key that every write of a pool's controller replaces. Its version is that of
+/// the pool's last write.
+pub(super) fn last_write_key(pool: &PoolId) -> Box<str> {
+    format!("last-write/{pool}").into()
+}
+
 /// Prefix of the pools' summaries.
 pub(super) const SUMMARY_PREFIX: &str = "summary/";
 
@@ -174,7 +180,12 @@
     pool: &PoolId,
     write: &PoolWrite,
 ) -> Result<Transaction, RecordError> {
-    let mut transaction = Transaction { expected: vec![fence.condition()], ..Default::default() };
+    let last_write = last_write_key(pool);
+    let mut transaction = Transaction {
+        expected: vec![fence.condition(), (last_write.clone(), write.previous)],
+        put: vec![(last_write, Bytes::new())],
+        remove: Vec::new(),
+    };
     for (job, version, record) in &write.ended {
         let key = JobRecord::key(pool.as_str(), *job);
         transaction.expected.push((key.clone(), *version));
@@ -215,6 +226,12 @@
     if fence.is_broken(&conflict) {
         return WriteResult::OldTerm;
     }
+    let last_write = last_write_key(pool);
+    let last_write = conflict.iter().find(|item| item.key == last_write);
+    let last_write = last_write.map_or(RecordVersion(0), |item| item.version);
+    if last_write != write.previous {
+        return WriteResult::Superseded(last_write);
+    }
     let changed = write.ended.iter().filter_map(|(job, version, _)| {
         let key = JobRecord::key(pool.as_str(), *job);
         let found = conflict.iter().find(|item| item.key == key);
--- a/crates/dispatch/src/node/mod.rs
+++ b/crates/dispatch/src/node/mod.rs
@@ -17,7 +17,7 @@
     callers::{CallerRequest, CallerResponse, RequestError},
     launch::{StartError, run},
     platform::{
-        Changes, ChangesError, Listing, OperatorRecord, Platform, RequestHead, Transaction,
-        TransactionReply,
+        Changes, ChangesError, HostOrder, Listing, OperatorRecord, Platform, RequestHead,
+        Transaction, TransactionReply,
     },
 };
--- a/crates/dispatch/src/node/platform.rs
+++ b/crates/dispatch/src/node/platform.rs
@@ -9,9 +9,13 @@
     state::ids::{EntryId, HostId, PoolId, RecordVersion, Term, WorkerId},
 };
 
-use super::callers::{CallerRequest, CallerResponse, RequestError};
+use super::{
+    callers::{CallerRequest, CallerResponse, RequestError},
+    clock,
+};
 use crate::{
     coordination::{
+        control::OrderPermit,
         pool::{
             AdviceQuestion, Order, OrderReply, OrderTarget, PollFailure, PollReport, PollRequest,
             WorkerContact,
@@ -80,6 +84,25 @@
     Wave(WaveRequest),
 }
 
+/// Sender of an order for a host.
+#[derive(Clone, Copy, Debug)]
+pub struct HostOrder<'a> {
+    pub holder: &'a EntryId,
+    /// Term of the holder.
+    pub term: Term,
+    pub permit: OrderPermit,
+}
+
+impl HostOrder<'_> {
+    /// Returns whether the order may still be sent. Implementations of
+    /// [`Platform`] check this when the connection is ready, immediately before
+    /// the first byte is written: the process may have been paused since the
+    /// order was decided.
+    pub fn may_be_sent(&self) -> bool {
+        self.permit.is_valid(clock::read().monotonic_ms)
+    }
+}
+
 /// Method, host name and path of a caller's request.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestHead<'a> {
@@ -162,8 +185,7 @@
     /// Orders the maintenance of a host under the holder's term.
     fn start_maintenance(
         &self,
-        holder: &EntryId,
-        term: Term,
+        order: &HostOrder<'_>,
         host: &HostId,
         wave: WaveNumber,
     ) -> impl Future<Output = HostOrderReply>;
@@ -171,8 +193,7 @@
     /// Orders the move of a host to another pool under the holder's term.
     fn move_host(
         &self,
-        holder: &EntryId,
-        term: Term,
+        order: &HostOrder<'_>,
         host: &HostId,
         pool: &PoolId,
     ) -> impl Future<Output = HostOrderReply>;
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -9,7 +9,7 @@
 use tamarackproxy::{
     coordination::control::Tenure,
     protocol::store::{KeyValue, WatchEvent},
-    state::ids::{PoolId, WorkerId},
+    state::ids::{PoolId, RecordVersion, WorkerId},
 };
 use tokio::{
     sync::{Semaphore, mpsc, watch},
@@ -22,8 +22,8 @@
     control::{AbortOnDrop, LeaseState, previous_holder_grace_ms},
     follow::{PrefixUpdate, follow, list_with_retry, read_with_retry},
     keys::{
-        Fence, decode_item, job_of, jobs_prefix, pool_result, pool_scope, pool_transaction,
-        progress_prefix, roster_key, vacated_key,
+        Fence, decode_item, job_of, jobs_prefix, last_write_key, pool_result, pool_scope,
+        pool_transaction, progress_prefix, roster_key, vacated_key,
     },
     platform::{Platform, Transaction},
     shared::Shared,
@@ -161,8 +161,10 @@
     let progress = progress.filter_map(|item| Some((job_of(&item.key)?, decode_item(item)?)));
     let roster = read_with_retry(shared, &roster_key(pool)).await;
     let roster = roster.and_then(|item| decode_item(&item)).unwrap_or_default();
+    let last_write = read_with_retry(shared, &last_write_key(pool)).await;
+    let last_write = last_write.map_or(RecordVersion(0), |item| item.version);
     let progress = progress.collect();
-    Recovered { jobs: jobs.iter().filter_map(stored_job).collect(), progress, roster }
+    Recovered { jobs: jobs.iter().filter_map(stored_job).collect(), progress, roster, last_write }
 }
 
 fn stored_job(item: &KeyValue) -> Option<StoredJob> {
--- a/crates/dispatch/src/node/upkeep.rs
+++ b/crates/dispatch/src/node/upkeep.rs
@@ -23,12 +23,15 @@
         BALANCE_KEY, FLEET_PREFIX, Fence, FleetKey, SUMMARY_PREFIX, UPKEEP_SCOPE, WAVE_PREFIX,
         balance_transaction, decode_item, decode_wave, fleet_key, upkeep_transaction, wave_of,
     },
-    platform::{Platform, TransactionReply},
+    platform::{HostOrder, Platform, TransactionReply},
     shared::Shared,
 };
 use crate::{
     coordination::balance::{BalanceAction, BalanceEngine, BalanceTiming},
-    coordination::upkeep::{HostOrderReply, HostView, UpkeepAction, UpkeepEngine, UpkeepTiming},
+    coordination::control::{OrderPermit, OrderWindow},
+    coordination::upkeep::{
+        HostOrderReply, HostView, UpkeepAction, UpkeepEngine, UpkeepTiming, UpkeepWrite,
+    },
     state::{BalanceRecord, Summary, WaveNumber, WaveRecord},
 };
 
@@ -54,6 +57,7 @@
 where
     P: Platform,
 {
+    let window = OrderWindow::new(shared.settings.host_fencing, clock::read().monotonic_ms);
     let timing = UpkeepTiming { maintenance_ms: shared.settings.maintenance_ms };
     let mut engine = UpkeepEngine::new(timing);
     let records = list_with_retry(&shared, WAVE_PREFIX).await;
@@ -122,12 +126,16 @@
         balance.on_workers(shared.registry.borrow().values());
         let mut actions: Vec<Action> = Vec::new();
         let (mut vacate_for_move, mut release) = (Vec::new(), Vec::new());
-        let moves = balance.step(clock::read(), &vacated.borrow(), |host| engine.is_busy(host));
+        let permit = window.permit(clock::read().monotonic_ms, lease.confirmed_until_ms());
+        let moves = balance
+            .step(clock::read(), permit.is_some(), &vacated.borrow(), |host| engine.is_busy(host));
         for action in moves {
             match action {
                 BalanceAction::Vacate(worker) => vacate_for_move.push(worker),
                 BalanceAction::Release(worker) => release.push(worker),
-                BalanceAction::Move(host, pool) => actions.push(Action::Move(host, pool)),
+                BalanceAction::Move(host, pool) => {
+                    actions.extend(permit.map(|permit| Action::Move(host, pool, permit)));
+                }
                 BalanceAction::Save(record) => actions.push(Action::Save(record)),
             }
         }
@@ -135,8 +143,15 @@
         if clock::read().monotonic_ms >= orphans_due_ms {
             engine.release_unneeded(orphans.drain());
         }
-        let steps = engine.step(clock::read(), |host| balance.is_moving(host));
-        actions.extend(steps.into_iter().map(Action::Upkeep));
+        let steps = engine.step(clock::read(), permit.is_some(), |host| balance.is_moving(host));
+        actions.extend(steps.into_iter().filter_map(|action| match action {
+            UpkeepAction::Order(host, wave) => {
+                permit.map(|permit| Action::Maintain(host, wave, permit))
+            }
+            UpkeepAction::List => Some(Action::List),
+            UpkeepAction::Write(write) => Some(Action::Write(write)),
+            UpkeepAction::Fenced => None,
+        }));
         for action in actions {
             carry_out(&shared, &fence, tenure, action, &inputs, &mut calls);
         }
@@ -159,8 +174,10 @@
 
 /// An action requested by one of the two engines.
 enum Action {
-    Upkeep(UpkeepAction),
-    Move(HostId, PoolId),
+    List,
+    Maintain(HostId, WaveNumber, OrderPermit),
+    Move(HostId, PoolId, OrderPermit),
+    Write(UpkeepWrite),
     Save(BalanceRecord),
 }
 
@@ -216,20 +233,18 @@
                 }
                 return;
             }
-            Action::Move(host, pool) => {
-                let holder = &shared.settings.entry;
-                let platform = &shared.platform;
-                let reply = platform.move_host(holder, tenure.term, &host, &pool).await;
+            Action::Move(host, pool, permit) => {
+                let order = HostOrder { holder: &shared.settings.entry, term: tenure.term, permit };
+                let reply = shared.platform.move_host(&order, &host, &pool).await;
                 Input::Moved(host, reply)
             }
-            Action::Upkeep(UpkeepAction::List) => Input::Listed(shared.platform.list_hosts().await),
-            Action::Upkeep(UpkeepAction::Order(host, wave)) => {
-                let holder = shared.settings.entry.clone();
-                let term = tenure.term;
-                let reply = shared.platform.start_maintenance(&holder, term, &host, wave).await;
+            Action::List => Input::Listed(shared.platform.list_hosts().await),
+            Action::Maintain(host, wave, permit) => {
+                let order = HostOrder { holder: &shared.settings.entry, term: tenure.term, permit };
+                let reply = shared.platform.start_maintenance(&order, &host, wave).await;
                 Input::Replied(wave, host, reply)
             }
-            Action::Upkeep(UpkeepAction::Write(write)) => {
+            Action::Write(write) => {
                 let state = |wave, state| shared.platform.encode_wave_state(wave, state);
                 let transaction = match upkeep_transaction(&fence, &write, state) {
                     Ok(transaction) => transaction,
@@ -248,7 +263,6 @@
                 }
                 Input::Written { is_written, is_fenced }
             }
-            Action::Upkeep(UpkeepAction::Fenced) => return,
         };
         // The receiver is gone when control has ended.
         let _ = inputs.send(input);
--- a/crates/dispatch/src/replay/balance.rs
+++ b/crates/dispatch/src/replay/balance.rs
@@ -185,7 +185,7 @@
         }
         self.engine.on_list(self.now_ms, &self.list());
         self.engine.on_workers(&self.workers());
-        for action in self.engine.step(self.now(), &self.vacated, |_| false) {
+        for action in self.engine.step(self.now(), true, &self.vacated, |_| false) {
             match action {
                 BalanceAction::Vacate(worker) => drop(self.vacated.insert(worker)),
                 BalanceAction::Release(worker) => drop(self.vacated.remove(&worker)),
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -173,6 +173,12 @@
     /// Index of the controller whose writes are accepted.
     holder: usize,
     pub store_is_up: bool,
+    /// Delay after which the store carries out a write whose reply is lost, in
+    /// milliseconds; none if replies arrive.
+    pub write_delay_ms: Option<u64>,
+    /// Writes without a reply: time, index of the controller and write.
+    delayed_writes: Vec<(u64, usize, PoolWrite)>,
+    last_write: RecordVersion,
     /// Tasks whose successful end was acknowledged.
     acknowledged_tasks: StdHashSet<TaskAddress>,
     /// Time and outcome of each job's stored end.
@@ -188,6 +194,8 @@
     /// Actual duration of a task in milliseconds, if it differs from the
     /// estimate.
     pub duration_ms: Option<fn(TaskAddress) -> u64>,
+    /// Job whose tasks make no progress on any worker.
+    pub stalled_job: Option<JobNumber>,
     copies_allowed: bool,
     next_job: u64,
 }
@@ -204,6 +212,9 @@
             roster: Roster::default(),
             holder: 0,
             store_is_up: true,
+            write_delay_ms: None,
+            delayed_writes: Vec::new(),
+            last_write: RecordVersion(0),
             acknowledged_tasks: StdHashSet::new(),
             ended: BTreeMap::new(),
             accepted_ms: BTreeMap::new(),
@@ -212,6 +223,7 @@
             needs_tickets: false,
             vacated: Vec::new(),
             duration_ms: None,
+            stalled_job: None,
             copies_allowed: false,
             next_job: 1,
         };
@@ -258,6 +270,7 @@
             jobs: jobs.collect(),
             progress: self.progress.iter().map(|(&job, record)| (job, record.clone())).collect(),
             roster: self.roster.clone(),
+            last_write: self.last_write,
         };
         engine.recover(self.now(), recovered);
         let (polls, replies) = (Vec::new(), Vec::new());
@@ -355,6 +368,14 @@
             for worker in &mut self.workers {
                 worker.advance(self.now_ms);
             }
+            let now_ms = self.now_ms;
+            let due: Vec<_> =
+                self.delayed_writes.extract_if(.., |(at_ms, ..)| now_ms >= *at_ms).collect();
+            for (_, holder, write) in due {
+                if holder == self.holder {
+                    self.apply(write);
+                }
+            }
             for index in 0..self.controllers.len() {
                 self.run_controller(index);
             }
@@ -400,7 +421,7 @@
                 self.controllers[index].polls.push((at, key, until_ms, request, term));
                 continue;
             } else {
-                Ok(report(worker, self.now_ms))
+                Ok(report(worker, self.now_ms, self.stalled_job))
             };
             self.controllers[index].engine.on_poll(now, key, result);
         }
@@ -520,6 +541,9 @@
         let now = self.now();
         let result = if !self.store_is_up {
             WriteResult::Failed
+        } else if let Some(delay_ms) = self.write_delay_ms {
+            self.delayed_writes.push((self.now_ms + delay_ms, index, write));
+            WriteResult::Failed
         } else if index != self.holder {
             WriteResult::OldTerm
         } else {
@@ -529,6 +553,9 @@
     }
 
     fn apply(&mut self, write: PoolWrite) -> WriteResult {
+        if write.previous != self.last_write {
+            return WriteResult::Superseded(self.last_write);
+        }
         let changed: Vec<_> = (write.ended.iter())
             .filter(|(job, version, _)| self.jobs[job].0 != *version)
             .map(|(job, ..)| (*job, self.jobs[job].0, Some(self.jobs[job].1.clone())))
@@ -538,6 +565,7 @@
         }
         self.version += 1;
         let version = RecordVersion(self.version);
+        self.last_write = version;
         for (job, _, record) in write.ended {
             if let JobState::Ended { outcome, .. } = record.state {
                 self.ended.insert(job, (self.now_ms, outcome));
@@ -597,11 +625,11 @@
     }
 }
 
-fn report(worker: &FakeWorker, now_ms: u64) -> PollReport {
+fn report(worker: &FakeWorker, now_ms: u64, stalled_job: Option<JobNumber>) -> PollReport {
     let running = worker.running.iter().map(|(&task, run)| {
         let total_ms = run.ends_ms - run.began_ms;
         let is_lasting = total_ms >= 1 << 40;
-        let percent = if worker.is_stalled {
+        let percent = if worker.is_stalled || stalled_job == Some(task.job) {
             7
         } else if is_lasting {
             100
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::coordination::control::Fencing;
 use log::LevelFilter;
 use tamarackproxy::state::{
     ids::{DataCentreId, EntryId},
@@ -16,6 +17,7 @@
 const LEVEL: &str = "off, error, warn, info, debug or trace";
 const CORES: &str = "a number of cores such as 0.25 or 2";
 const COUNT: &str = "a whole number";
+const SWITCH: &str = "true or false";
 
 /// Complete and validated settings of a process.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +37,8 @@
     /// Address of the platform's host service, which lists hosts and takes
     /// orders for them.
     pub hosts: SocketAddr,
+    /// Who rejects the orders of a former holder for hosts.
+    pub host_fencing: Fencing,
     /// Address of the policy service, which tells which workers a queue's
     /// policy allows.
     pub advice: Option<SocketAddr>,
@@ -99,9 +103,12 @@
     let platform = read_section(sections, "platform", errors, |reader| {
         let store = reader.required("store", ADDRESS);
         let hosts = reader.required("hosts", ADDRESS);
+        // An unstated value must not let two holders order the same host.
+        let rejects_old_terms = reader.or_default("hosts_reject_old_terms", SWITCH, false);
+        let host_fencing = if rejects_old_terms { Fencing::Receiver } else { Fencing::Holder };
         // An empty value means that the platform has no policy service.
         let advice = reader.list("advice", ADDRESS).into_iter().next();
-        Some((store?, hosts?, advice))
+        Some((store?, hosts?, host_fencing, advice))
     });
     let limits = read_section(sections, "limits", errors, |reader| {
         let stop_ms = milliseconds(reader, "graceful_stop_s", 6.0);
@@ -119,7 +126,7 @@
     check_sections(sections, &SECTIONS, errors);
     let (entry, data_centre) = entry?;
     let (callers, ready, metrics) = listen?;
-    let (store, hosts, advice) = platform?;
+    let (store, hosts, host_fencing, advice) = platform?;
     let (stop_ms, worker_lease_max_ms, status_ms, maintenance_ms, move_ms, cores, descriptors) =
         limits?;
     Some(DispatchSettings {
@@ -130,6 +137,7 @@
         metrics,
         store,
         hosts,
+        host_fencing,
         advice,
         stop_ms,
         worker_lease_max_ms,
--- a/crates/tamarackproxy/src/transport/target_client.rs
+++ b/crates/tamarackproxy/src/transport/target_client.rs
@@ -33,6 +33,7 @@
 #[derive(Clone, Default)]
 pub struct TargetClient {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
+    resets_on_close: bool,
 }
 
 enum SendFailure {
@@ -41,6 +42,14 @@
 }
 
 impl TargetClient {
+    /// Resets connections when they are closed, so that a request which was
+    /// abandoned is not delivered once an interrupted path works again.
+    #[must_use]
+    pub fn with_reset_on_close(mut self) -> Self {
+        self.resets_on_close = true;
+        self
+    }
+
     /// Sends a request and reads the complete response within `time_limit`.
     ///
     /// Dropping the future closes the connection.
@@ -50,8 +59,24 @@
         request: TargetRequest,
         time_limit: Duration,
     ) -> (AttemptResult, Option<TargetResponse>) {
+        self.send_if(address, request, time_limit, || true).await
+    }
+
+    /// Sends a request like [`send`](Self::send), unless `may_send` returns
+    /// false when the connection is ready and nothing has been written yet.
+    pub async fn send_if<F>(
+        &self,
+        address: SocketAddr,
+        request: TargetRequest,
+        time_limit: Duration,
+        may_send: F,
+    ) -> (AttemptResult, Option<TargetResponse>)
+    where
+        F: Fn() -> bool,
+    {
         let mut may_be_sent = false;
-        let attempt = timeout(time_limit, self.attempt(address, request, &mut may_be_sent)).await;
+        let attempt = self.attempt(address, request, may_send, &mut may_be_sent);
+        let attempt = timeout(time_limit, attempt).await;
         match attempt {
             Ok(Ok(response)) => classify(response),
             Ok(Err(SendFailure::NotSent)) => (AttemptResult::NotSent, None),
@@ -61,14 +86,22 @@
         }
     }
 
-    async fn attempt(
+    async fn attempt<F>(
         &self,
         address: SocketAddr,
         request: TargetRequest,
+        may_send: F,
         may_be_sent: &mut bool,
-    ) -> Result<TargetResponse, SendFailure> {
+    ) -> Result<TargetResponse, SendFailure>
+    where
+        F: Fn() -> bool,
+    {
         let mut connection = self.connection(address, request.repeatable).await?;
         let request = build(address, request)?;
+        if !may_send() {
+            self.keep_idle(address, connection);
+            return Err(SendFailure::NotSent);
+        }
         *may_be_sent = true;
         let response = connection.try_send_request(request).await.map_err(|mut error| {
             // hyper returns the request only if no byte of it was written.
@@ -93,7 +126,7 @@
         let idle = if may_be_idle { self.idle_connection(address).await } else { None };
         match idle {
             Some(idle) => Ok(idle),
-            None => connect(address).await,
+            None => self.connect(address).await,
         }
     }
 
@@ -106,6 +139,18 @@
         }
     }
 
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, SendFailure> {
+        let stream = TcpStream::connect(address).await.map_err(|_| SendFailure::NotSent)?;
+        stream.set_nodelay(true).map_err(|_| SendFailure::NotSent)?;
+        if self.resets_on_close {
+            stream.set_zero_linger().map_err(|_| SendFailure::NotSent)?;
+        }
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendFailure::NotSent)?;
+        tokio::task::spawn_local(connection);
+        Ok(sender)
+    }
+
     fn keep_idle(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
@@ -180,12 +225,3 @@
     let body = body.collect().await.map_err(|_| SendFailure::Lost)?.to_bytes();
     Ok(TargetResponse { status: parts.status, headers: parts.headers, body })
 }
-
-async fn connect(address: SocketAddr) -> Result<Connection, SendFailure> {
-    let stream = TcpStream::connect(address).await.map_err(|_| SendFailure::NotSent)?;
-    stream.set_nodelay(true).map_err(|_| SendFailure::NotSent)?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendFailure::NotSent)?;
-    tokio::task::spawn_local(connection);
-    Ok(sender)
-}
