Place and poll without looking at every worker and every job

The log wrote two lines for a run and dropped up to 1,200 at a time in a surge.

Change: the worker table keeps workers by unallocated processors and by the time of their next poll; the job table keeps the open steps with unstarted tasks; ranks are reused until a task ends; a need that found no worker is not tried again in the round. Progress is stored after 80 ms, and a worker with unstored ends is polled when they are stored. Starts of a step and ends of a poll share a line; outcomes of jobs and warnings are outside the rate limit.

Ruled out: a longer gap between all polls, which would leave capacity idle.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -16,6 +16,7 @@
     workers::{ProgressSequence, Worker, WorkerTable},
     writer::{PoolWrite, Records, WriteResult, Writer},
 };
+use crate::observability::OUTCOME_TARGET;
 use crate::state::{
     AdviceSettings, JobNumber, JobOutcome, JobRecord, JobState, ProgressRecord, RosterEntry,
 };
@@ -38,6 +39,10 @@
 /// Delay before the next poll after one that reported ended runs, in
 /// milliseconds, so that runs which end shortly afterwards share a poll.
 pub(super) const POLL_GAP_MS: u64 = 22;
+/// Longest delay before the next poll of a worker with ended runs that are not
+/// stored yet, in milliseconds. Runs that end meanwhile keep their capacity for
+/// that long.
+pub(super) const UNSTORED_POLL_GAP_MS: u64 = 120;
 /// Interval of the checks that depend on time alone, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 100;
 /// Time for which ended jobs are kept beyond the period in which callers may
@@ -135,6 +140,8 @@
     /// may have been read before the end was stored.
     finished: HashMap<JobNumber, u64>,
     pub(super) placing_due: bool,
+    /// Slow tasks have not been looked for since the last check.
+    pub(super) copies_due: bool,
     next_place_ms: u64,
     pub(super) next_check_ms: u64,
     /// Jobs that may have runs which must be stopped.
@@ -163,6 +170,7 @@
             arrivals: ArrivalRate::default(),
             finished: HashMap::new(),
             placing_due: false,
+            copies_due: false,
             next_place_ms: 0,
             next_check_ms: 0,
             jobs_to_review: HashSet::new(),
@@ -264,13 +272,14 @@
     }
 
     /// Ends a job; the outcome takes effect once it is stored.
-    pub(super) fn end_job(&mut self, key: JobKey, outcome: JobOutcome) {
+    pub(super) fn end_job(&mut self, now_ms: u64, key: JobKey, outcome: JobOutcome) {
         let Some(job) = self.job_table.job_mut(key) else { return };
         if job.outcome.is_none() {
             job.outcome = Some(outcome);
             self.jobs_to_review.insert(key);
-            log::info!(job:display = job.number, queue = job.queue.as_str(),
-                outcome:display = outcome, term = self.control.term.0; "job ended");
+            log::info!(target: OUTCOME_TARGET, job:display = job.number,
+                queue = job.queue.as_str(), outcome:display = outcome,
+                age_ms = job.age_ms(now_ms), term = self.control.term.0; "job ended");
             self.writer.end(key);
         }
     }
@@ -322,10 +331,17 @@
             self.placing_due = true;
         }
         let (job_table, writer) = (&self.job_table, &self.writer);
-        for (_, worker) in self.workers.iter_mut() {
+        let mut stored = Vec::new();
+        for (key, worker) in self.workers.iter_mut().filter(|(_, it)| it.has_unstored_ends()) {
             worker.acknowledge(|sequence| {
                 writer.is_stored(sequence, job_table.job(sequence.job).is_some())
             });
+            if !worker.has_unstored_ends() {
+                stored.push(key);
+            }
+        }
+        for key in stored {
+            self.workers.poll_by(now.monotonic_ms, key);
         }
     }
 
@@ -366,6 +382,7 @@
         }
         let job_table = &self.job_table;
         self.advice.retain(|step| job_table.job(step.job).is_some());
+        self.copies_due = true;
         self.try_finish_reconciliation(now.monotonic_ms);
         self.expire_leases(now.monotonic_ms);
         self.resend_stops(now.monotonic_ms);
@@ -381,10 +398,9 @@
 
     fn send_polls(&mut self, now_ms: u64) {
         let (term, lease_ms) = (self.control.term, self.timing.worker_lease_ms);
-        for (key, worker) in self.workers.iter_mut() {
-            if worker.poll_sent_ms.is_some() || now_ms < worker.next_poll_ms {
-                continue;
-            }
+        while let Some(key) = self.workers.next_poll(now_ms) {
+            self.workers.begin_poll(now_ms, key);
+            let Some(worker) = self.workers.get_mut(key) else { continue };
             // The lease of a worker that does not answer is not extended, so
             // that the time at which its runs have certainly ended stays fixed.
             let clock = worker.clock.filter(|_| worker.missed_polls == 0);
@@ -392,7 +408,6 @@
             if let Some(until_ms) = lease_until_ms {
                 worker.grant(until_ms);
             }
-            worker.poll_sent_ms = Some(now_ms);
             let wait_ms = match (&clock, worker.is_empty()) {
                 (None, _) => 0,
                 (Some(_), true) => IDLE_POLL_WAIT_MS,
@@ -414,11 +429,9 @@
     /// Returns when [`step`](Self::step) is due without an event, in
     /// milliseconds on the local clock.
     pub fn next_step_ms(&self) -> u64 {
-        let polls = self.workers.iter().filter(|(_, worker)| worker.poll_sent_ms.is_none());
-        let polls = polls.map(|(_, worker)| worker.next_poll_ms);
         let placing = self.placing_due.then_some(self.next_place_ms);
-        let times = polls.chain(self.writer.due_ms()).chain(placing);
-        times.fold(self.next_check_ms, u64::min)
+        let times = [self.workers.next_poll_ms(), self.writer.due_ms(), placing];
+        times.into_iter().flatten().fold(self.next_check_ms, u64::min)
     }
 
     /// Returns a job's state for callers: whether a task has started, or how
--- a/crates/dispatch/src/coordination/pool/events.rs
+++ b/crates/dispatch/src/coordination/pool/events.rs
@@ -3,6 +3,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
+use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 use tamarackproxy::state::ids::{Term, WorkerId};
 
@@ -62,7 +63,7 @@
 }
 
 /// Reasons why a worker refused an order; a refused order had no effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Refusal {
     /// The worker has seen a higher term.
@@ -85,7 +86,7 @@
 }
 
 /// Result of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderReply {
     /// Carried out, or had been before.
     Accepted,
@@ -98,7 +99,7 @@
 }
 
 /// Poll of a worker: extends its lease and asks for its runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PollRequest {
     /// Ended runs up to this number are stored; the worker may forget them.
     pub acknowledged: u64,
@@ -111,7 +112,7 @@
 }
 
 /// A worker's answer to a poll.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PollReport {
     /// Start of this worker incarnation, in milliseconds since 1970.
     pub born_unix_ms: u64,
@@ -124,7 +125,7 @@
 }
 
 /// One run in progress.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningTask {
     pub task: TaskAddress,
     /// Number of the run.
@@ -139,7 +140,7 @@
 }
 
 /// One ended run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedTask {
     /// Sequence number of the end within the worker incarnation.
     pub number: u64,
@@ -153,7 +154,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, Serialize, Deserialize)]
 #[strum(serialize_all = "lowercase")]
 pub enum EndKind {
     /// The task is done.
@@ -171,7 +172,7 @@
 }
 
 /// Reasons why a poll returned no report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
 pub enum PollFailure {
     /// The worker has seen a higher term.
--- a/crates/dispatch/src/coordination/pool/job_table.rs
+++ b/crates/dispatch/src/coordination/pool/job_table.rs
@@ -1,8 +1,8 @@
 //! Table of jobs with their occurrences, steps and tasks.
 
-use std::{collections::BTreeMap, rc::Rc};
+use std::{cell::Cell, collections::BTreeMap, rc::Rc};
 
-use hashbrown::HashMap;
+use hashbrown::{HashMap, HashSet};
 use slotmap::SlotMap;
 use tamarackproxy::state::{
     clock::ClockReading,
@@ -10,11 +10,12 @@
 };
 
 use super::{
-    events::JobKey,
-    task::{Step, Task, TaskRef},
+    events::{JobKey, WorkerKey},
+    order::RankInputs,
+    task::{Run, Step, Task, TaskRef},
 };
 use crate::state::{
-    JobNumber, JobOutcome, JobSpec, ProgressRecord, StepProgress, StepSpec, TaskAddress,
+    JobNumber, JobOutcome, JobSpec, ProgressRecord, RunNumber, StepProgress, StepSpec, TaskAddress,
     TaskProgress,
 };
 
@@ -52,6 +53,9 @@
     pub(super) ended_occurrences: u32,
     /// Runs that exist or may still be started by a worker.
     pub(super) live_runs: u32,
+    /// Inputs to the rank of the job's steps with the time at which they were
+    /// computed, on the local clock; none after a change.
+    pub(super) rank_inputs: Cell<Option<(u64, RankInputs)>>,
 }
 
 impl Job {
@@ -76,6 +80,7 @@
             next_occurrence: 0,
             ended_occurrences: 0,
             live_runs: 0,
+            rank_inputs: Cell::new(None),
         }
     }
 
@@ -159,6 +164,8 @@
 pub(super) struct JobTable {
     jobs: SlotMap<JobKey, Job>,
     by_number: HashMap<JobNumber, JobKey>,
+    /// Open steps that may have tasks without a run, each by its first task.
+    unstarted: HashSet<TaskRef>,
 }
 
 impl JobTable {
@@ -204,14 +211,43 @@
             if due.is_some_and(|due| unix_ms < due) {
                 break;
             }
-            let steps = job.spec.steps.iter().map(Step::new).collect();
-            job.occurrences.insert(job.next_occurrence, Occurrence { steps });
+            let steps: Vec<Step> = job.spec.steps.iter().map(Step::new).collect();
+            let occurrence = job.next_occurrence;
+            self.unstarted.extend(open_steps(key, occurrence, &steps));
+            job.occurrences.insert(occurrence, Occurrence { steps });
             job.next_occurrence += 1;
             opened = true;
         }
         opened
     }
 
+    /// Returns the open steps that may have tasks without a run, each by its
+    /// first task.
+    pub(super) fn unstarted(&self) -> impl Iterator<Item = TaskRef> {
+        self.unstarted.iter().copied()
+    }
+
+    /// Forgets the steps of which every task has a run or is done.
+    pub(super) fn prune_unstarted(&mut self) {
+        let jobs = &self.jobs;
+        self.unstarted.retain(|at| {
+            let step = jobs.get(at.job).and_then(|job| job.step(at.occurrence, at.step));
+            step.is_some_and(|step| step.tasks.iter().any(Task::is_unstarted))
+        });
+    }
+
+    /// Removes a run that has ended or was never started.
+    pub(super) fn take_run(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        number: RunNumber,
+    ) -> Option<Run> {
+        let run = self.task_mut(task)?.take_run(worker, number)?;
+        self.unstarted.insert(TaskRef { index: 0, ..task });
+        Some(run)
+    }
+
     /// Restores progress that a previous controller stored.
     pub(super) fn restore(&mut self, key: JobKey, progress: &ProgressRecord) {
         let Some(job) = self.jobs.get_mut(key) else { return };
@@ -250,6 +286,11 @@
         }
         // If all steps of the last occurrence are done and only the write of
         // the outcome was lost, `complete` has closed the occurrence above.
+        if let Some(job) = self.jobs.get(key) {
+            for (&occurrence, state) in &job.occurrences {
+                self.unstarted.extend(open_steps(key, occurrence, &state.steps));
+            }
+        }
     }
 
     pub(super) fn spec(&self, task: TaskRef) -> Option<&StepSpec> {
@@ -295,6 +336,9 @@
             return Completion::Task;
         }
         state.is_done = true;
+        if let Some(job) = self.jobs.get(task.job) {
+            job.rank_inputs.set(None);
+        }
         let Some(step) = self.step_mut(task) else { return Completion::Task };
         step.done_tasks += 1;
         if !step.is_done() {
@@ -313,6 +357,8 @@
             let waits_for = step.after.iter().filter(|&&after| after == task.step).count();
             state.open_dependencies = state.open_dependencies.saturating_sub(waits_for);
         }
+        job.rank_inputs.set(None);
+        self.unstarted.extend(open_steps(task.job, task.occurrence, &occurrence.steps));
         if !occurrence.steps.iter().all(Step::is_done) {
             return Completion::Step;
         }
@@ -324,6 +370,13 @@
     }
 }
 
+/// Returns the steps of an occurrence that are open and not done, each by its
+/// first task.
+fn open_steps(job: JobKey, occurrence: u32, steps: &[Step]) -> impl Iterator<Item = TaskRef> {
+    let open = steps.iter().enumerate().filter(|(_, step)| step.is_open() && !step.is_done());
+    open.map(move |(step, _)| TaskRef { job, occurrence, step: step as u16, index: 0 })
+}
+
 /// Removes the oldest occurrences once they are done and have no runs. A later
 /// one that ends before an older one stays, so that the progress record still
 /// contains it.
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -1,11 +1,13 @@
 //! Handling of poll results: ended runs, and reconciliation of the listed runs
 //! with the expected ones.
 
+use std::fmt::Write;
+
 use hashbrown::HashMap;
 use tamarackproxy::state::clock::ClockReading;
 
 use super::{
-    engine::{POLL_GAP_MS, POLL_RETRY_MAX_MS, POLL_RETRY_MS, PoolEngine},
+    engine::{POLL_GAP_MS, POLL_RETRY_MAX_MS, POLL_RETRY_MS, PoolEngine, UNSTORED_POLL_GAP_MS},
     events::{EndKind, EndedTask, PollFailure, PollReport, RunningTask, WorkerKey},
     job_table::Completion,
     task::{Run, RunPhase, TaskRef},
@@ -28,8 +30,8 @@
         result: Result<PollReport, PollFailure>,
     ) {
         let now_ms = now.monotonic_ms;
+        let Some(sent_ms) = self.workers.end_poll(now_ms, key) else { return };
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let Some(sent_ms) = worker.poll_sent_ms.take() else { return };
         let report = match result {
             Ok(report) => report,
             Err(PollFailure::OldTerm) => return self.fence("a worker has seen a higher term"),
@@ -44,7 +46,7 @@
                 }
                 let delay_ms = POLL_RETRY_MS << worker.missed_polls.min(4);
                 worker.missed_polls += 1;
-                worker.next_poll_ms = now_ms + delay_ms.min(POLL_RETRY_MAX_MS);
+                self.workers.schedule_poll(now_ms + delay_ms.min(POLL_RETRY_MAX_MS), key);
                 return;
             }
         };
@@ -60,14 +62,26 @@
         let was_reachable = worker.is_reachable(now_ms, super::placement::REACHABLE_MS);
         worker.polled_ms = Some(now_ms);
         worker.missed_polls = 0;
-        worker.next_poll_ms = if report.ended.is_empty() { now_ms } else { now_ms + POLL_GAP_MS };
         self.placing_due |= !was_reachable || !report.ended.is_empty();
+        let mut ends = String::new();
         for end in &report.ended {
-            self.on_end(now, key, end);
+            self.on_end(now, key, end, &mut ends);
+        }
+        if !ends.is_empty() {
+            let worker = self.workers.get(key).map_or("", |worker| worker.entry.worker.as_str());
+            log::info!(worker = worker, ends = ends.as_str(), term = self.control.term.0;
+                "runs ended");
         }
         self.reconcile(now_ms, key, sent_ms, &report);
         self.pace_best_effort(now_ms, key, &report);
         self.acknowledge(key);
+        if !report.ended.is_empty() {
+            // A worker replies at once while it has ends that are not
+            // acknowledged, so the next poll waits until they are stored.
+            let is_stored = self.workers.get(key).is_none_or(|it| !it.has_unstored_ends());
+            let gap_ms = if is_stored { POLL_GAP_MS } else { UNSTORED_POLL_GAP_MS };
+            self.workers.schedule_poll(now_ms + gap_ms, key);
+        }
         self.try_finish_reconciliation(now_ms);
     }
 
@@ -82,14 +96,16 @@
         }
     }
 
-    fn on_end(&mut self, now: ClockReading, key: WorkerKey, end: &EndedTask) {
+    /// Handles an end that a worker lists, and appends it to `ends` as its task,
+    /// run, kind and duration.
+    fn on_end(&mut self, now: ClockReading, key: WorkerKey, end: &EndedTask, ends: &mut String) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         if !worker.accept_end(end) {
             return;
         }
         worker.orphan_runs.remove(&end.task);
         let sequence = match self.job_table.resolve(end.task) {
-            Some(task) => self.on_task_end(now.monotonic_ms, key, task, end),
+            Some(task) => self.on_task_end(now.monotonic_ms, key, task, end, ends),
             None => None,
         };
         if let Some(worker) = self.workers.get_mut(key) {
@@ -105,16 +121,19 @@
         key: WorkerKey,
         task: TaskRef,
         end: &EndedTask,
+        ends: &mut String,
     ) -> Option<ProgressSequence> {
         let run = self.drop_run(task, key, end.run);
         let ran_ms = run.map(|run| now_ms.saturating_sub(run.since_ms));
         // The job may have been removed together with its last run.
         let spec = self.job_table.spec(task)?.clone();
         let job = self.job_table.job(task.job)?;
-        log::info!(task:display = end.task, run:display = end.run, end:display = end.how,
-            ran_ms = ran_ms.unwrap_or(0), queue = job.queue.as_str(),
-            worker = self.workers.get(key).map_or("", |worker| worker.entry.worker.as_str());
-            "run ended");
+        let separator = if ends.is_empty() { "" } else { ", " };
+        // Writing to a string cannot fail.
+        let _ = write!(ends, "{separator}{}:{} {}", end.task, end.run, end.how);
+        if let Some(ran_ms) = ran_ms {
+            let _ = write!(ends, " {ran_ms} ms");
+        }
         if job.outcome.is_some() {
             return None;
         }
@@ -155,7 +174,7 @@
             self.jobs_to_review.insert(task.job);
         }
         if is_job_done {
-            self.end_job(task.job, JobOutcome::Done);
+            self.end_job(now_ms, task.job, JobOutcome::Done);
         }
         sequence
     }
@@ -196,7 +215,7 @@
         }
         state.failed_runs.push(run);
         if (state.failed_runs.len() as u32).max(gang_failures) >= attempts_max {
-            self.end_job(task.job, JobOutcome::Failed);
+            self.end_job(now_ms, task.job, JobOutcome::Failed);
         }
         Some(self.mark_progress(now_ms, task))
     }
@@ -349,9 +368,7 @@
             job.has_started = true;
         }
         self.jobs_to_review.insert(task.job);
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.allocate(task, running.run, allocation);
-        }
+        self.workers.allocate(key, task, running.run, allocation);
         self.placing_due = true;
     }
 }
--- a/crates/dispatch/src/coordination/pool/pacing.rs
+++ b/crates/dispatch/src/coordination/pool/pacing.rs
@@ -74,6 +74,12 @@
             .filter(|(task, _)| self.job_table.spec(**task).is_some_and(|spec| spec.uses_leftover))
             .map(|(&task, &(number, _))| (task, number))
             .collect();
+        if best_effort.is_empty() {
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.is_shared = false;
+            }
+            return;
+        }
         let tails = report.running.iter().filter_map(|running| {
             let spec = self.job_table.spec(self.job_table.resolve(running.task)?)?;
             let goal_ms = u64::from(spec.tail_goal_ms?).max(1);
@@ -82,7 +88,7 @@
         let tail_percent = tails.max();
         let contact = contact(key, worker, self.control.term);
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.is_shared = tail_percent.is_some() && !best_effort.is_empty();
+            worker.is_shared = tail_percent.is_some();
         }
         for (task, number) in best_effort {
             let Some(address) = self.job_table.address(task) else { continue };
--- a/crates/dispatch/src/coordination/pool/placement.rs
+++ b/crates/dispatch/src/coordination/pool/placement.rs
@@ -6,6 +6,7 @@
 //! Long-running tasks are spread over racks and workers instead, so that the
 //! loss of a rack affects as few tasks of a step as possible.
 
+use hashbrown::HashMap;
 use tamarackproxy::coordination::jobs::Resources;
 
 use super::{
@@ -19,6 +20,42 @@
 /// milliseconds: one unanswered poll does not indicate a failure, two do.
 pub(super) const REACHABLE_MS: u64 = 2_600;
 
+/// Returns whether a step's tasks may run on any worker that has the capacity.
+pub(super) fn is_plain(spec: &StepSpec) -> bool {
+    let has_choice = spec.required_label.is_none() && spec.per_worker_max.is_none();
+    let shares_workers = spec.uses_leftover || spec.tail_goal_ms.is_some();
+    has_choice && !shares_workers && !spec.is_gang
+}
+
+/// Allocations for which a placement round found no worker. Capacity only
+/// shrinks within a round, so tasks that need as much need not be tried again.
+#[derive(Debug, Default)]
+pub(super) struct Unplaceable {
+    plain: Vec<Resources>,
+    has_others: bool,
+}
+
+impl Unplaceable {
+    /// Adds an allocation; `is_plain` tells that any worker would have done.
+    pub(super) fn add(&mut self, allocation: Resources, is_plain: bool) {
+        if is_plain {
+            self.plain.retain(|known| !allocation.fits_in(known));
+            self.plain.push(allocation);
+        } else {
+            self.has_others = true;
+        }
+    }
+
+    /// Returns whether no worker has the capacity for an allocation.
+    pub(super) fn covers(&self, allocation: &Resources) -> bool {
+        self.plain.iter().any(|known| known.fits_in(allocation))
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.plain.is_empty() && !self.has_others
+    }
+}
+
 /// Task for which a worker is chosen.
 pub(super) struct PlaceQuery<'a> {
     pub(super) spec: &'a StepSpec,
@@ -61,34 +98,62 @@
         R: Fn(WorkerKey, &Worker) -> Resources,
         E: Fn(WorkerKey, &Worker) -> bool,
     {
+        let need = self.spec.allocation().cpu_millicores;
         let candidates = workers
-            .iter()
+            .with_unallocated(need)
             .filter(|&(key, worker)| takes_work(worker, now_ms) && !excluded(key, worker));
-        let candidates = candidates.filter_map(|(key, worker)| {
+        let mut candidates = candidates.filter_map(|(key, worker)| {
             let free = free_capacity(key, worker);
             self.accepts(key, worker, &free).then_some((key, worker, free))
         });
-        let score = |&(key, worker, free): &(WorkerKey, &Worker, Resources)| {
-            let is_suspect = worker.health.is_slow()
-                || self.task.failed_on == Some(key)
-                || (self.is_last_attempt && worker.health.has_recent_failures());
-            let is_off_rack =
-                self.spec.data_rack.as_deref().is_some_and(|rack| *rack != *worker.entry.rack);
-            let colocated =
-                if self.spec.is_lasting { self.colocated(key, worker, workers) } else { (0, 0) };
-            let left = free.minus(&self.spec.allocation()).dominant_share(&worker.entry.capacity);
-            let left = if self.spec.is_lasting { u64::MAX - left } else { left };
-            (is_suspect, is_off_rack, colocated, left)
-        };
-        candidates.min_by_key(score).map(|(key, ..)| key)
+        if self.spec.is_lasting {
+            let on_racks = self.runs_on_racks(workers);
+            let score = |&(key, worker, free): &(WorkerKey, &Worker, Resources)| {
+                let on_rack = on_racks.get(&*worker.entry.rack).copied().unwrap_or(0);
+                let left = free.minus(&self.spec.allocation());
+                let left = u64::MAX - left.dominant_share(&worker.entry.capacity);
+                (self.drawbacks(key, worker), on_rack, self.step.tasks_on(key), left)
+            };
+            return candidates.min_by_key(score).map(|(key, ..)| key);
+        }
+        // Those with the least unallocated processors come first, so the first
+        // one without a drawback is the best fit.
+        let mut best: Option<(Drawbacks, WorkerKey)> = None;
+        candidates.find_map(|(key, worker, _)| {
+            let drawbacks = self.drawbacks(key, worker);
+            if best.is_none_or(|(known, _)| drawbacks < known) {
+                best = Some((drawbacks, key));
+            }
+            (drawbacks == Drawbacks::default()).then_some(key)
+        });
+        best.map(|(_, key)| key)
     }
 
-    /// Counts the step's runs on the worker's rack and its tasks on the worker.
-    fn colocated(&self, key: WorkerKey, worker: &Worker, workers: &WorkerTable) -> (usize, usize) {
-        let on_rack = |run: &super::task::Run| {
-            workers.get(run.worker).is_some_and(|other| other.entry.rack == worker.entry.rack)
-        };
-        let runs = self.step.tasks.iter().flat_map(|task| &task.runs);
-        (runs.filter(|run| on_rack(run)).count(), self.step.tasks_on(key))
+    fn drawbacks(&self, key: WorkerKey, worker: &Worker) -> Drawbacks {
+        let is_suspect = worker.health.is_slow()
+            || self.task.failed_on == Some(key)
+            || (self.is_last_attempt && worker.health.has_recent_failures());
+        let data_rack = self.spec.data_rack.as_deref();
+        let is_off_rack = data_rack.is_some_and(|rack| *rack != *worker.entry.rack);
+        Drawbacks { is_suspect, is_off_rack }
     }
+
+    /// Counts the step's runs on each rack.
+    fn runs_on_racks<'w>(&self, workers: &'w WorkerTable) -> HashMap<&'w str, usize> {
+        let mut counts = HashMap::new();
+        for run in self.step.tasks.iter().flat_map(|task| &task.runs) {
+            if let Some(worker) = workers.get(run.worker) {
+                *counts.entry(&*worker.entry.rack).or_default() += 1;
+            }
+        }
+        counts
+    }
+}
+
+/// Reasons to prefer other workers; fewer are better.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Drawbacks {
+    is_suspect: bool,
+    /// The task's data is on another rack.
+    is_off_rack: bool,
 }
--- a/crates/dispatch/src/coordination/pool/recovery.rs
+++ b/crates/dispatch/src/coordination/pool/recovery.rs
@@ -44,7 +44,7 @@
             let Some(job) = self.job_table.job_mut(key) else { continue };
             job.has_started = true;
             if job.ended_occurrences >= job.spec.occurrences() {
-                self.end_job(key, JobOutcome::Done);
+                self.end_job(now.monotonic_ms, key, JobOutcome::Done);
             }
         }
         log::info!(pool = self.control.pool.as_str(), term = self.control.term.0, jobs = jobs,
--- a/crates/dispatch/src/coordination/pool/registry.rs
+++ b/crates/dispatch/src/coordination/pool/registry.rs
@@ -80,6 +80,10 @@
                 }
             };
             listed.insert(key);
+            let is_changed = self.workers.get(key).is_some_and(|worker| worker.entry != *entry);
+            if is_changed {
+                self.workers.set_entry(key, entry.clone());
+            }
             if let Some(worker) = self.workers.get_mut(key) {
                 let presence = Presence::Registered(entry.registration);
                 if worker.presence != presence {
@@ -89,9 +93,6 @@
                     worker.presence = presence;
                     self.placing_due = true;
                 }
-                if worker.entry != *entry {
-                    worker.entry = entry.clone();
-                }
             }
         }
         for (key, worker) in self.workers.iter_mut() {
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -1,5 +1,7 @@
 //! Placement rounds: starts of waiting tasks, and the replies to them.
 
+use std::{cmp::Reverse, collections::BinaryHeap, fmt::Write};
+
 use hashbrown::HashMap;
 use tamarackproxy::{
     coordination::jobs::Resources,
@@ -15,7 +17,7 @@
     },
     job_table::Job,
     order::{Rank, RankInputs},
-    placement::{PlaceQuery, REACHABLE_MS, takes_work},
+    placement::{PlaceQuery, REACHABLE_MS, Unplaceable, is_plain, takes_work},
     task::{Run, RunPhase, TaskRef},
     workers::Worker,
 };
@@ -29,6 +31,9 @@
 /// Delay before a start that the worker cannot decode is retried, in
 /// milliseconds: a worker of another version may decode it.
 const MALFORMED_DELAY_MS: u64 = 5_000;
+/// Longest time for which the inputs to a job's rank are reused, in
+/// milliseconds: expected durations change by a few percent within it.
+const RANK_MAX_AGE_MS: u64 = 250;
 /// Multiple of the expected duration after which a speculative copy may pay
 /// off.
 const COPY_FACTOR: u64 = 2;
@@ -50,29 +55,44 @@
 impl PoolEngine {
     /// Starts waiting tasks in rank order as far as free capacity allows.
     pub(super) fn place(&mut self, now_ms: u64) {
-        let mut lacks_capacity = false;
-        for (_, step) in self.waiting_steps(now_ms) {
+        let mut unplaceable = Unplaceable::default();
+        let mut waiting = BinaryHeap::from(self.waiting_steps(now_ms));
+        while let Some(Reverse((_, step))) = waiting.pop() {
             let Some(spec) = self.job_table.spec(step) else { continue };
+            let (allocation, is_plain) = (spec.allocation(), is_plain(spec));
+            if unplaceable.covers(&allocation) {
+                self.query_policy(now_ms, step);
+                continue;
+            }
             let is_placed = if spec.is_gang {
                 self.place_gang(now_ms, step)
             } else {
                 self.place_step(now_ms, step)
             };
             if !is_placed {
-                lacks_capacity = true;
+                unplaceable.add(allocation, is_plain && !self.needs_ticket(step));
                 self.query_policy(now_ms, step);
             }
         }
-        if !lacks_capacity {
+        if unplaceable.is_empty() && std::mem::take(&mut self.copies_due) {
             self.place_copies(now_ms);
         }
     }
 
-    /// Lists open steps with waiting tasks, in the order of their ranks.
-    fn waiting_steps(&self, now_ms: u64) -> Vec<(Rank, TaskRef)> {
+    /// Returns whether a step's queue has a policy that permits only some
+    /// workers.
+    fn needs_ticket(&self, step: TaskRef) -> bool {
+        let job = self.job_table.job(step.job);
+        job.is_some_and(|job| self.policy(&job.queue).advice.is_some())
+    }
+
+    /// Lists open steps with waiting tasks and their ranks.
+    fn waiting_steps(&mut self, now_ms: u64) -> Vec<Reverse<(Rank, TaskRef)>> {
         let mut waiting = Vec::new();
         let largest = self.largest_free_capacity(now_ms);
-        for (key, job) in self.job_table.iter() {
+        self.job_table.prune_unstarted();
+        for at in self.job_table.unstarted() {
+            let Some(job) = self.job_table.job(at.job) else { continue };
             // A successor may have started a job that arrived while control was
             // not confirmed, and a previous controller one that was inherited.
             let may_be_started_elsewhere = job.arrived_ms >= self.confirmed_until_ms
@@ -80,24 +100,18 @@
             if job.outcome.is_some() || may_be_started_elsewhere {
                 continue;
             }
-            let mut job_inputs = None;
-            for (&occurrence, state) in &job.occurrences {
-                for (index, step) in state.steps.iter().enumerate() {
-                    let fits = job.spec.steps[index].allocation().fits_in(&largest);
-                    let waits =
-                        fits && step.is_open() && step.tasks.iter().any(|task| task.waits(now_ms));
-                    if !waits {
-                        continue;
-                    }
-                    let inputs = *job_inputs.get_or_insert_with(|| self.rank_inputs(job, now_ms));
-                    let is_lasting = job.spec.steps[index].is_lasting;
-                    let rank = RankInputs { is_lasting, ..inputs }.rank();
-                    let task = TaskRef { job: key, occurrence, step: index as u16, index: 0 };
-                    waiting.push((rank, task));
-                }
+            let (Some(spec), Some(step)) = (self.job_table.spec(at), self.job_table.step(at))
+            else {
+                continue;
+            };
+            let waits = spec.allocation().fits_in(&largest)
+                && step.tasks.iter().any(|task| task.waits(now_ms));
+            if waits {
+                let inputs = self.rank_inputs(job, now_ms);
+                let rank = RankInputs { is_lasting: spec.is_lasting, ..inputs }.rank();
+                waiting.push(Reverse((rank, at)));
             }
         }
-        waiting.sort_unstable();
         waiting
     }
 
@@ -115,8 +129,22 @@
         )
     }
 
-    /// Computes the inputs to the rank of a job's steps.
+    /// Returns the inputs to the rank of a job's steps. Apart from the age they
+    /// are computed again only after one of the job's tasks has ended, or when
+    /// they are older than [`RANK_MAX_AGE_MS`].
     fn rank_inputs(&self, job: &Job, now_ms: u64) -> RankInputs {
+        let age_ms = job.age_ms(now_ms);
+        if let Some((computed_ms, inputs)) = job.rank_inputs.get()
+            && now_ms < computed_ms + RANK_MAX_AGE_MS
+        {
+            return RankInputs { age_ms, ..inputs };
+        }
+        let inputs = self.compute_rank_inputs(job, age_ms);
+        job.rank_inputs.set(Some((now_ms, inputs)));
+        inputs
+    }
+
+    fn compute_rank_inputs(&self, job: &Job, age_ms: u64) -> RankInputs {
         let policy = self.policy(&job.queue);
         let expected = |step: &StepSpec| self.durations.expected_ms(&job.queue, step.estimate_ms);
         let mut chains: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
@@ -142,7 +170,7 @@
         RankInputs {
             is_lasting: false,
             priority: policy.priority,
-            age_ms: job.age_ms(now_ms),
+            age_ms,
             critical_path_ms: open_paths_ms.iter().max().copied().unwrap_or(0),
             objective_ms: (policy.stretch * chain_ms as f64) as u64 + policy.objective_ms,
             remaining_core_ms,
@@ -156,16 +184,47 @@
     /// placed.
     fn place_step(&mut self, now_ms: u64, step: TaskRef) -> bool {
         let tasks = self.job_table.step(step).map_or(0, |step| step.tasks.len());
+        let mut places = Vec::new();
+        let mut is_placed = true;
         for index in 0..tasks as u32 {
             let task = TaskRef { index, ..step };
             if self.job_table.task(task).is_none_or(|task| !task.waits(now_ms)) {
                 continue;
             }
-            let Some(worker) = self.choose(now_ms, task) else { return false };
+            let Some(worker) = self.choose(now_ms, task) else {
+                is_placed = false;
+                break;
+            };
             let starts = self.job_table.task(task).map_or(0, |task| task.starts);
+            places.push((index, worker));
             self.start(now_ms, task, worker, starts);
         }
-        true
+        self.log_starts(now_ms, step, &places);
+        is_placed
+    }
+
+    /// Logs the starts of a step's tasks in one line, each as its index, its run
+    /// and its worker.
+    fn log_starts(&self, now_ms: u64, step: TaskRef, places: &[(u32, WorkerKey)]) {
+        if places.is_empty() || !log::log_enabled!(log::Level::Info) {
+            return;
+        }
+        let Some(job) = self.job_table.job(step.job) else { return };
+        let mut starts = String::new();
+        for &(index, key) in places {
+            let task = self.job_table.task(TaskRef { index, ..step });
+            let run = task.and_then(|task| task.runs.iter().find(|run| run.worker == key));
+            if let (Some(run), Some(worker)) = (run, self.workers.get(key)) {
+                let separator = if starts.is_empty() { "" } else { " " };
+                let name = worker.entry.worker.as_str();
+                // Writing to a string cannot fail.
+                let _ = write!(starts, "{separator}{index}:{}@{name}", run.number);
+            }
+        }
+        let TaskRef { occurrence, step, .. } = step;
+        log::info!(job:display = job.number, occurrence = occurrence, step = step,
+            starts = starts.as_str(), age_ms = job.age_ms(now_ms), term = self.control.term.0;
+            "starts ordered");
     }
 
     fn choose(&self, now_ms: u64, task: TaskRef) -> Option<WorkerKey> {
@@ -189,10 +248,7 @@
         sharing: Sharing,
     ) -> impl Fn(WorkerKey, &Worker) -> bool {
         let spec = self.job_table.spec(task);
-        let needs_ticket = self
-            .job_table
-            .job(task.job)
-            .is_some_and(|job| self.policy(&job.queue).advice.is_some());
+        let needs_ticket = self.needs_ticket(task);
         move |key, worker| {
             worker.is_vacating
                 || (needs_ticket && self.advice.ticket(now_ms, task, key).is_none())
@@ -306,9 +362,11 @@
             *taken = taken.plus(&allocation);
             places.push(worker);
         }
-        for (index, worker) in places.into_iter().enumerate() {
-            self.start(now_ms, TaskRef { index: index as u32, ..step }, worker, starts);
+        let places: Vec<_> = (0..).zip(places).collect();
+        for &(index, worker) in &places {
+            self.start(now_ms, TaskRef { index, ..step }, worker, starts);
         }
+        self.log_starts(now_ms, step, &places);
         true
     }
 
@@ -339,6 +397,7 @@
                 log::info!(task:? = self.job_table.address(task);
                     "starting a speculative copy of a slow task");
                 self.start(now_ms, task, worker, starts);
+                self.log_starts(now_ms, task, &[(task.index, worker)]);
             }
         }
     }
@@ -366,8 +425,8 @@
         let Some(clock) = worker.clock else { return };
         let valid_until_ms = clock.now_ms(now_ms) + self.timing.start_valid_ms;
         worker.grant(valid_until_ms);
-        worker.allocate(task, number, allocation);
         let contact = contact(key, worker, self.control.term);
+        self.workers.allocate(key, task, number, allocation);
         let Some(state) = self.job_table.task_mut(task) else { return };
         state.starts = starts + 1;
         state.runs.push(Run {
@@ -385,12 +444,8 @@
         let Some(job) = self.job_table.job_mut(task.job) else { return };
         job.live_runs += 1;
         job.has_started = true;
-        let age_ms = job.age_ms(now_ms);
         let order =
             StartOrder { job: std::rc::Rc::clone(&job.spec), valid_until_ms, checkpoint, ticket };
-        log::info!(task:display = address, run:display = number,
-            worker = contact.worker.as_str(), term = self.control.term.0, age_ms = age_ms;
-            "start ordered");
         let target = OrderTarget { worker: key, task: address, run: number };
         self.actions.push(PoolAction::Order { contact, target, order: Order::Start(order) });
     }
@@ -466,13 +521,13 @@
 
     /// Treats a worker as unreachable until it answers the next poll, which is
     /// sent at once.
-    fn mark_unreachable(&mut self, now_ms: u64, worker: WorkerKey) {
-        if let Some(worker) = self.workers.get_mut(worker) {
+    fn mark_unreachable(&mut self, now_ms: u64, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key) {
             worker.polled_ms = worker
                 .polled_ms
                 .map(|polled_ms| polled_ms.min(now_ms.saturating_sub(REACHABLE_MS)));
-            worker.next_poll_ms = worker.next_poll_ms.min(now_ms);
         }
+        self.workers.poll_by(now_ms, key);
     }
 
     /// Reverts a start that was certainly not carried out.
@@ -501,10 +556,8 @@
         worker: WorkerKey,
         number: RunNumber,
     ) -> Option<Run> {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.release(task, number);
-        }
-        let run = self.job_table.task_mut(task)?.take_run(worker, number)?;
+        self.workers.release(worker, task, number);
+        let run = self.job_table.take_run(task, worker, number)?;
         self.placing_due = true;
         self.on_run_over(task.job);
         Some(run)
--- a/crates/dispatch/src/coordination/pool/task.rs
+++ b/crates/dispatch/src/coordination/pool/task.rs
@@ -80,7 +80,12 @@
 
 impl Task {
     pub(super) fn waits(&self, now_ms: u64) -> bool {
-        !self.is_done && self.runs.is_empty() && now_ms >= self.not_before_ms
+        self.is_unstarted() && now_ms >= self.not_before_ms
+    }
+
+    /// Returns whether the task still has to run and has no run.
+    pub(super) fn is_unstarted(&self) -> bool {
+        !self.is_done && self.runs.is_empty()
     }
 
     pub(super) fn run_mut(&mut self, worker: WorkerKey, number: RunNumber) -> Option<&mut Run> {
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -1,10 +1,10 @@
 //! State of each worker: lease, clock, runs, free capacity and unacknowledged
 //! ends.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use hashbrown::HashMap;
-use slotmap::SlotMap;
+use slotmap::{KeyData, SlotMap};
 use tamarackproxy::{coordination::jobs::Resources, state::ids::WorkerId};
 
 use super::{
@@ -74,11 +74,11 @@
     granted_until_ms: u64,
     /// When a poll was last answered, on the local clock.
     pub(super) polled_ms: Option<u64>,
-    pub(super) poll_sent_ms: Option<u64>,
+    poll_sent_ms: Option<u64>,
     /// Consecutive polls without an answer; the worker may or may not have
     /// received the lease of the first.
     pub(super) missed_polls: u32,
-    pub(super) next_poll_ms: u64,
+    next_poll_ms: u64,
     /// Allocations of all runs that may exist.
     used: Resources,
     pub(super) runs: HashMap<TaskRef, (RunNumber, Resources)>,
@@ -146,7 +146,13 @@
         self.entry.capacity.minus(&used)
     }
 
-    pub(super) fn allocate(&mut self, task: TaskRef, number: RunNumber, allocation: Resources) {
+    /// Returns the processors that no run was allocated, in thousandths of a
+    /// core: an upper bound of those that new runs may use.
+    fn unallocated_millicores(&self) -> u64 {
+        self.entry.capacity.minus(&self.used).cpu_millicores
+    }
+
+    fn allocate(&mut self, task: TaskRef, number: RunNumber, allocation: Resources) {
         if let Some((_, old)) = self.runs.insert(task, (number, allocation)) {
             self.used = self.used.minus(&old);
         }
@@ -154,7 +160,7 @@
     }
 
     /// Releases the allocation of a run.
-    pub(super) fn release(&mut self, task: TaskRef, number: RunNumber) {
+    fn release(&mut self, task: TaskRef, number: RunNumber) {
         if self.runs.get(&task).is_some_and(|&(allocated, _)| allocated == number)
             && let Some((_, allocation)) = self.runs.remove(&task)
         {
@@ -223,25 +229,132 @@
 }
 
 /// All workers of a pool that are registered or may still run something.
+///
+/// Load pattern: a surge starts and ends thousands of runs a second on hundreds
+/// of workers. The workers with enough capacity, and those whose poll is due,
+/// are found without looking at the others.
 #[derive(Debug, Default)]
 pub(super) struct WorkerTable {
     workers: SlotMap<WorkerKey, Worker>,
     by_name: HashMap<WorkerId, WorkerKey>,
+    /// Workers by unallocated processors, in thousandths of a core.
+    by_unallocated: BTreeSet<(u64, WorkerKey)>,
+    /// Workers without a poll in flight, by the time of the next one.
+    by_next_poll: BTreeSet<(u64, WorkerKey)>,
 }
 
 impl WorkerTable {
     pub(super) fn insert(&mut self, entry: WorkerEntry) -> WorkerKey {
         let name = entry.worker.clone();
-        let key = self.workers.insert(Worker::new(entry));
+        let worker = Worker::new(entry);
+        let (unallocated, next_poll_ms) = (worker.unallocated_millicores(), worker.next_poll_ms);
+        let key = self.workers.insert(worker);
         self.by_name.insert(name, key);
+        self.by_unallocated.insert((unallocated, key));
+        self.by_next_poll.insert((next_poll_ms, key));
         key
     }
 
+    /// Replaces the registry entry of a worker.
+    pub(super) fn set_entry(&mut self, key: WorkerKey, entry: WorkerEntry) {
+        self.change(key, |worker| worker.entry = entry);
+    }
+
+    /// Allocates resources to a run.
+    pub(super) fn allocate(
+        &mut self,
+        key: WorkerKey,
+        task: TaskRef,
+        number: RunNumber,
+        allocation: Resources,
+    ) {
+        self.change(key, |worker| worker.allocate(task, number, allocation));
+    }
+
+    /// Releases the allocation of a run.
+    pub(super) fn release(&mut self, key: WorkerKey, task: TaskRef, number: RunNumber) {
+        self.change(key, |worker| worker.release(task, number));
+    }
+
+    /// Changes a worker and updates its place among the unallocated processors.
+    fn change<F>(&mut self, key: WorkerKey, change: F)
+    where
+        F: FnOnce(&mut Worker),
+    {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let before = worker.unallocated_millicores();
+        change(worker);
+        let after = worker.unallocated_millicores();
+        if before != after {
+            self.by_unallocated.remove(&(before, key));
+            self.by_unallocated.insert((after, key));
+        }
+    }
+
+    /// Returns the workers with at least `millicores` unallocated processors, in
+    /// thousandths of a core; those with the least come first.
+    pub(super) fn with_unallocated(
+        &self,
+        millicores: u64,
+    ) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        let lowest = WorkerKey::from(KeyData::from_ffi(0));
+        let found = self.by_unallocated.range((millicores, lowest)..);
+        found.filter_map(|&(_, key)| Some((key, self.workers.get(key)?)))
+    }
+
+    /// Returns a worker whose poll is due.
+    pub(super) fn next_poll(&self, now_ms: u64) -> Option<WorkerKey> {
+        self.by_next_poll.first().filter(|&&(at_ms, _)| now_ms >= at_ms).map(|&(_, key)| key)
+    }
+
+    /// Returns when the next poll is due, in milliseconds on the local clock.
+    pub(super) fn next_poll_ms(&self) -> Option<u64> {
+        self.by_next_poll.first().map(|&(at_ms, _)| at_ms)
+    }
+
+    /// Records that a poll of a worker was sent.
+    pub(super) fn begin_poll(&mut self, now_ms: u64, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        self.by_next_poll.remove(&(worker.next_poll_ms, key));
+        worker.poll_sent_ms = Some(now_ms);
+    }
+
+    /// Records that the poll of a worker is over, and schedules the next one at
+    /// once; returns when the poll was sent, or none if there was none.
+    pub(super) fn end_poll(&mut self, now_ms: u64, key: WorkerKey) -> Option<u64> {
+        let worker = self.workers.get_mut(key)?;
+        let sent_ms = worker.poll_sent_ms.take()?;
+        worker.next_poll_ms = now_ms;
+        self.by_next_poll.insert((now_ms, key));
+        Some(sent_ms)
+    }
+
+    /// Sets the time of the next poll, in milliseconds on the local clock,
+    /// unless one is in flight.
+    pub(super) fn schedule_poll(&mut self, at_ms: u64, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if worker.poll_sent_ms.is_none() {
+            self.by_next_poll.remove(&(worker.next_poll_ms, key));
+            worker.next_poll_ms = at_ms;
+            self.by_next_poll.insert((at_ms, key));
+        }
+    }
+
+    /// Schedules the next poll no later than `at_ms`, in milliseconds on the
+    /// local clock.
+    pub(super) fn poll_by(&mut self, at_ms: u64, key: WorkerKey) {
+        if self.workers.get(key).is_some_and(|worker| worker.next_poll_ms > at_ms) {
+            self.schedule_poll(at_ms, key);
+        }
+    }
+
     pub(super) fn remove(&mut self, key: WorkerKey) -> Option<Worker> {
         let worker = self.workers.remove(key)?;
         if self.by_name.get(&worker.entry.worker) == Some(&key) {
             self.by_name.remove(&worker.entry.worker);
         }
+        self.by_unallocated.remove(&(worker.unallocated_millicores(), key));
+        self.by_next_poll.remove(&(worker.next_poll_ms, key));
         Some(worker)
     }
 
--- a/crates/dispatch/src/coordination/pool/writer.rs
+++ b/crates/dispatch/src/coordination/pool/writer.rs
@@ -15,9 +15,9 @@
 /// record and the removal of its progress.
 const ENTRIES_ENDED: usize = 3;
 /// Longest delay of a live job's progress, so that several jobs share a write,
-/// in milliseconds. A tenth of the four seconds within which ends are to be
-/// acknowledged.
-const PROGRESS_DELAY_MS: u64 = 400;
+/// in milliseconds. Workers repeat the ends that are not stored in each reply,
+/// and are polled less often until they are.
+const PROGRESS_DELAY_MS: u64 = 80;
 /// Interval between summaries, in milliseconds: a fraction of the time that a
 /// host takes to join a pool, and of the two seconds that callers accept as the
 /// age of job counts.
--- a/crates/dispatch/src/observability.rs
+++ b/crates/dispatch/src/observability.rs
@@ -17,10 +17,17 @@
     append::Append,
     config::{Appender, Config, Root},
 };
-use serde_json::{Map, Value};
+use serde::ser::{Serialize, SerializeMap, Serializer};
+use serde_json::ser::CompactFormatter;
+
+/// Target of lines that say how a caller's work ended. They are not counted
+/// against the rate limit.
+pub const OUTCOME_TARGET: &str = "outcome";
 
 /// Buffered bytes from which on further lines are dropped.
 const BUFFER_MAX_BYTES: usize = 64 << 10;
+/// The same for warnings and outcomes.
+const IMPORTANT_MAX_BYTES: usize = 256 << 10;
 /// Maximum size of one write: a pipe writes up to this size (`PIPE_BUF`)
 /// atomically.
 const CHUNK_BYTES: usize = 4_096;
@@ -55,19 +62,57 @@
     buffer: Arc<Mutex<Buffer>>,
 }
 
-struct Fields(Map<String, Value>);
+type LineMap<'a> = serde_json::ser::Compound<'a, &'a mut Vec<u8>, CompactFormatter>;
+
+/// Writes the pairs of a record as fields of a line.
+struct Fields<'a, 'b>(&'b mut LineMap<'a>);
 
-impl<'kvs> kv::VisitSource<'kvs> for Fields {
+impl<'kvs> kv::VisitSource<'kvs> for Fields<'_, '_> {
     fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
-        let value = match (value.to_u64(), value.to_bool(), value.to_f64()) {
-            (Some(number), ..) => Value::from(number),
-            (None, Some(flag), _) => Value::from(flag),
-            (None, None, Some(number)) => Value::from(number),
-            _ => Value::from(value.to_string()),
+        let key = key.as_str();
+        let written = match (value.to_u64(), value.to_bool(), value.to_f64()) {
+            (Some(number), ..) => self.0.serialize_entry(key, &number),
+            (None, Some(flag), _) => self.0.serialize_entry(key, &flag),
+            (None, None, Some(number)) => self.0.serialize_entry(key, &number),
+            _ => self.0.serialize_entry(key, &Text(&value)),
         };
-        self.0.insert(key.as_str().to_owned(), value);
-        Ok(())
+        written.map_err(kv::Error::boxed)
+    }
+}
+
+/// Serializes a value as the text that it displays.
+struct Text<'a, T>(&'a T);
+
+impl<T> Serialize for Text<'_, T>
+where
+    T: std::fmt::Display,
+{
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.collect_str(self.0)
+    }
+}
+
+/// Appends a record as one JSON object.
+fn write_line(
+    bytes: &mut Vec<u8>,
+    unix_ms: u64,
+    record: &Record<'_>,
+    dropped: u64,
+) -> Result<(), serde_json::Error> {
+    let mut serializer = serde_json::Serializer::new(bytes);
+    let mut line = serializer.serialize_map(None)?;
+    line.serialize_entry("unix_ms", &unix_ms)?;
+    line.serialize_entry("level", record.level().as_str())?;
+    line.serialize_entry("message", &Text(record.args()))?;
+    if dropped > 0 {
+        line.serialize_entry("dropped_lines", &dropped)?;
     }
+    // A pair that cannot be formatted is missing from the line.
+    let _ = record.key_values().visit(&mut Fields(&mut line));
+    line.end()
 }
 
 fn unix_ms() -> u64 {
@@ -85,27 +130,26 @@
             buffer.second = second;
             buffer.lines = 0;
         }
-        buffer.lines += 1;
-        let is_rate_limited = record.level() > log::Level::Warn;
-        if (is_rate_limited && buffer.lines > LINES_PER_SECOND)
-            || buffer.bytes.len() >= BUFFER_MAX_BYTES
-        {
+        let is_important = record.level() <= log::Level::Warn || record.target() == OUTCOME_TARGET;
+        if !is_important {
+            buffer.lines += 1;
+        }
+        let max_bytes = if is_important { IMPORTANT_MAX_BYTES } else { BUFFER_MAX_BYTES };
+        if (!is_important && buffer.lines > LINES_PER_SECOND) || buffer.bytes.len() >= max_bytes {
             buffer.dropped += 1;
             return;
         }
-        let mut fields = Fields(Map::new());
-        fields.0.insert("unix_ms".into(), unix_ms.into());
-        fields.0.insert("level".into(), record.level().as_str().into());
-        fields.0.insert("message".into(), record.args().to_string().into());
-        // Collecting into a map cannot fail. A pair that cannot be formatted is
-        // missing from the line.
-        let _ = record.key_values().visit(&mut fields);
-        if buffer.dropped > 0 {
-            fields.0.insert("dropped_lines".into(), buffer.dropped.into());
-            buffer.dropped = 0;
-        }
-        if serde_json::to_writer(&mut buffer.bytes, &fields.0).is_ok() {
-            buffer.bytes.push(b'\n');
+        let (begin, dropped) = (buffer.bytes.len(), buffer.dropped);
+        match write_line(&mut buffer.bytes, unix_ms, record, dropped) {
+            Ok(()) => {
+                buffer.bytes.push(b'\n');
+                buffer.dropped = 0;
+            }
+            // A line must not stay in the buffer in part.
+            Err(_) => {
+                buffer.bytes.truncate(begin);
+                buffer.dropped += 1;
+            }
         }
     }
 
--- a/crates/dispatch/src/state/ids.rs
+++ b/crates/dispatch/src/state/ids.rs
@@ -70,7 +70,7 @@
 }
 
 /// Address of a task: job, occurrence, step and index within the step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskAddress {
     /// The job.
     pub job: JobNumber,
