Spread the calls of a large pool's controller over relays

Cause (findings): the controllers of large pools are at their half core in a surge, with 0.4 ms for a run, most of it in calls to workers.

Weighed: division of a pool's workers and jobs into parts with terms of their own breaks labels, data racks and gangs that only one part can serve, and needs a number of parts that all processes agree on; sharing workers between parts needs a second protocol. Chosen: one planner keeps all state and decisions, other processes carry its calls and keep nothing. A lost relay costs the calls in flight; the controller calls the workers itself meanwhile.

--- a/crates/dispatch/src/coordination/mod.rs
+++ b/crates/dispatch/src/coordination/mod.rs
@@ -4,5 +4,6 @@
 pub mod balance;
 pub mod control;
 pub mod pool;
+pub mod relay;
 pub mod submission;
 pub mod upkeep;
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -144,6 +144,11 @@
         ControlLoad::new(millicores).with_scopes(scopes.map(|(scope, _)| kind_of(scope)))
     }
 
+    /// Returns the processes that hold a scope.
+    pub(super) fn entries(&self) -> HashSet<EntryId> {
+        self.scopes.values().map(|holder| holder.tenure.holder.clone()).collect()
+    }
+
     fn put(&mut self, now_ms: u64, item: &KeyValue) {
         match control_key(&item.key) {
             Some(ControlKey::Holder(scope)) => {
--- a/crates/dispatch/src/node/keys.rs
+++ b/crates/dispatch/src/node/keys.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use tamarackproxy::{
     protocol::store::{KeyValue, StoreError},
-    state::ids::{PoolId, RecordVersion, WorkerId},
+    state::ids::{EntryId, PoolId, RecordVersion, WorkerId},
 };
 
 use super::platform::{Transaction, TransactionReply};
@@ -27,6 +27,8 @@
 const HANDOVER_PREFIX: &str = "control/handover/";
 /// Name of the scope of host maintenance; all other scopes are pools.
 pub(super) const UPKEEP_SCOPE: &str = "upkeep";
+/// Prefix of the entries of running processes; bound to their leases.
+pub(super) const MEMBERS_PREFIX: &str = "members/";
 /// Prefix of requests to vacate workers and of their confirmations.
 pub(super) const FLEET_PREFIX: &str = "fleet/";
 const VACATE_PREFIX: &str = "fleet/vacate/";
@@ -98,6 +100,10 @@
     format!("{VACATED_PREFIX}{worker}").into()
 }
 
+pub(super) fn member_key(entry: &EntryId) -> Box<str> {
+    format!("{MEMBERS_PREFIX}{entry}").into()
+}
+
 fn vacate_key(worker: &WorkerId) -> Box<str> {
     format!("{VACATE_PREFIX}{worker}").into()
 }
--- a/crates/dispatch/src/node/launch.rs
+++ b/crates/dispatch/src/node/launch.rs
@@ -20,6 +20,7 @@
     follow::{PrefixUpdate, follow},
     keys::{CONTROL_PREFIX, FLEET_PREFIX, FleetKey, fleet_key},
     platform::Platform,
+    relay,
     server::{Service, listen},
     shared::Shared,
 };
@@ -100,11 +101,17 @@
         (settings.ready, Service::Ready),
         (settings.metrics, Service::Metrics),
     ];
+    let relay = settings.relay;
     let shared = Rc::new(Shared::new(platform, settings));
     for (address, service) in listeners {
         let listening = listen(Rc::clone(&shared), address, service).await;
         listening.map_err(|error| StartError::Bind { address, error })?;
     }
+    if let Some(address) = relay {
+        let listening = relay::listen(Rc::clone(&shared), address).await;
+        listening.map_err(|error| StartError::Bind { address, error })?;
+        tokio::task::spawn_local(relay::register(Rc::clone(&shared), address));
+    }
     let _followers = start_followers(&shared);
     tokio::task::spawn_local(supervise(Rc::clone(&shared)));
     tokio::task::spawn_local(write_logs(logs));
--- a/crates/dispatch/src/node/mod.rs
+++ b/crates/dispatch/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! callers.
 
 mod callers;
+mod calls;
 pub mod clock;
 mod control;
 mod follow;
@@ -9,6 +10,7 @@
 mod launch;
 mod platform;
 mod pool;
+mod relay;
 mod server;
 mod shared;
 mod upkeep;
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -1,9 +1,7 @@
 //! Controller of one pool: connects the pool's engine to the store and the
 //! workers.
 
-use std::{
-    cell::RefCell, collections::HashMap as StdHashMap, net::SocketAddr, rc::Rc, time::Duration,
-};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use hashbrown::{HashMap, HashSet};
 use tamarackproxy::{
@@ -12,7 +10,7 @@
     state::ids::{PoolId, RecordVersion, WorkerId},
 };
 use tokio::{
-    sync::{Semaphore, mpsc, watch},
+    sync::{mpsc, watch},
     task::JoinSet,
     time::{Instant, sleep_until},
 };
@@ -26,6 +24,7 @@
         pool_transaction, progress_prefix, roster_key, vacated_key,
     },
     platform::{Platform, Transaction},
+    relay::{CallEnd, CallOutcome, RelayLink, list_members},
     shared::Shared,
 };
 use crate::{
@@ -34,15 +33,22 @@
         PoolControl, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered, StoredJob,
         WorkerContact, WorkerKey, WriteResult,
     },
+    coordination::relay::{Member, choose_relays, relay_of, relays_wanted},
     state::{ServingDocument, Vacancy, WorkerEntry, encode},
 };
 
-/// Orders to one worker that may be in flight at once. The number of connections
-/// to workers is limited, but one lost reply must not block all other orders.
-const CONCURRENT_ORDERS_MAX: usize = 3;
 /// Coalescing delay for changes of jobs, in milliseconds. A burst of submissions
 /// shares calls, at the cost of a hundredth of the shortest latency objective.
 const JOBS_COALESCE_MS: u64 = 12;
+/// Interval at which the processes that can carry calls are listed, in
+/// milliseconds.
+const MEMBERS_INTERVAL_MS: u64 = 5_000;
+/// Interval at which the size of a pool without relays is checked, in
+/// milliseconds.
+const SIZE_CHECK_INTERVAL_MS: u64 = 500;
+/// Time for which a worker that a relay could not reach is called directly, in
+/// milliseconds: the path between them may be interrupted.
+const DIRECT_MS: u64 = 10_000;
 /// Delay before the write that confirms a vacated worker is retried, in
 /// milliseconds.
 const VACANCY_RETRY_MS: u64 = 100;
@@ -56,6 +62,8 @@
     Polled(WorkerKey, Result<PollReport, PollFailure>),
     Written(WriteResult),
     Advised(AdviceQuestion, Option<Vec<(WorkerId, Box<str>)>>),
+    Relayed(CallOutcome, CallEnd),
+    Members(Vec<Member>),
 }
 
 /// Controls a pool until it is aborted or fenced.
@@ -113,7 +121,10 @@
         engine,
         inputs,
         calls: JoinSet::new(),
-        permits: StdHashMap::new(),
+        relays: Vec::new(),
+        workers_max: 0,
+        members_due_ms: 0,
+        direct_until_ms: HashMap::new(),
     };
     controller.run(receiver, document, registry, vacate, lease).await;
 }
@@ -180,8 +191,16 @@
     inputs: mpsc::UnboundedSender<Input>,
     /// Calls in flight; aborted when the controller is dropped.
     calls: JoinSet<()>,
-    /// Limits of concurrent orders by worker address.
-    permits: StdHashMap<SocketAddr, Rc<Semaphore>>,
+    /// Links to the processes that carry calls to workers, if the pool is large.
+    relays: Vec<RelayLink>,
+    /// Most workers that the pool had in this term.
+    workers_max: usize,
+    /// When the running processes are listed next, in milliseconds on the local
+    /// clock.
+    members_due_ms: u64,
+    /// Workers that a relay could not reach, with the time until which this
+    /// process calls them itself, in milliseconds on the local clock.
+    direct_until_ms: HashMap<WorkerKey, u64>,
 }
 
 impl<P> Controller<P>
@@ -212,6 +231,7 @@
                 let vacated = HashSet::clone(&self.shared.vacated.borrow());
                 self.engine.borrow_mut().set_vacated(vacated);
             }
+            self.refresh_members();
             self.engine.borrow_mut().confirm_control(lease.confirmed_until_ms());
             let actions = self.engine.borrow_mut().step(clock::read());
             if actions.iter().any(|action| matches!(action, PoolAction::Fenced)) {
@@ -234,7 +254,98 @@
         }
     }
 
+    /// Lists the running processes when that is due, if the pool is large enough
+    /// for relays.
+    fn refresh_members(&mut self) {
+        let now_ms = clock::read().monotonic_ms;
+        if now_ms < self.members_due_ms {
+            return;
+        }
+        self.members_due_ms = now_ms + MEMBERS_INTERVAL_MS;
+        self.direct_until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        let registry = self.shared.registry.borrow();
+        let workers = registry.values().filter(|entry| entry.pool == self.pool).count();
+        drop(registry);
+        self.workers_max = self.workers_max.max(workers);
+        if self.relays_wanted() == 0 {
+            self.members_due_ms = now_ms + SIZE_CHECK_INTERVAL_MS;
+            return;
+        }
+        let (shared, inputs) = (Rc::clone(&self.shared), self.inputs.clone());
+        self.calls.spawn_local(async move {
+            match list_members(&shared).await {
+                // The receiver is gone when control has ended.
+                Ok(members) => drop(inputs.send(Input::Members(members))),
+                Err(error) => {
+                    log::info!(error:display = error; "running processes could not be listed");
+                }
+            }
+        });
+    }
+
+    fn relays_wanted(&self) -> usize {
+        relays_wanted(self.workers_max, self.shared.settings.workers_per_relay)
+    }
+
+    /// Opens links to further relays, and closes those to processes that are gone.
+    fn on_members(&mut self, members: &[Member]) {
+        let listed =
+            |link: &RelayLink| members.iter().any(|member| member.address == link.address());
+        self.relays.retain(|link| link.is_up() || listed(link));
+        let kept: Vec<SocketAddr> = self.relays.iter().map(RelayLink::address).collect();
+        let holders = self.shared.holders.borrow().entries();
+        let added = choose_relays(&self.pool, members, &holders, &kept, self.relays_wanted());
+        if added.is_empty() {
+            return;
+        }
+        let names: Vec<&str> = added.iter().map(|member| member.entry.as_str()).collect();
+        log::info!(pool = self.pool.as_str(), workers = self.workers_max, kept = kept.len(),
+            added = names.join(" ").as_str(); "relays of the pool were chosen");
+        self.relays.extend(added.into_iter().map(|member| {
+            let inputs = self.inputs.clone();
+            RelayLink::open(member.address, move |outcome, end| {
+                // The receiver is gone when control has ended.
+                let _ = inputs.send(Input::Relayed(outcome, end));
+            })
+        }));
+    }
+
+    /// Returns the link that carries the calls to a worker; none if this process
+    /// calls it itself.
+    fn link_to(&self, contact: &WorkerContact) -> Option<&RelayLink> {
+        let link = self.relays.get(relay_of(&contact.worker, self.relays.len())?)?;
+        let now_ms = clock::read().monotonic_ms;
+        let is_direct =
+            self.direct_until_ms.get(&contact.key).is_some_and(|&until_ms| now_ms < until_ms);
+        (link.is_up() && !is_direct).then_some(link)
+    }
+
+    fn on_relayed(&mut self, outcome: CallOutcome, end: CallEnd) {
+        let unreached = match &outcome {
+            CallOutcome::Started(target, reply) | CallOutcome::Stopped(target, reply) => {
+                matches!(reply, OrderReply::NotSent | OrderReply::Unknown).then_some(target.worker)
+            }
+            CallOutcome::Polled(worker, Err(PollFailure::Unreachable)) => Some(*worker),
+            CallOutcome::Polled(..) | CallOutcome::Paced => None,
+        };
+        if let Some(worker) = unreached.filter(|_| end == CallEnd::Replied) {
+            let until_ms = clock::read().monotonic_ms + DIRECT_MS;
+            self.direct_until_ms.insert(worker, until_ms);
+        }
+        self.on_input(match outcome {
+            CallOutcome::Started(target, reply) => Input::Started(target, reply),
+            CallOutcome::Stopped(target, reply) => Input::Stopped(target, reply),
+            CallOutcome::Paced => Input::Paced,
+            CallOutcome::Polled(worker, result) => Input::Polled(worker, result),
+        });
+    }
+
     fn on_input(&mut self, input: Input) {
+        let input = match input {
+            Input::Relayed(outcome, end) => return self.on_relayed(outcome, end),
+            Input::Members(members) => return self.on_members(&members),
+            input => input,
+        };
         let now = clock::read();
         let mut engine = self.engine.borrow_mut();
         match input {
@@ -251,7 +362,7 @@
             )) => {}
             Input::Started(target, reply) => engine.on_start_reply(now, target, reply),
             Input::Stopped(target, reply) => engine.on_stop_reply(now, target, reply),
-            Input::Paced => {}
+            Input::Paced | Input::Relayed(..) | Input::Members(_) => {}
             Input::Polled(worker, result) => engine.on_poll(now, worker, result),
             Input::Written(result) => engine.on_write(now, result),
             Input::Advised(question, allowed) => engine.on_advice(now, &question, allowed),
@@ -262,10 +373,14 @@
         match action {
             PoolAction::Order { contact, target, order } => self.order(contact, target, order),
             PoolAction::Poll { contact, request } => {
-                let (shared, inputs) = (Rc::clone(&self.shared), self.inputs.clone());
                 metrics::counter!("worker_looks").increment(1);
+                if let Some(link) = self.link_to(&contact) {
+                    return link.poll(&contact, request);
+                }
+                let (shared, inputs) = (Rc::clone(&self.shared), self.inputs.clone());
                 self.calls.spawn_local(async move {
-                    let result = shared.platform.poll_worker(&contact, &request).await;
+                    let calls = &shared.worker_calls;
+                    let result = calls.poll(&shared.platform, &contact, &request).await;
                     // The receiver is gone when control has ended.
                     let _ = inputs.send(Input::Polled(contact.key, result));
                 });
@@ -292,17 +407,14 @@
     }
 
     fn order(&mut self, contact: WorkerContact, target: OrderTarget, order: Order) {
-        let permits = self.permits.entry(contact.address);
-        let permits = permits.or_insert_with(|| Rc::new(Semaphore::new(CONCURRENT_ORDERS_MAX)));
-        let (permits, shared) = (Rc::clone(permits), Rc::clone(&self.shared));
-        let inputs = self.inputs.clone();
         metrics::counter!("worker_orders").increment(1);
+        if let Some(link) = self.link_to(&contact) {
+            return link.order(&contact, target, &order);
+        }
+        let (shared, inputs) = (Rc::clone(&self.shared), self.inputs.clone());
         self.calls.spawn_local(async move {
-            let Ok(_permit) = permits.acquire().await else { return };
-            let sent_ms = clock::read().monotonic_ms;
-            let reply = shared.platform.send_order(&contact, &target, &order).await;
-            let took_ms = clock::read().monotonic_ms.saturating_sub(sent_ms);
-            metrics::histogram!("worker_order_ms").record(took_ms as f64);
+            let calls = &shared.worker_calls;
+            let reply = calls.order(&shared.platform, &contact, &target, &order).await;
             let input = match order {
                 Order::Start(_) => Input::Started(target, reply),
                 Order::Stop => Input::Stopped(target, reply),
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::{
+    calls::WorkerCalls,
     clock,
     control::Holders,
     follow::PrefixUpdate,
@@ -38,6 +39,7 @@
 pub(super) struct Shared<P> {
     pub(super) platform: P,
     pub(super) settings: DispatchSettings,
+    pub(super) worker_calls: WorkerCalls,
     /// The configuration in force; none until one has been read.
     pub(super) document: watch::Sender<Option<Rc<ServingDocument>>>,
     /// Maintenance waves requested by the operator.
@@ -76,6 +78,7 @@
         Self {
             platform,
             settings,
+            worker_calls: WorkerCalls::default(),
             document: watch::Sender::new(None),
             waves: RefCell::default(),
             waves_changed: Notify::new(),
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::coordination::control::Fencing;
+use crate::coordination::{control::Fencing, relay::WORKERS_PER_RELAY};
 use log::LevelFilter;
 use tamarackproxy::state::{
     ids::{DataCentreId, EntryId},
@@ -32,6 +32,9 @@
     pub ready: SocketAddr,
     /// Address at which metrics are served.
     pub metrics: SocketAddr,
+    /// Address at which other processes connect to have calls to workers
+    /// carried; none if this process carries none.
+    pub relay: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Address of the platform's host service, which lists hosts and takes
@@ -54,6 +57,8 @@
     pub move_ms: u64,
     /// Processors of this entry host that the process may use, in cores.
     pub cores: f64,
+    /// Workers for each process that carries calls for a large pool.
+    pub workers_per_relay: usize,
     /// Connections that may be open at once.
     pub connections_max: usize,
     /// Least severe level that is logged.
@@ -98,7 +103,9 @@
         let callers = reader.required("callers", ADDRESS);
         let ready = reader.required("ready", ADDRESS);
         let metrics = reader.required("metrics", ADDRESS);
-        Some((callers?, ready?, metrics?))
+        // An empty value means that the process is no relay.
+        let relay = reader.list("relay", ADDRESS).into_iter().next();
+        Some((callers?, ready?, metrics?, relay))
     });
     let platform = read_section(sections, "platform", errors, |reader| {
         let store = reader.required("store", ADDRESS);
@@ -118,23 +125,26 @@
         let move_ms = milliseconds(reader, "host_move_s", 1.5);
         let cores = reader.or_default("cores", CORES, 1.0_f64);
         let descriptors = reader.or_default("descriptors", COUNT, 1_024_usize);
-        Some((stop_ms, worker_lease_max_ms, status_ms, maintenance_ms, move_ms, cores, descriptors))
+        let workers_per_relay = reader.or_default("workers_per_relay", COUNT, WORKERS_PER_RELAY);
+        let worker_ms = (worker_lease_max_ms, maintenance_ms, move_ms);
+        Some((stop_ms, status_ms, worker_ms, cores, descriptors, workers_per_relay))
     });
     let level = read_section(sections, "log", errors, |reader| {
         Some(reader.or_default("level", LEVEL, LevelFilter::Info))
     });
     check_sections(sections, &SECTIONS, errors);
     let (entry, data_centre) = entry?;
-    let (callers, ready, metrics) = listen?;
+    let (callers, ready, metrics, relay) = listen?;
     let (store, hosts, host_fencing, advice) = platform?;
-    let (stop_ms, worker_lease_max_ms, status_ms, maintenance_ms, move_ms, cores, descriptors) =
-        limits?;
+    let (stop_ms, status_ms, worker_ms, cores, descriptors, workers_per_relay) = limits?;
+    let (worker_lease_max_ms, maintenance_ms, move_ms) = worker_ms;
     Some(DispatchSettings {
         entry,
         data_centre,
         callers,
         ready,
         metrics,
+        relay,
         store,
         hosts,
         host_fencing,
@@ -145,6 +155,7 @@
         maintenance_ms,
         move_ms,
         cores,
+        workers_per_relay,
         // Half of the descriptors are kept for files, connections to the store
         // and to workers, and as a reserve.
         connections_max: (descriptors / 2).max(64),
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -1,5 +1,7 @@
 //! Records in the store, encoded with bincode.
 
+use std::net::SocketAddr;
+
 use displaydoc::Display;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use strum::{Display as StrumDisplay, EnumString};
@@ -165,6 +167,16 @@
     pub idle: Vec<WorkerId>,
 }
 
+/// Value of `members/<entry>`: a running process that can carry calls for
+/// others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Address at which it accepts links of controllers.
+    pub address: SocketAddr,
+    /// Processors of its host, in thousandths of a core.
+    pub millicores: u32,
+}
+
 /// Value of `control/handover/<scope>`: a host with more processors asks the
 /// holder to hand over the scope.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/tamarackproxy/src/transport/mod.rs
+++ b/crates/tamarackproxy/src/transport/mod.rs
@@ -7,7 +7,7 @@
 pub(crate) mod http_server;
 pub(crate) mod peer_client;
 pub(crate) mod peer_server;
-mod peer_stream;
+pub mod peer_stream;
 pub(crate) mod platform_client;
 pub(crate) mod store_client;
 pub mod target_client;
--- a/crates/tamarackproxy/src/transport/peer_stream.rs
+++ b/crates/tamarackproxy/src/transport/peer_stream.rs
@@ -9,7 +9,11 @@
 
 /// Sends all bytes as the receiver's flow-control window allows; `end` closes
 /// the sending side.
-pub(super) async fn send_all(
+///
+/// # Errors
+///
+/// Returns the error of the stream or its connection.
+pub async fn send_all(
     stream: &mut SendStream<Bytes>,
     mut bytes: Bytes,
     end: bool,
