Vacate hosts in larger writes, expect turns by their mean, count a step's overhead

Work was ranked as timely although orders, polls and the last write of each step take some 120 ms beyond its tasks.

Change: a write of upkeep takes as many requests as fit, vacate requests first; the next turn is expected by the mean of the last three; a step's overhead counts in its critical path.

--- a/crates/dispatch/src/coordination/balance/turns.rs
+++ b/crates/dispatch/src/coordination/balance/turns.rs
@@ -1,6 +1,6 @@
 //! History and forecast of surges that come to the pools in turn.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use tamarackproxy::state::{clock::ClockReading, ids::PoolId};
 
@@ -25,6 +25,8 @@
 /// Time from the start of a surge in which the expected peak is used rather
 /// than the measured one, in milliseconds: twice the smoothing.
 const ONSET_MS: u64 = 2_000;
+/// Number of the last turns whose mean is expected for the next one.
+const TURNS_MAX: usize = 3;
 /// Shortest interval between surges, in milliseconds; shorter ones are noise.
 const SURGE_INTERVAL_MIN_MS: u64 = 1_200;
 
@@ -48,8 +50,8 @@
     pools: HashMap<PoolId, PoolSurges>,
     /// Start of the latest surge of any pool.
     latest_start_ms: Option<u64>,
-    /// Time between the starts of the last two surges.
-    turn_ms: Option<u64>,
+    /// Times between the starts of the last surges, oldest first.
+    turns_ms: VecDeque<u64>,
     /// State that a successor needs has changed.
     is_changed: bool,
 }
@@ -73,7 +75,14 @@
         }
         self.latest_start_ms =
             self.pools.values().filter_map(|history| history.last_start_ms).max();
-        self.turn_ms = turn_ms;
+        self.turns_ms = turn_ms.into_iter().collect();
+    }
+
+    /// Returns the mean time between the starts of the last surges: a burst, or
+    /// a change of control, shifts the start of a single one by seconds.
+    fn turn_ms(&self) -> Option<u64> {
+        let turns = u64::try_from(self.turns_ms.len()).ok().filter(|&turns| turns > 0)?;
+        Some(self.turns_ms.iter().sum::<u64>() / turns)
     }
 
     /// Requests that the state which a successor needs is stored again.
@@ -98,7 +107,7 @@
                 is_measured: history.is_measured,
             })
         });
-        Some((surges.collect(), self.turn_ms))
+        Some((surges.collect(), self.turn_ms()))
     }
 
     /// Updates the averages with the work that arrives at a pool, and detects
@@ -133,7 +142,9 @@
                 history.peak_millicores = arriving as u64;
                 let previous_ms = self.latest_start_ms.replace(now_ms);
                 let turn_ms = previous_ms.map(|previous_ms| now_ms - previous_ms);
-                self.turn_ms = turn_ms.filter(|&turn_ms| turn_ms >= SURGE_INTERVAL_MIN_MS);
+                self.turns_ms.extend(turn_ms.filter(|&turn_ms| turn_ms >= SURGE_INTERVAL_MIN_MS));
+                let excess = self.turns_ms.len().saturating_sub(TURNS_MAX);
+                self.turns_ms.drain(..excess);
             }
             Some(since_ms) if arriving < capacity * LULL_SHARE => {
                 history.surge_since_ms = None;
@@ -199,7 +210,7 @@
         I: IntoIterator<Item = &'a PoolId> + Clone,
     {
         let onset = self.onset(now_ms, pool);
-        let (Some(latest_ms), Some(turn_ms)) = (self.latest_start_ms, self.turn_ms) else {
+        let (Some(latest_ms), Some(turn_ms)) = (self.latest_start_ms, self.turn_ms()) else {
             return onset;
         };
         let starts_ms = latest_ms + turn_ms;
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -31,6 +31,9 @@
 /// Delay before a start that the worker cannot decode is retried, in
 /// milliseconds: a worker of another version may decode it.
 const MALFORMED_DELAY_MS: u64 = 5_000;
+/// Time that a step takes beyond its tasks, in milliseconds: orders, polls and
+/// the write of its last end.
+const STEP_OVERHEAD_MS: u64 = 120;
 /// Longest time for which the inputs to a job's rank are reused, in
 /// milliseconds: expected durations change by a few percent within it.
 const RANK_MAX_AGE_MS: u64 = 250;
@@ -158,7 +161,7 @@
             };
             let state = occurrence.and_then(|occurrence| occurrence.steps.get(index));
             let is_done = state.is_some_and(|step| step.is_done());
-            let open_ms = if is_done { 0 } else { own_ms };
+            let open_ms = if is_done { 0 } else { own_ms + STEP_OVERHEAD_MS };
             let open_tasks = spec.tasks - state.map_or(0, |step| step.done_tasks);
             let millicores = spec.need.cpu_millicores as f64;
             remaining_core_ms += f64::from(open_tasks) * millicores / 1_000.0 * own_ms as f64;
--- a/crates/dispatch/src/coordination/upkeep/engine.rs
+++ b/crates/dispatch/src/coordination/upkeep/engine.rs
@@ -28,6 +28,15 @@
 /// that of the wave applies, in percent.
 const POOL_LIMIT_PERCENT: u64 = 60;
 
+/// Maximum entries of one transaction; the platform accepts 32. Each kind of
+/// request may take one place beyond it, so that none waits forever.
+const ENTRIES_MAX: usize = 28;
+/// Entries of every transaction: the condition on the term.
+const ENTRIES_FIXED: usize = 1;
+/// Entries that the release of a worker takes: the removal of its request and
+/// of its confirmation.
+const ENTRIES_RELEASE: usize = 2;
+
 /// Interval of steps without events, in milliseconds.
 const STEP_MS: u64 = 100;
 
@@ -488,11 +497,19 @@
         if write == UpkeepWrite::default() {
             return None;
         }
-        // Requests that do not fit into one transaction wait for the next.
-        const HOSTS_MAX: usize = 8;
-        let first = |hosts: usize| hosts.min(HOSTS_MAX);
-        self.pending.vacate = write.vacate.split_off(first(write.vacate.len()));
-        self.pending.release = write.release.split_off(first(write.release.len()));
+        // Requests that do not fit into one transaction wait for the next. A
+        // surge waits for hosts that are to be vacated, so these go first.
+        let mut entries = ENTRIES_FIXED + write.records.len() + write.states.len();
+        let mut take = |requests: usize, entries_each: usize| {
+            let room = ENTRIES_MAX.saturating_sub(entries) / entries_each;
+            let taken = requests.min(room.max(1));
+            entries += taken * entries_each;
+            taken
+        };
+        let vacate = take(write.vacate.len(), 1);
+        let release = take(write.release.len(), ENTRIES_RELEASE);
+        self.pending.vacate = write.vacate.split_off(vacate);
+        self.pending.release = write.release.split_off(release);
         self.in_flight = Some(write.clone());
         Some(write)
     }
