Let a surge have the hosts that work off overdue jobs

Change: the demand report names overdue work apart, which is to be worked off in 15 s and not in 2.5 s; hosts whose runs all end by themselves may be vacated when no host is off or idle and their pool has more than it needs.

Two tests: overdue work gives its hosts away, timely work does not.

--- a/crates/dispatch/src/coordination/balance/engine.rs
+++ b/crates/dispatch/src/coordination/balance/engine.rs
@@ -18,6 +18,10 @@
 /// twice the slack that jobs have beyond their own duration, since more hosts
 /// are on their way.
 const BACKLOG_DRAIN_MS: u64 = 2_500;
+/// Time within which work that ends too late for its callers is to be worked
+/// off, in milliseconds: it must not keep hosts from a pool whose work can still
+/// end in time, and is done in the next lull.
+const OVERDUE_DRAIN_MS: u64 = 15_000;
 /// Share of a host's processors that tasks use in practice, in percent.
 const UTILIZATION_PERCENT: u64 = 85;
 /// Share of its initial size that a pool keeps when others need hosts, in
@@ -103,7 +107,16 @@
 struct Available {
     host: HostId,
     pool: PoolId,
-    is_off: bool,
+    state: Availability,
+}
+
+/// What a host does that could be moved; later ones are preferred.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Availability {
+    /// Its worker's runs end by themselves.
+    Ending,
+    Idle,
+    Off,
 }
 
 #[derive(Clone, Debug)]
@@ -408,7 +421,8 @@
             let forecast = self.surges.forecast(now_ms, horizon_ms, pool, &self.working);
             let millicores = demand.lasting_millicores
                 + demand.arriving_millicores.max(forecast)
-                + demand.backlog_core_ms * 1_000 / BACKLOG_DRAIN_MS;
+                + demand.backlog_core_ms * 1_000 / BACKLOG_DRAIN_MS
+                + demand.overdue_core_ms * 1_000 / OVERDUE_DRAIN_MS;
             Some(millicores.div_ceil(host) as usize)
         };
         self.working.iter().map(|pool| (pool.clone(), need(pool).unwrap_or(0))).collect()
@@ -435,26 +449,33 @@
         sizes
     }
 
-    /// Lists the hosts that are off or idle, are not being moved and are not
-    /// reserved.
+    /// Lists the hosts that are off or idle, or whose runs end by themselves, and
+    /// that are not being moved and not reserved.
     fn available<F>(&self, now_ms: u64, is_reserved: F) -> Vec<Available>
     where
         F: Fn(&HostId) -> bool,
     {
-        let idle: HashSet<&WorkerId> =
-            self.reports.values().flat_map(|report| &report.demand.idle).collect();
+        let reports = || self.reports.values().map(|report| &report.demand);
+        let idle: HashSet<&WorkerId> = reports().flat_map(|demand| &demand.idle).collect();
+        let ending: HashSet<&WorkerId> = reports().flat_map(|demand| &demand.ending).collect();
+        let availability = |view: &HostView| {
+            if self.standby.as_ref() == Some(&view.pool) {
+                return Some(Availability::Off);
+            }
+            let worker = view.worker.as_ref()?;
+            let is_ending = ending.contains(worker).then_some(Availability::Ending);
+            idle.contains(worker).then_some(Availability::Idle).or(is_ending)
+        };
         let hosts = self.hosts.values().filter_map(|view| {
-            let is_off = self.standby.as_ref() == Some(&view.pool);
-            let is_idle = view.worker.as_ref().is_some_and(|worker| idle.contains(worker));
+            let state = availability(view)?;
             let is_available = view.state == HostState::Up
-                && (is_off || is_idle)
                 && !self.transfers.contains_key(&view.host)
                 && self.refused_until_ms.get(&view.host).is_none_or(|&until_ms| now_ms >= until_ms)
                 && !is_reserved(&view.host);
             is_available.then(|| Available {
                 host: view.host.clone(),
                 pool: view.pool.clone(),
-                is_off,
+                state,
             })
         });
         hosts.collect()
@@ -474,8 +495,8 @@
         size.saturating_sub(needs.get(pool).copied().unwrap_or(0).max(kept))
     }
 
-    /// Chooses a host for a pool: one that is off, otherwise one of the pool
-    /// with the largest surplus.
+    /// Chooses a host for a pool: one that is off, otherwise an idle one, then
+    /// one whose runs end by themselves, of the pool with the largest surplus.
     fn choose_donor(
         &self,
         available: &[Available],
@@ -484,7 +505,7 @@
         to: &PoolId,
     ) -> Option<usize> {
         let spare = |from: &Available| {
-            if from.is_off {
+            if from.state == Availability::Off {
                 return usize::MAX;
             }
             let percent =
@@ -492,8 +513,8 @@
             self.surplus(sizes, needs, &from.pool, percent)
         };
         let others = available.iter().enumerate().filter(|(_, from)| from.pool != *to);
-        let spares = others.map(|(index, from)| (spare(from), index));
-        spares.filter(|&(spare, _)| spare > 0).max().map(|(_, index)| index)
+        let spares = others.map(|(index, from)| (from.state, spare(from), index));
+        spares.filter(|&(_, spare, _)| spare > 0).max().map(|(.., index)| index)
     }
 
     fn begin_transfer(
@@ -504,7 +525,7 @@
         sizes: &mut HashMap<PoolId, usize>,
         actions: &mut Vec<BalanceAction>,
     ) {
-        let Available { host, pool, is_off } = from;
+        let Available { host, pool, state } = from;
         log::info!(host = host.as_str(), from = pool.as_str(), to = to.as_str();
             "moving host to another pool");
         *sizes.entry(to.clone()).or_default() += 1;
@@ -512,7 +533,7 @@
             *size = size.saturating_sub(1);
         }
         let worker = self.hosts.get(&host).and_then(|view| view.worker.clone());
-        let stage = match worker.filter(|_| !is_off) {
+        let stage = match worker.filter(|_| state != Availability::Off) {
             Some(worker) => {
                 actions.push(BalanceAction::Vacate(worker.clone()));
                 Stage::Vacating { worker, since_ms: now_ms }
@@ -541,7 +562,7 @@
         actions: &mut Vec<BalanceAction>,
     ) {
         let Some(standby) = self.standby.clone() else { return };
-        for from in available {
+        for from in available.into_iter().filter(|from| from.state == Availability::Idle) {
             if self.is_at_transfer_limit() {
                 return;
             }
--- a/crates/dispatch/src/coordination/balance/tests.rs
+++ b/crates/dispatch/src/coordination/balance/tests.rs
@@ -2,7 +2,7 @@
 //! with a fleet whose hosts never move.
 
 use hashbrown::HashSet;
-use tamarackproxy::state::ids::PoolId;
+use tamarackproxy::state::ids::{PoolId, WorkerId};
 
 use super::*;
 use crate::{
@@ -139,3 +139,48 @@
     let again = fleet.engine.step(fleet.now(), true, &empty, |_| false);
     assert!(again.contains(&BalanceAction::Move(host, to)));
 }
+
+/// Guards against hosts that work off what is too late for its callers while
+/// another pool's work could still end in time: the surge of one pool begins
+/// when a burst at another is over, but its backlog is not.
+#[test]
+fn overdue_work_gives_its_hosts_to_a_surge() {
+    let mut fleet = Fleet::with_hosts(HOSTS_PER_POOL, 0);
+    fleet.engine.on_list(fleet.now_ms, &fleet.list());
+    let workers = fleet.workers();
+    fleet.engine.on_workers(&workers);
+    let working = POOLS.map(PoolId::new);
+    fleet.engine.set_pools(working, Some(PoolId::new("off")));
+    let busy = workers.iter().filter(|entry| entry.pool == pool(0));
+    let busy: Vec<WorkerId> = busy.map(|entry| entry.worker.clone()).collect();
+    let capacity_core_ms = HOSTS_PER_POOL as u64 * HOST_MILLICORES;
+    let burst =
+        Demand { overdue_core_ms: capacity_core_ms * 3, ending: busy.clone(), ..Demand::default() };
+    let surge = Demand { backlog_core_ms: capacity_core_ms * 8, ..Demand::default() };
+    fleet.engine.on_demand(fleet.now(), pool(0), burst);
+    fleet.engine.on_demand(fleet.now(), pool(1), surge);
+    let actions = fleet.engine.step(fleet.now(), true, &HashSet::new(), |_| false);
+    let is_vacated = |action: &&BalanceAction| matches!(action, BalanceAction::Vacate(worker) if busy.contains(worker));
+    let vacated = actions.iter().filter(is_vacated).count();
+    // The pool keeps what a surge of its own begins with.
+    assert!(vacated >= HOSTS_PER_POOL / 4, "{vacated} hosts are vacated");
+}
+
+/// Guards against hosts that are taken from work which can still end in time.
+#[test]
+fn timely_work_keeps_its_hosts() {
+    let mut fleet = Fleet::with_hosts(HOSTS_PER_POOL, 0);
+    fleet.engine.on_list(fleet.now_ms, &fleet.list());
+    let workers = fleet.workers();
+    fleet.engine.on_workers(&workers);
+    fleet.engine.set_pools(POOLS.map(PoolId::new), Some(PoolId::new("off")));
+    let capacity_core_ms = HOSTS_PER_POOL as u64 * HOST_MILLICORES;
+    let ending = workers.iter().map(|entry| entry.worker.clone()).collect();
+    let busy = Demand { backlog_core_ms: capacity_core_ms * 8, ending, ..Demand::default() };
+    for index in 0..POOLS.len() {
+        fleet.engine.on_demand(fleet.now(), pool(index), busy.clone());
+    }
+    let actions = fleet.engine.step(fleet.now(), true, &HashSet::new(), |_| false);
+    let is_vacate = |action: &BalanceAction| matches!(action, BalanceAction::Vacate(_));
+    assert!(!actions.iter().any(is_vacate), "{actions:?}");
+}
--- a/crates/dispatch/src/coordination/pool/demand.rs
+++ b/crates/dispatch/src/coordination/pool/demand.rs
@@ -14,6 +14,8 @@
 /// Unit to which reported demand is rounded up, in thousandths of a core and in
 /// core-milliseconds.
 const ROUNDING: u64 = 16_000;
+/// Most workers that a report names as ending their runs by themselves.
+const ENDING_MAX: usize = 48;
 
 impl PoolEngine {
     /// Returns the expected work of a job's unstarted tasks, without
@@ -39,7 +41,12 @@
         let is_reachable = |worker: &Worker| worker.is_reachable(now_ms, REACHABLE_MS);
         let round = |value: u64, unit: u64| value.div_ceil(unit) * unit;
         let live = || self.job_table.iter().filter(|(_, job)| job.outcome.is_none());
-        let backlog_core_ms: f64 = live().map(|(_, job)| self.batch_work_core_ms(job)).sum();
+        let (mut backlog_core_ms, mut overdue_core_ms) = (0.0, 0.0);
+        for (_, job) in live() {
+            let is_overdue = self.rank_inputs(job, now_ms).is_overdue();
+            let sum = if is_overdue { &mut overdue_core_ms } else { &mut backlog_core_ms };
+            *sum += self.batch_work_core_ms(job);
+        }
         let lasting = live().flat_map(|(_, job)| &job.spec.steps).filter(|step| step.is_lasting);
         let lasting: u64 =
             lasting.map(|step| u64::from(step.tasks) * step.allocation().cpu_millicores).sum();
@@ -52,11 +59,27 @@
         let idle = self.workers.iter().map(|(_, worker)| worker).filter(is_idle);
         let mut idle: Vec<WorkerId> = idle.map(|worker| worker.entry.worker.clone()).collect();
         idle.sort();
+        let ending = self.workers.iter().map(|(_, worker)| worker).filter(|worker| {
+            !worker.is_empty()
+                && is_reachable(worker)
+                && worker.presence == Presence::Registered(Registration::Ready)
+                && !worker.is_vacating
+                && worker
+                    .runs
+                    .keys()
+                    .all(|&run| self.job_table.spec(run).is_some_and(|spec| !spec.is_lasting))
+        });
+        let mut ending: Vec<_> =
+            ending.map(|worker| (worker.runs.len(), &worker.entry.worker)).collect();
+        ending.sort_unstable();
+        let ending = ending.into_iter().take(ENDING_MAX).map(|(_, name)| name.clone());
         Demand {
             arriving_millicores: round(self.arrivals.millicores(now_ms), ROUNDING),
             backlog_core_ms: round(backlog_core_ms as u64, ROUNDING),
+            overdue_core_ms: round(overdue_core_ms as u64, ROUNDING),
             lasting_millicores: round(lasting, ROUNDING),
             idle,
+            ending: ending.collect(),
         }
     }
 
--- a/crates/dispatch/src/coordination/pool/order.rs
+++ b/crates/dispatch/src/coordination/pool/order.rs
@@ -51,20 +51,33 @@
 }
 
 impl RankInputs {
-    pub(super) fn rank(&self) -> Rank {
+    fn band(&self) -> Band {
         let end_ms = self.age_ms + self.critical_path_ms;
+        if self.is_lasting {
+            Band::Lasting
+        } else if end_ms <= self.objective_ms {
+            Band::Timely
+        } else if end_ms <= self.objective_ms * LATE_FACTOR {
+            Band::Late
+        } else {
+            Band::Overdue
+        }
+    }
+
+    /// Returns whether the job ends too late for its callers to benefit.
+    pub(super) fn is_overdue(&self) -> bool {
+        self.band() == Band::Overdue
+    }
+
+    pub(super) fn rank(&self) -> Rank {
         // Work per unit of value, in whole core-milliseconds: how much other
         // work the job delays for what it is worth.
         let cost = (self.remaining_core_ms / self.value.max(0.01)) as u64;
         let oldest_first = u64::MAX - self.age_ms;
-        let (band, key) = if self.is_lasting {
-            (Band::Lasting, oldest_first)
-        } else if end_ms <= self.objective_ms {
-            (Band::Timely, cost)
-        } else if end_ms <= self.objective_ms * LATE_FACTOR {
-            (Band::Late, cost)
-        } else {
-            (Band::Overdue, oldest_first)
+        let band = self.band();
+        let key = match band {
+            Band::Lasting | Band::Overdue => oldest_first,
+            Band::Timely | Band::Late => cost,
         };
         Rank { band, priority: self.priority, key }
     }
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -135,7 +135,7 @@
     /// Returns the inputs to the rank of a job's steps. Apart from the age they
     /// are computed again only after one of the job's tasks has ended, or when
     /// they are older than [`RANK_MAX_AGE_MS`].
-    fn rank_inputs(&self, job: &Job, now_ms: u64) -> RankInputs {
+    pub(super) fn rank_inputs(&self, job: &Job, now_ms: u64) -> RankInputs {
         let age_ms = job.age_ms(now_ms);
         if let Some((computed_ms, inputs)) = job.rank_inputs.get()
             && now_ms < computed_ms + RANK_MAX_AGE_MS
--- a/crates/dispatch/src/replay/balance.rs
+++ b/crates/dispatch/src/replay/balance.rs
@@ -173,6 +173,8 @@
             let demand = Demand {
                 arriving_millicores: arriving,
                 backlog_core_ms: self.backlog[index] as u64,
+                overdue_core_ms: 0,
+                ending: Vec::new(),
                 lasting_millicores: 16_000,
                 idle: names.into_iter().skip(busy).collect(),
             };
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -159,12 +159,18 @@
 pub struct Demand {
     /// Rate of arriving work, in thousandths of a core.
     pub arriving_millicores: u64,
-    /// Work that was accepted and not started yet, in core-milliseconds.
+    /// Work that was accepted and not started yet, and that can end while its
+    /// callers still benefit, in core-milliseconds.
     pub backlog_core_ms: u64,
+    /// Other work that was accepted and not started yet, in core-milliseconds.
+    pub overdue_core_ms: u64,
     /// Processors of long-running tasks, in thousandths of a core.
     pub lasting_millicores: u64,
     /// Workers without any runs.
     pub idle: Vec<WorkerId>,
+    /// Some of the workers whose runs all end by themselves, those with the
+    /// least to end first.
+    pub ending: Vec<WorkerId>,
 }
 
 /// Value of `members/<entry>`: a running process that can carry calls for
