Never take up a term again that has run out

The fault is older than the relays; they only change who sends.

Change: a tenure that has run out is given up, so that a new controller has a new term. The controller ends in time also while a call to the store has no reply. An engine that was paused until its control has run out does nothing. A controller that ends by an unexpected error gives its scope up, which nobody acted on before while the lease was renewed.

Seen to fail first: term_that_has_run_out_is_not_taken_up_again, controller_does_nothing_after_its_control_has_run_out.

--- a/crates/dispatch/src/coordination/control.rs
+++ b/crates/dispatch/src/coordination/control.rs
@@ -12,6 +12,11 @@
 
 pub use self::orders::{Fencing, HOST_ORDER_MAX_MS, OrderPermit, OrderWindow};
 
+/// Time after the end of its lease for which a holder keeps control while the
+/// store is unreachable, in milliseconds, if the receivers of its orders reject
+/// old terms. Lease and this time together exceed the store outages that the
+/// operators expect.
+pub const OUTAGE_MS: u64 = 6_000;
 /// Delay of an attempt for each pool that the host already controls, in
 /// milliseconds: several times the duration of an acquisition.
 const HELD_DELAY_MS: f64 = 300.0;
--- a/crates/dispatch/src/coordination/control/tests/orders.rs
+++ b/crates/dispatch/src/coordination/control/tests/orders.rs
@@ -3,68 +3,18 @@
 
 use tamarackproxy::{
     coordination::control::{ControlLease, LeaseTiming},
-    protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest},
-    state::{
-        clock::ClockReading,
-        ids::{EntryId, LeaseId, RecordVersion},
-    },
+    protocol::store::StoreError,
+    state::{clock::ClockReading, ids::EntryId},
 };
 
-use crate::coordination::control::{Fencing, HOST_ORDER_MAX_MS, OrderWindow};
+use crate::{
+    coordination::control::{Fencing, HOST_ORDER_MAX_MS, OrderWindow},
+    node::fake::{LEASE_TTL_MS as TTL_MS, LeaseStore},
+};
 
-const TTL_MS: u64 = 3_000;
 const OUTAGE_MS: u64 = 6_000;
 const STEP_MS: u64 = 10;
 
-/// One key-value store with leases that end at their time.
-#[derive(Default)]
-struct Store {
-    holder: Option<KeyValue>,
-    term: Option<KeyValue>,
-    lease_until_ms: u64,
-    version: u64,
-}
-
-impl Store {
-    fn call(&mut self, now_ms: u64, request: &StoreRequest) -> StoreReply {
-        if now_ms >= self.lease_until_ms {
-            self.holder = None;
-        }
-        match request {
-            StoreRequest::GrantLease { ttl_ms } => {
-                StoreReply::Lease { lease: LeaseId(1), ttl_ms: *ttl_ms }
-            }
-            StoreRequest::KeepAlive { .. } => {
-                if self.holder.is_none() {
-                    return StoreReply::LeaseLost;
-                }
-                self.lease_until_ms = now_ms + TTL_MS;
-                StoreReply::Lease { lease: LeaseId(1), ttl_ms: TTL_MS }
-            }
-            StoreRequest::Get { key } if key.starts_with("control-term/") => {
-                StoreReply::Value(self.term.clone())
-            }
-            StoreRequest::Get { .. } => StoreReply::Value(self.holder.clone()),
-            StoreRequest::CompareAndSwap { key, value, expected, .. } => {
-                let is_term = key.starts_with("control-term/");
-                let slot = if is_term { &mut self.term } else { &mut self.holder };
-                let found = slot.as_ref().map_or(RecordVersion(0), |item| item.version);
-                if found != *expected {
-                    return StoreReply::Conflict(slot.clone());
-                }
-                self.version += 1;
-                let version = RecordVersion(self.version);
-                *slot = Some(KeyValue { key: key.clone(), value: value.clone(), version });
-                if !is_term {
-                    self.lease_until_ms = now_ms + TTL_MS;
-                }
-                StoreReply::Swapped(version)
-            }
-            other => panic!("unexpected request {other:?}"),
-        }
-    }
-}
-
 struct Candidate {
     lease: ControlLease,
     acquired_ms: Option<u64>,
@@ -85,7 +35,7 @@
     }
 
     /// Returns the term of an order sent now, if the holder may send one.
-    fn order(&mut self, now_ms: u64, fencing: Fencing, store: &mut Store) -> Option<u64> {
+    fn order(&mut self, now_ms: u64, fencing: Fencing, store: &mut LeaseStore) -> Option<u64> {
         let now = ClockReading::new(now_ms, 0);
         let mut request = self.lease.tick(now);
         while let Some(call) = request {
@@ -110,7 +60,7 @@
 /// Plays a holder that is cut off from the store but not from the hosts, and
 /// returns the orders of both processes with their times.
 fn play_cut(fencing: Fencing) -> Vec<(u64, u64)> {
-    let mut store = Store::default();
+    let mut store = LeaseStore::default();
     let mut first = Candidate::new("a", fencing);
     let mut second = Candidate::new("b", fencing);
     let mut orders = Vec::new();
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -16,6 +16,7 @@
     workers::{ProgressSequence, Worker, WorkerTable},
     writer::{PoolWrite, Records, WriteResult, Writer},
 };
+use crate::coordination::control::OUTAGE_MS;
 use crate::observability::OUTCOME_TARGET;
 use crate::state::{
     AdviceSettings, JobNumber, JobOutcome, JobRecord, JobState, ProgressRecord, RosterEntry,
@@ -352,9 +353,16 @@
         self.actions.push(PoolAction::Fenced);
     }
 
-    /// Returns the actions that follow from all events since the last call.
+    /// Returns the actions that follow from all events since the last call; none
+    /// once control has run out.
     pub fn step(&mut self, now: ClockReading) -> Vec<PoolAction> {
         let now_ms = now.monotonic_ms;
+        if now_ms >= self.confirmed_until_ms.saturating_add(OUTAGE_MS) {
+            // The process was paused: what it knew would let it act on workers
+            // that a successor has not reached yet.
+            self.actions.clear();
+            return Vec::new();
+        }
         if now_ms >= self.next_check_ms {
             self.next_check_ms = now_ms + CHECK_INTERVAL_MS;
             self.check(now);
--- a/crates/dispatch/src/coordination/pool/tests/control.rs
+++ b/crates/dispatch/src/coordination/pool/tests/control.rs
@@ -162,3 +162,66 @@
     simulation.run_until(6_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
     assert_eq!(simulation.starts, 3);
 }
+
+/// Guards against a controller that was paused for seconds and goes on under its
+/// old term: its successor has started the tasks that were waiting.
+#[test]
+fn paused_controller_starts_nothing_after_its_term() {
+    let mut simulation = PoolSimulation::new(2, 8);
+    let first = simulation.submit(job(vec![step(2, 8_000, 2_000)]));
+    simulation.run_ms(300);
+    let waiting = simulation.submit(job(vec![step(2, 8_000, 500)]));
+    simulation.run_ms(100);
+    simulation.set_paused(0, true);
+    simulation.run_ms(1_000);
+    simulation.add_controller();
+    simulation.run_ms(1_000);
+    simulation.set_paused(0, false);
+    let is_done =
+        |simulation: &PoolSimulation, number| simulation.outcome(number) == Some(JobOutcome::Done);
+    simulation.run_until(6_000, |simulation| is_done(simulation, first));
+    simulation.run_until(6_000, |simulation| is_done(simulation, waiting));
+    assert!(simulation.is_fenced(0));
+    assert_eq!(simulation.starts, 4, "a task was started by both controllers");
+}
+
+/// Guards against a worker that has left and is in use again after a restart of
+/// the controller: the registry lists it for seconds beside its host's next
+/// worker.
+#[test]
+fn restarted_controller_does_not_use_a_worker_that_has_left() {
+    let mut simulation = PoolSimulation::new(2, 8);
+    simulation.restart_worker(0);
+    simulation.kill(0);
+    let mut left = simulation.workers[0].entry.clone();
+    left.worker = tamarackproxy::state::ids::WorkerId::new("left");
+    left.born_unix_ms -= 1;
+    let current: Vec<_> = simulation.workers.iter().map(|it| it.entry.clone()).collect();
+    let successor = simulation.add_controller();
+    let listed: Vec<_> = [left].into_iter().chain(current).collect();
+    simulation.engine(successor).on_registry(&listed);
+    let number = simulation.submit(job(vec![step(4, 4_000, 300)]));
+    // The simulation panics if a worker that does not exist is called.
+    simulation.run_until(2_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
+}
+
+/// Guards against a controller that was paused until its control had run out,
+/// and then orders workers that its successor has not reached: what it starts
+/// there may run elsewhere already.
+#[test]
+fn controller_does_nothing_after_its_control_has_run_out() {
+    let mut simulation = PoolSimulation::new(2, 8);
+    simulation.submit(job(vec![step(2, 8_000, 3_000)]));
+    simulation.run_ms(50);
+    let number = simulation.submit(job(vec![step(2, 8_000, 500)]));
+    simulation.run_ms(50);
+    let confirmed_until_ms = simulation.now_ms + 2_700;
+    simulation.engine(0).confirm_control(confirmed_until_ms);
+    simulation.set_paused(0, true);
+    simulation.run_ms(10_000);
+    simulation.set_paused(0, false);
+    let starts = simulation.starts;
+    simulation.run_ms(2_000);
+    assert_eq!(simulation.starts, starts);
+    assert_eq!(simulation.outcome(number), None);
+}
--- a/crates/dispatch/src/coordination/pool/tests/failures.rs
+++ b/crates/dispatch/src/coordination/pool/tests/failures.rs
@@ -133,3 +133,17 @@
     let number = simulation.submit(job(vec![step(15, 8_000, 700)]));
     simulation.run_until(1_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
 }
+
+/// Guards against runs that are given up or started elsewhere because their
+/// worker was silent for less than its lease.
+#[test]
+fn briefly_silent_worker_keeps_its_runs() {
+    let mut simulation = PoolSimulation::new(3, 8);
+    let number = simulation.submit(job(vec![step(3, 8_000, 6_500), step(1, 1_000, 300)]));
+    simulation.run_ms(300);
+    simulation.workers[0].partitioned_from.insert(0);
+    simulation.run_ms(4_500);
+    simulation.workers[0].partitioned_from.clear();
+    simulation.run_until(6_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
+    assert_eq!(simulation.starts, 4, "a run of the silent worker was started again");
+}
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use tamarackproxy::{
     coordination::control::{ControlLease, LeaseTiming, Tenure, decode_tenure},
-    protocol::store::{KeyValue, WatchEvent},
+    protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest, WatchEvent},
     state::{
         clock::ClockReading,
         ids::{EntryId, PoolId, RecordVersion, Term},
@@ -22,7 +22,7 @@
 use tokio::{
     sync::Notify,
     task::{AbortHandle, JoinHandle},
-    time::{Instant, sleep_until},
+    time::{Instant, sleep, sleep_until},
 };
 
 use super::{
@@ -39,7 +39,7 @@
 };
 use crate::{
     coordination::control::{
-        ControlLoad, FULL_MILLICORES, Fencing, NEW_HOLDER_GRACE_MS, ScopeKind,
+        ControlLoad, FULL_MILLICORES, Fencing, NEW_HOLDER_GRACE_MS, OUTAGE_MS, ScopeKind,
     },
     state::HandoverRequest,
 };
@@ -49,11 +49,6 @@
 /// leases expire.
 const TIMING: LeaseTiming =
     LeaseTiming { ttl_ms: 3_000, renew_ms: 900, retry_ms: 4_000, outage_ms: OUTAGE_MS };
-/// Time after the end of its lease for which a holder keeps control while the
-/// store is unreachable, in milliseconds, if the receivers of its orders reject
-/// old terms. Lease and this time together exceed the store outages that the
-/// operators expect.
-const OUTAGE_MS: u64 = 6_000;
 /// Maximum random jitter of the delay before an acquisition attempt, in
 /// milliseconds.
 const JITTER_MS: u64 = 120;
@@ -265,6 +260,7 @@
             if self.lease_state.take_fenced() {
                 self.lease.lose(now);
             }
+            self.lose_after_failure(now);
             if self.shared.is_stopping() {
                 self.release("the process stops").await;
                 return;
@@ -291,6 +287,18 @@
         }
     }
 
+    /// Gives the scope up if its controller has ended by itself, after an
+    /// unexpected error: nobody would act on the scope while its lease is
+    /// renewed.
+    fn lose_after_failure(&mut self, now: ClockReading) {
+        let has_ended = self.controller.as_ref().is_some_and(|(_, task)| task.is_finished());
+        if has_ended {
+            log::error!(scope = &*self.name; "controller ended unexpectedly; control is given up");
+            self.lease.lose(now);
+            self.end_controller("the controller failed");
+        }
+    }
+
     /// Attempts to acquire the lease, or renews it, when that is due.
     async fn tick(&mut self) {
         let now = clock::read();
@@ -314,13 +322,31 @@
             self.shared.attempted.borrow_mut().insert(self.name.clone());
         }
         while let Some(call) = request {
-            let result = self.shared.store(&call).await;
+            let result = self.call_store(call).await;
             request = self.lease.on_store_reply(clock::read(), result);
             self.sync_controller();
         }
         self.shared.attempted.borrow_mut().remove(&self.name);
     }
 
+    /// Sends a request of the lease to the store. The controller ends in time
+    /// even if the store does not answer.
+    async fn call_store(&mut self, call: StoreRequest) -> Result<StoreReply, StoreError> {
+        let shared = Rc::clone(&self.shared);
+        let reply = shared.store(&call);
+        tokio::pin!(reply);
+        loop {
+            if self.controller.is_none() {
+                return reply.await;
+            }
+            let left_ms = self.lease.acting_until_ms().saturating_sub(clock::read().monotonic_ms);
+            tokio::select! {
+                result = &mut reply => return result,
+                () = sleep(Duration::from_millis(left_ms)) => self.sync_controller(),
+            }
+        }
+    }
+
     fn is_held_by_other(&self) -> bool {
         let holders = self.shared.holders.borrow();
         let holder = holders.scopes.get(&self.name);
@@ -432,11 +458,17 @@
     /// Starts or stops the controller according to the lease.
     fn sync_controller(&mut self) {
         self.lease_state.confirmed_until_ms.set(self.lease.valid_until_ms());
-        let acting = self.lease.acting(clock::read());
+        let now = clock::read();
+        let acting = self.lease.acting(now);
         let current = self.controller.as_ref().map(|(tenure, _)| tenure.term);
         if current.is_some() && acting.map(|tenure| tenure.term) != current {
+            // The store may have kept the lease while it was away. A new
+            // controller needs a new term all the same: it does not know what
+            // was started under this one.
+            self.lease.lose(now);
             self.end_controller("control is lost");
         }
+        let acting = self.lease.acting(now);
         if let Some(tenure) = acting
             && self.controller.is_none()
         {
@@ -514,3 +546,6 @@
 pub(super) fn previous_holder_grace_ms(worker_lease_ms: u64) -> u64 {
     OUTAGE_MS + worker_lease_ms
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dispatch/src/node/mod.rs
+++ b/crates/dispatch/src/node/mod.rs
@@ -5,6 +5,8 @@
 mod calls;
 pub mod clock;
 mod control;
+#[cfg(test)]
+pub(crate) mod fake;
 mod follow;
 mod keys;
 mod launch;
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -43,6 +43,8 @@
 /// Interval at which the processes that can carry calls are listed, in
 /// milliseconds.
 const MEMBERS_INTERVAL_MS: u64 = 5_000;
+/// Shortest time between two steps without an event, in milliseconds.
+const STEP_MIN_MS: u64 = 1;
 /// Interval at which the size of a pool without relays is checked, in
 /// milliseconds.
 const SIZE_CHECK_INTERVAL_MS: u64 = 500;
@@ -242,7 +244,9 @@
             actions.into_iter().for_each(|action| self.carry_out(action));
             while self.calls.try_join_next().is_some() {}
             let now_ms = clock::read().monotonic_ms;
-            let next_ms = self.engine.borrow().next_step_ms();
+            // A step that is due already is not repeated at once: control may have
+            // run out.
+            let next_ms = self.engine.borrow().next_step_ms().max(now_ms + STEP_MIN_MS);
             let until = Instant::now() + Duration::from_millis(next_ms.saturating_sub(now_ms));
             tokio::select! {
                 () = sleep_until(until) => {}
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -154,6 +154,7 @@
 struct Controller {
     engine: PoolEngine,
     is_alive: bool,
+    is_paused: bool,
     is_fenced: bool,
     /// Polls in flight: index and key of the worker, the latest time of the
     /// answer, the request and its term.
@@ -277,6 +278,7 @@
         self.controllers.push(Controller {
             engine,
             is_alive: true,
+            is_paused: false,
             is_fenced: false,
             polls,
             replies,
@@ -294,6 +296,11 @@
         self.controllers[controller].is_alive = false;
     }
 
+    /// Pauses a controller, or lets it go on with what it knew.
+    pub fn set_paused(&mut self, controller: usize, is_paused: bool) {
+        self.controllers[controller].is_paused = is_paused;
+    }
+
     pub fn is_fenced(&self, controller: usize) -> bool {
         self.controllers[controller].is_fenced
     }
@@ -384,7 +391,8 @@
     }
 
     fn run_controller(&mut self, index: usize) {
-        if !self.controllers[index].is_alive || self.controllers[index].is_fenced {
+        let controller = &self.controllers[index];
+        if !controller.is_alive || controller.is_paused || controller.is_fenced {
             return;
         }
         self.answer_polls(index);
--- a/crates/tamarackproxy/src/coordination/control/lease.rs
+++ b/crates/tamarackproxy/src/coordination/control/lease.rs
@@ -193,13 +193,18 @@
     pub fn acting(&self, now: ClockReading) -> Option<Tenure> {
         match &self.phase {
             Phase::Holding(tenure) | Phase::Renewing { tenure, .. } => {
-                let until_ms = self.valid_until_ms + self.timing.outage_ms;
-                (now.monotonic_ms < until_ms).then_some(*tenure)
+                (now.monotonic_ms < self.acting_until_ms()).then_some(*tenure)
             }
             _ => None,
         }
     }
 
+    /// Returns the monotonic time in milliseconds until which the holder may act
+    /// if the store does not answer.
+    pub fn acting_until_ms(&self) -> u64 {
+        self.valid_until_ms + self.timing.outage_ms
+    }
+
     /// Returns the monotonic time in milliseconds until which no successor can
     /// hold the scope.
     pub fn valid_until_ms(&self) -> u64 {
