--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -13,6 +13,7 @@
     events::{JobKey, PollRequest, PoolAction, WorkerContact, WorkerKey},
     job_table::{Job, JobTable},
     task::TaskRef,
+    trail::Trail,
     workers::{ProgressSequence, Worker, WorkerTable},
     writer::{PoolWrite, Records, WriteResult, Writer},
 };
@@ -148,6 +149,7 @@
     /// Jobs that may have runs which must be stopped.
     pub(super) jobs_to_review: HashSet<JobKey>,
     pub(super) actions: Vec<PoolAction>,
+    pub(super) trail: Trail,
 }
 
 impl PoolEngine {
@@ -176,6 +178,7 @@
             next_check_ms: 0,
             jobs_to_review: HashSet::new(),
             actions: Vec::new(),
+            trail: Trail::default(),
         }
     }
 
@@ -373,6 +376,7 @@
             self.stop_obsolete_runs(now_ms);
             self.place(now_ms);
             self.summarize(now_ms);
+            self.trail.flush(&self.control.pool, self.control.term);
         }
         self.send_polls(now_ms);
         if let Some(write) = self.next_write(now) {
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -69,8 +69,10 @@
         }
         if !ends.is_empty() {
             let worker = self.workers.get(key).map_or("", |worker| worker.entry.worker.as_str());
-            log::info!(worker = worker, ends = ends.as_str(), term = self.control.term.0;
-                "runs ended");
+            self.trail.add_ends(format_args!("{worker}: {ends}"));
+            if self.trail.is_full() {
+                self.trail.flush(&self.control.pool, self.control.term);
+            }
         }
         self.reconcile(now_ms, key, sent_ms, &report);
         self.pace_best_effort(now_ms, key, &report);
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -21,6 +21,7 @@
 mod starts;
 mod stops;
 mod task;
+mod trail;
 mod workers;
 mod writer;
 
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -206,9 +206,9 @@
         is_placed
     }
 
-    /// Logs the starts of a step's tasks in one line, each as its index, its run
-    /// and its worker.
-    fn log_starts(&self, now_ms: u64, step: TaskRef, places: &[(u32, WorkerKey)]) {
+    /// Adds the starts of a step's tasks to the trail: the step with the age of
+    /// its job, then each task's index, run and worker.
+    fn log_starts(&mut self, now_ms: u64, step: TaskRef, places: &[(u32, WorkerKey)]) {
         if places.is_empty() || !log::log_enabled!(log::Level::Info) {
             return;
         }
@@ -218,16 +218,17 @@
             let task = self.job_table.task(TaskRef { index, ..step });
             let run = task.and_then(|task| task.runs.iter().find(|run| run.worker == key));
             if let (Some(run), Some(worker)) = (run, self.workers.get(key)) {
-                let separator = if starts.is_empty() { "" } else { " " };
-                let name = worker.entry.worker.as_str();
                 // Writing to a string cannot fail.
-                let _ = write!(starts, "{separator}{index}:{}@{name}", run.number);
+                let _ = write!(starts, " {index}:{}@{}", run.number, worker.entry.worker.as_str());
             }
         }
+        let (number, age_ms) = (job.number, job.age_ms(now_ms));
         let TaskRef { occurrence, step, .. } = step;
-        log::info!(job:display = job.number, occurrence = occurrence, step = step,
-            starts = starts.as_str(), age_ms = job.age_ms(now_ms), term = self.control.term.0;
-            "starts ordered");
+        self.trail
+            .add_starts(format_args!("{number}.{occurrence}.{step} after {age_ms} ms:{starts}"));
+        if self.trail.is_full() {
+            self.trail.flush(&self.control.pool, self.control.term);
+        }
     }
 
     fn choose(&self, now_ms: u64, task: TaskRef) -> Option<WorkerKey> {
