Check callers' keys, and charge jobs to client accounts

Cause: the dispatcher decoded no accounts, so every key was served.

Change: the configuration's accounts and public queues are decoded in the adapter. A request is checked against the configuration in force; where keys must stop without the store, a configuration that was not confirmed for 0.6 of that time accepts no key. Jobs carry their account, and runs are charged to it.

--- a/crates/dispatch/src/coordination/mod.rs
+++ b/crates/dispatch/src/coordination/mod.rs
@@ -1,6 +1,7 @@
 //! Decision logic as state machines without I/O: events and clock readings in,
 //! actions out.
 
+pub mod access;
 pub mod balance;
 pub mod control;
 pub mod pool;
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -4,7 +4,7 @@
 use hashbrown::{HashMap, HashSet};
 use tamarackproxy::state::{
     clock::ClockReading,
-    ids::{HostId, PoolId, QueueId, RecordVersion, Term, WorkerId},
+    ids::{AccountId, HostId, PoolId, QueueId, RecordVersion, Term, WorkerId},
 };
 
 use super::{
@@ -99,6 +99,17 @@
     }
 }
 
+/// State of a job for callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobView {
+    /// Client account of the job; none if its queue was public.
+    pub account: Option<AccountId>,
+    /// A task has started.
+    pub has_started: bool,
+    /// How the job ended, if that is stored.
+    pub outcome: Option<JobOutcome>,
+}
+
 /// The term under which the engine controls its pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolControl {
@@ -235,11 +246,9 @@
             }
             (None, JobState::Live(spec)) => {
                 let is_inherited = version <= self.control.since;
-                let job = Job::new(number, record.queue, spec, version).with_arrival(
-                    now,
-                    record.accepted_unix_ms,
-                    is_inherited,
-                );
+                let job = Job::new(number, record.queue, spec, version)
+                    .with_account(record.account)
+                    .with_arrival(now, record.accepted_unix_ms, is_inherited);
                 self.durations.on_job(&job.queue, job.work_core_ms());
                 let work_core_ms = self.batch_work_core_ms(&job);
                 self.arrivals.add(now.monotonic_ms, work_core_ms);
@@ -463,11 +472,14 @@
         times.into_iter().flatten().fold(self.next_check_ms, u64::min)
     }
 
-    /// Returns a job's state for callers: whether a task has started, or how
-    /// it ended if that is stored.
-    pub fn job_state(&self, number: JobNumber) -> Option<(bool, Option<JobOutcome>)> {
+    /// Returns a job's state for callers.
+    pub fn job_state(&self, number: JobNumber) -> Option<JobView> {
         let job = self.job_table.job(self.job_table.find(number)?)?;
-        Some((job.has_started, job.outcome.filter(|_| job.is_outcome_stored)))
+        Some(JobView {
+            account: job.account.clone(),
+            has_started: job.has_started,
+            outcome: job.outcome.filter(|_| job.is_outcome_stored),
+        })
     }
 
     pub(super) fn mark_progress(&mut self, now_ms: u64, task: TaskRef) -> ProgressSequence {
@@ -499,7 +511,12 @@
         Some((
             job.number,
             job.version,
-            JobRecord { queue: job.queue.clone(), accepted_unix_ms, state },
+            JobRecord {
+                queue: job.queue.clone(),
+                account: job.account.clone(),
+                accepted_unix_ms,
+                state,
+            },
         ))
     }
 }
--- a/crates/dispatch/src/coordination/pool/job_table.rs
+++ b/crates/dispatch/src/coordination/pool/job_table.rs
@@ -6,10 +6,11 @@
 use slotmap::SlotMap;
 use tamarackproxy::state::{
     clock::ClockReading,
-    ids::{QueueId, RecordVersion},
+    ids::{AccountId, QueueId, RecordVersion},
 };
 
 use super::{
+    accounts::AccountLedger,
     events::{JobKey, WorkerKey},
     order::RankInputs,
     task::{Run, Step, Task, TaskRef},
@@ -35,6 +36,8 @@
 pub(super) struct Job {
     pub(super) number: JobNumber,
     pub(super) queue: QueueId,
+    /// Client account that the job is charged to; none if its queue was public.
+    pub(super) account: Option<AccountId>,
     pub(super) spec: Rc<JobSpec>,
     /// Version of the job's record.
     pub(super) version: RecordVersion,
@@ -68,6 +71,7 @@
         Self {
             number,
             queue,
+            account: None,
             spec: Rc::new(spec),
             version,
             arrived_ms: 0,
@@ -84,6 +88,12 @@
         }
     }
 
+    /// Sets the client account that the job is charged to.
+    pub(super) fn with_account(mut self, account: Option<AccountId>) -> Self {
+        self.account = account;
+        self
+    }
+
     /// Sets when the engine learned of the job and how old it was then. The
     /// acceptance time comes from another process's clock, so the age is
     /// bounded.
@@ -168,6 +178,7 @@
     by_number: HashMap<JobNumber, JobKey>,
     /// Open steps that may have tasks without a run, each by its first task.
     unstarted: HashSet<TaskRef>,
+    accounts: AccountLedger,
 }
 
 impl JobTable {
@@ -238,6 +249,20 @@
         });
     }
 
+    /// Adds a run of a task and charges it to the job's account.
+    pub(super) fn add_run(&mut self, task: TaskRef, run: Run) {
+        let Some(state) = self.task_mut(task) else { return };
+        state.runs.push(run);
+        let Some(job) = self.jobs.get_mut(task.job) else { return };
+        job.live_runs += 1;
+        job.has_started = true;
+        if let (Some(account), Some(spec)) =
+            (&job.account, job.spec.steps.get(usize::from(task.step)))
+        {
+            self.accounts.charge(account, &spec.need);
+        }
+    }
+
     /// Removes a run that has ended or was never started.
     pub(super) fn take_run(
         &mut self,
@@ -246,6 +271,12 @@
         number: RunNumber,
     ) -> Option<Run> {
         let run = self.task_mut(task)?.take_run(worker, number)?;
+        let job = self.jobs.get(task.job)?;
+        if let (Some(account), Some(spec)) =
+            (&job.account, job.spec.steps.get(usize::from(task.step)))
+        {
+            self.accounts.release(account, &spec.need);
+        }
         self.unstarted.insert(TaskRef { index: 0, ..task });
         Some(run)
     }
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -377,7 +377,7 @@
         if !running.checkpoint.is_empty() {
             state.checkpoint = running.checkpoint.clone();
         }
-        state.runs.push(Run {
+        let run = Run {
             worker: key,
             number: running.run,
             phase: RunPhase::Running { since_ms: now_ms },
@@ -386,11 +386,8 @@
             percent: running.percent,
             percent_since_ms: now_ms,
             pace: None,
-        });
-        if let Some(job) = self.job_table.job_mut(task.job) {
-            job.live_runs += 1;
-            job.has_started = true;
-        }
+        };
+        self.job_table.add_run(task, run);
         self.jobs_to_review.insert(task.job);
         self.workers.allocate(key, task, running.run, allocation);
         self.placing_due = true;
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -1,11 +1,12 @@
 //! Scheduler of one pool: decides which task runs on which worker.
 //!
 //! [`PoolEngine`] connects parts that keep their own invariants: the table of
-//! jobs and tasks (`job_table`), the state of each worker (`workers`), the
+//! jobs and tasks (`job_table`), the use by client accounts (`accounts`), the state of each worker (`workers`), the
 //! priority order of waiting work (`order`), worker selection (`placement`),
 //! expected durations (`durations`), tasks under which workers crashed
 //! (`crashes`) and pending writes to the store (`writer`).
 
+mod accounts;
 mod advice;
 mod copies;
 mod crashes;
@@ -29,7 +30,7 @@
 mod writer;
 
 pub use self::{
-    engine::{PoolControl, PoolEngine, PoolTiming, QueuePolicy},
+    engine::{JobView, PoolControl, PoolEngine, PoolTiming, QueuePolicy},
     events::{
         AdviceQuestion, EndKind, EndedTask, JobKey, Order, OrderReply, OrderTarget, PollFailure,
         PollReport, PollRequest, PoolAction, Refusal, RunningTask, StartOrder, WorkerContact,
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -426,7 +426,8 @@
         }
         (state.waits_alone_since_ms, state.has_waited_alone) = (None, false);
         state.starts = starts + 1;
-        state.runs.push(Run {
+        let checkpoint = state.checkpoint.clone();
+        let run = Run {
             worker: key,
             number,
             phase: RunPhase::Ordered,
@@ -435,12 +436,10 @@
             percent: 0,
             percent_since_ms: now_ms,
             pace: None,
-        });
-        let checkpoint = state.checkpoint.clone();
+        };
+        self.job_table.add_run(task, run);
         let ticket = self.advice.ticket(now_ms, task, key).unwrap_or_default().into();
-        let Some(job) = self.job_table.job_mut(task.job) else { return };
-        job.live_runs += 1;
-        job.has_started = true;
+        let Some(job) = self.job_table.job(task.job) else { return };
         let order =
             StartOrder { job: std::rc::Rc::clone(&job.spec), valid_until_ms, checkpoint, ticket };
         let target = OrderTarget { worker: key, task: address, run: number };
--- a/crates/dispatch/src/node/callers.rs
+++ b/crates/dispatch/src/node/callers.rs
@@ -20,7 +20,11 @@
     shared::Shared,
 };
 use crate::{
-    coordination::submission::{SubmissionAction, SubmissionAnswer, SubmissionWrite},
+    coordination::{
+        access::Caller,
+        pool::JobView,
+        submission::{SubmissionAction, SubmissionAnswer, SubmissionWrite},
+    },
     state::{
         InvalidJob, JobNumber, JobOutcome, JobRecord, JobSpec, JobState, QueueSettings, Summary,
         encode,
@@ -36,7 +40,7 @@
 const RETRY_MS: u64 = 40;
 /// Retry delay sent to callers while the process cannot serve them, in
 /// milliseconds.
-const RETRY_AFTER_MS: u64 = 1_000;
+pub(super) const RETRY_AFTER_MS: u64 = 1_000;
 
 /// A decoded request of a caller.
 #[derive(Clone, Debug, PartialEq)]
@@ -78,6 +82,8 @@
     NoSuchQueue,
     /// the queue {0} has no pool; add its service to the configuration
     NoPool(QueueId),
+    /// the key is missing or unknown; send a key of the account in the Authorization header
+    Unauthorized,
     /// the method is not known here; use POST, GET or DELETE
     Method,
     /// the path names no job; give 16 hexadecimal digits
@@ -128,6 +134,7 @@
 /// Serves one request within its timeout.
 pub(super) async fn serve<P>(
     shared: &Rc<Shared<P>>,
+    caller: &Caller,
     request: CallerRequest,
     timeout_ms: Option<u64>,
 ) -> CallerResponse
@@ -138,15 +145,15 @@
     let time = Duration::from_millis(timeout_ms);
     match request {
         CallerRequest::Submit { queue, job, spec } => {
-            submit(shared, &queue, job, spec, timeout_ms).await
+            submit(shared, caller, &queue, job, spec, timeout_ms).await
         }
         CallerRequest::State { queue, job } => {
-            let state = timeout(time, job_state(shared, &queue, job)).await;
+            let state = timeout(time, job_state(shared, caller, &queue, job)).await;
             state.unwrap_or(CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS })
         }
-        CallerRequest::Cancel { queue, job } => {
-            timeout(time, cancel(shared, &queue, job)).await.unwrap_or(CallerResponse::Unknown)
-        }
+        CallerRequest::Cancel { queue, job } => timeout(time, cancel(shared, caller, &queue, job))
+            .await
+            .unwrap_or(CallerResponse::Unknown),
         CallerRequest::CountWaiting { queue } => {
             let count = timeout(time, count_waiting(shared, &queue.pool, &queue.queue)).await;
             count.unwrap_or(CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS })
@@ -156,6 +163,7 @@
 
 async fn submit<P>(
     shared: &Rc<Shared<P>>,
+    caller: &Caller,
     queue: &QueueSettings,
     job: JobNumber,
     spec: JobSpec,
@@ -172,6 +180,7 @@
     let now = clock::read();
     let record = JobRecord {
         queue: queue.queue.clone(),
+        account: caller.account().cloned(),
         accepted_unix_ms: now.unix_ms,
         state: JobState::Live(spec),
     };
@@ -241,20 +250,28 @@
     send_due_writes(&shared);
 }
 
-async fn job_state<P>(shared: &Shared<P>, queue: &QueueSettings, job: JobNumber) -> CallerResponse
+async fn job_state<P>(
+    shared: &Shared<P>,
+    caller: &Caller,
+    queue: &QueueSettings,
+    job: JobNumber,
+) -> CallerResponse
 where
     P: Platform,
 {
     let engine = shared.engines.borrow().get(&queue.pool).cloned();
     if let Some(engine) = engine
-        && let Some((has_started, outcome)) = engine.borrow().job_state(job)
+        && let Some(JobView { account, has_started, outcome }) = engine.borrow().job_state(job)
     {
+        if !caller.may_see(account.as_ref()) {
+            return CallerResponse::NoSuchJob;
+        }
         return CallerResponse::State { has_started, outcome };
     }
     loop {
         match shared.read(&JobRecord::key(queue.pool.as_str(), job)).await {
             Ok(None) => return CallerResponse::NoSuchJob,
-            Ok(Some(item)) => return stored_state(shared, queue, job, &item).await,
+            Ok(Some(item)) => return stored_state(shared, caller, queue, job, &item).await,
             Err(StoreError::Throttled) => sleep(Duration::from_millis(RETRY_MS)).await,
             Err(StoreError::NotSent) if shared.store_is_reachable() => {
                 sleep(Duration::from_millis(RETRY_MS)).await;
@@ -268,6 +285,7 @@
 /// Determines a job's state from its record in the store.
 async fn stored_state<P>(
     shared: &Shared<P>,
+    caller: &Caller,
     queue: &QueueSettings,
     job: JobNumber,
     item: &KeyValue,
@@ -278,7 +296,7 @@
     let Some(record) = decode_item::<JobRecord>(item) else {
         return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
     };
-    if record.queue != queue.queue {
+    if record.queue != queue.queue || !caller.may_see(record.account.as_ref()) {
         return CallerResponse::NoSuchJob;
     }
     match record.state {
@@ -293,7 +311,12 @@
     }
 }
 
-async fn cancel<P>(shared: &Shared<P>, queue: &QueueSettings, job: JobNumber) -> CallerResponse
+async fn cancel<P>(
+    shared: &Shared<P>,
+    caller: &Caller,
+    queue: &QueueSettings,
+    job: JobNumber,
+) -> CallerResponse
 where
     P: Platform,
 {
@@ -311,7 +334,7 @@
         let Some(record) = decode_item::<JobRecord>(&item) else {
             return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
         };
-        if record.queue != queue.queue {
+        if record.queue != queue.queue || !caller.may_see(record.account.as_ref()) {
             return CallerResponse::NoSuchJob;
         }
         if matches!(record.state, JobState::Ended { .. }) {
--- a/crates/dispatch/src/node/fake.rs
+++ b/crates/dispatch/src/node/fake.rs
@@ -28,7 +28,7 @@
         upkeep::{HostOrderReply, HostView},
     },
     settings::DispatchSettings,
-    state::{ServingDocument, WaveNumber, WaveState, WorkerEntry},
+    state::{KeyDigest, QueueSettings, ServingDocument, WaveNumber, WaveState, WorkerEntry},
 };
 
 /// Platform that records orders and transactions; only workers answer.
@@ -119,9 +119,14 @@
         HostOrderReply::Refused
     }
 
+    fn caller_key(&self, _: &HeaderMap) -> Option<KeyDigest> {
+        None
+    }
+
     fn decode_request(
         &self,
         _: &ServingDocument,
+        _: &QueueSettings,
         _: RequestHead<'_>,
         _: &[u8],
     ) -> Result<CallerRequest, RequestError> {
--- a/crates/dispatch/src/node/follow.rs
+++ b/crates/dispatch/src/node/follow.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use super::{
+    clock,
     platform::{ChangesError, Listing, Platform},
     shared::Shared,
 };
@@ -38,8 +39,12 @@
 {
     let mut delay_ms = RETRY_MIN_MS;
     loop {
+        let sent_ms = clock::read().monotonic_ms;
         match shared.list(prefix).await {
-            Ok(listing) => return listing,
+            Ok(listing) => {
+                shared.confirm_prefix(prefix, sent_ms);
+                return listing;
+            }
             Err(error) => {
                 log::info!(prefix = prefix, error:display = error;
                     "prefix could not be listed; retrying");
@@ -96,6 +101,7 @@
             sink(PrefixUpdate::Listed(listing.items));
             continue;
         };
+        let sent_ms = clock::read().monotonic_ms;
         match shared.changes(&prefix, after, CHANGES_WAIT_MS).await {
             Ok(changes) => {
                 delay_ms = RETRY_MIN_MS;
@@ -104,6 +110,7 @@
                 for event in changes.events {
                     sink(PrefixUpdate::Changed(event));
                 }
+                shared.confirm_prefix(&prefix, sent_ms);
                 if coalesces {
                     sleep(Duration::from_millis(coalesce_ms)).await;
                 }
--- a/crates/dispatch/src/node/platform.rs
+++ b/crates/dispatch/src/node/platform.rs
@@ -22,7 +22,9 @@
         },
         upkeep::{HostOrderReply, HostView},
     },
-    state::{ServingDocument, WaveNumber, WaveRequest, WaveState, WorkerEntry},
+    state::{
+        KeyDigest, QueueSettings, ServingDocument, WaveNumber, WaveRequest, WaveState, WorkerEntry,
+    },
 };
 
 /// An atomic conditional write of several keys.
@@ -103,13 +105,11 @@
     }
 }
 
-/// Method, host name and path of a caller's request.
+/// A caller's request to a queue.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestHead<'a> {
     pub method: &'a Method,
-    /// Host name in the request.
-    pub authority: &'a str,
-    /// Path without query.
+    /// Path without query, after the queue's prefix.
     pub path: &'a str,
 }
 
@@ -198,7 +198,11 @@
         pool: &PoolId,
     ) -> impl Future<Output = HostOrderReply>;
 
-    /// Decodes a caller's request.
+    /// Returns the digest of the key that a request's headers carry; none if
+    /// there is no well-formed key.
+    fn caller_key(&self, headers: &http::HeaderMap) -> Option<KeyDigest>;
+
+    /// Decodes a caller's request to a queue.
     ///
     /// # Errors
     ///
@@ -206,6 +210,7 @@
     fn decode_request(
         &self,
         document: &ServingDocument,
+        queue: &QueueSettings,
         head: RequestHead<'_>,
         body: &[u8],
     ) -> Result<CallerRequest, RequestError>;
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -23,6 +23,7 @@
 };
 use crate::{
     coordination::{
+        access::ConfigurationAge,
         pool::PoolEngine,
         submission::{SubmissionAnswer, Submissions},
     },
@@ -65,6 +66,9 @@
     pub(super) submissions: RefCell<Submissions>,
     pub(super) submission_replies: RefCell<HashMap<RequestId, oneshot::Sender<SubmissionAnswer>>>,
     pub(super) stopping: watch::Sender<bool>,
+    /// When the last successful read of the operator's records was sent, in
+    /// milliseconds on the local clock.
+    configuration_confirmed_ms: Cell<u64>,
     /// Time of the last reply of the store, in milliseconds on the local clock.
     store_reply_ms: Cell<u64>,
     /// Whether the store was last logged as unreachable.
@@ -96,6 +100,7 @@
             submissions: RefCell::default(),
             submission_replies: RefCell::default(),
             stopping: watch::Sender::new(false),
+            configuration_confirmed_ms: Cell::new(0),
             store_reply_ms: Cell::new(0),
             store_is_unreachable: Cell::new(true),
             next_request: Cell::new(0),
@@ -122,6 +127,22 @@
         clock::read().monotonic_ms < self.store_reply_ms.get() + STORE_UNREACHABLE_MS
     }
 
+    /// Records that a prefix was read successfully by a call sent at `sent_ms`.
+    pub(super) fn confirm_prefix(&self, prefix: &str, sent_ms: u64) {
+        if prefix == self.platform.operator_prefix() {
+            self.configuration_confirmed_ms.set(sent_ms);
+        }
+    }
+
+    /// Returns how old the configuration may be.
+    pub(super) fn configuration_age(&self) -> ConfigurationAge {
+        ConfigurationAge {
+            now_ms: clock::read().monotonic_ms,
+            confirmed_ms: self.configuration_confirmed_ms.get(),
+            revocation_ms: self.settings.key_revocation_ms,
+        }
+    }
+
     /// Returns whether the process can serve new requests.
     pub(super) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.document.borrow().is_some() && self.store_is_reachable()
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -403,7 +403,12 @@
         let number = JobNumber(self.next_job);
         self.next_job += 1;
         let accepted_unix_ms = self.now().unix_ms;
-        let record = JobRecord { queue: queue(), accepted_unix_ms, state: JobState::Live(spec) };
+        let record = JobRecord {
+            queue: queue(),
+            account: None,
+            accepted_unix_ms,
+            state: JobState::Live(spec),
+        };
         self.accepted_ms.insert(number, self.now_ms);
         self.store_job(number, record);
         number
@@ -418,6 +423,7 @@
     pub fn cancel(&mut self, job: JobNumber) {
         let (outcome, ended_unix_ms) = (JobOutcome::Cancelled, self.now().unix_ms);
         let record = JobRecord {
+            account: None,
             queue: queue(),
             accepted_unix_ms: 0,
             state: JobState::Ended { outcome, ended_unix_ms },
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -51,6 +51,11 @@
     pub worker_lease_max_ms: u64,
     /// Time for which callers may query an ended job, in milliseconds.
     pub status_ms: u64,
+    /// Time within which a withdrawn key must stop even on a process that does
+    /// not reach the store, in milliseconds; none if nothing demands that.
+    pub key_revocation_ms: Option<u64>,
+    /// Time within which a configuration must be in force, in milliseconds.
+    pub configuration_apply_ms: u64,
     /// Time that a host is down for maintenance, in milliseconds.
     pub maintenance_ms: u64,
     /// Time that a move of a host to another pool takes, in milliseconds.
@@ -126,7 +131,11 @@
         let cores = reader.or_default("cores", CORES, 1.0_f64);
         let descriptors = reader.or_default("descriptors", COUNT, 1_024_usize);
         let workers_per_relay = reader.or_default("workers_per_relay", COUNT, WORKERS_PER_RELAY);
-        let worker_ms = (worker_lease_max_ms, maintenance_ms, move_ms);
+        // An empty value means that no key has to stop without the store.
+        let key_revocation_ms = reader.list("key_revocation_ms", COUNT).into_iter().next();
+        let configuration_apply_ms = reader.or_default("configuration_apply_ms", COUNT, 2_000);
+        let configuration_ms = (key_revocation_ms, configuration_apply_ms);
+        let worker_ms = (worker_lease_max_ms, maintenance_ms, move_ms, configuration_ms);
         Some((stop_ms, status_ms, worker_ms, cores, descriptors, workers_per_relay))
     });
     let level = read_section(sections, "log", errors, |reader| {
@@ -137,7 +146,8 @@
     let (callers, ready, metrics, relay) = listen?;
     let (store, hosts, host_fencing, advice) = platform?;
     let (stop_ms, status_ms, worker_ms, cores, descriptors, workers_per_relay) = limits?;
-    let (worker_lease_max_ms, maintenance_ms, move_ms) = worker_ms;
+    let (worker_lease_max_ms, maintenance_ms, move_ms, configuration_ms) = worker_ms;
+    let (key_revocation_ms, configuration_apply_ms) = configuration_ms;
     Some(DispatchSettings {
         entry,
         data_centre,
@@ -152,6 +162,8 @@
         stop_ms,
         worker_lease_max_ms,
         status_ms,
+        key_revocation_ms,
+        configuration_apply_ms,
         maintenance_ms,
         move_ms,
         cores,
--- a/crates/dispatch/src/state/mod.rs
+++ b/crates/dispatch/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! Data types of the dispatcher: jobs, stored records, the served
 //! configuration, workers and maintenance waves.
 
+mod account;
 mod ids;
 mod job;
 mod record;
@@ -9,6 +10,7 @@
 mod worker;
 
 pub use self::{
+    account::{AccountSettings, Accounts, KeyDigest, KeyHasher},
     ids::{JobNumber, JobNumberError, RunNumber, TaskAddress},
     job::{InvalidJob, JobSpec, Schedule, StepSpec, TASKS_MAX},
     record::{
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use strum::{Display as StrumDisplay, EnumString};
 use tamarackproxy::{
-    state::ids::{EntryId, HostId, PoolId, QueueId, Term, WorkerId},
+    state::ids::{AccountId, EntryId, HostId, PoolId, QueueId, Term, WorkerId},
     transport::frame::{self, FrameError},
 };
 
@@ -71,6 +71,8 @@
 pub struct JobRecord {
     /// The queue that the job was submitted to.
     pub queue: QueueId,
+    /// Client account of the job; none if its queue was public.
+    pub account: Option<AccountId>,
     /// Time of acceptance on the accepting process's clock, in milliseconds
     /// since 1970.
     pub accepted_unix_ms: u64,
--- a/crates/dispatch/src/state/serving.rs
+++ b/crates/dispatch/src/state/serving.rs
@@ -2,6 +2,8 @@
 
 use tamarackproxy::state::ids::{PoolId, QueueId, RecordVersion};
 
+use super::account::Accounts;
+
 /// Limits on callers' requests and connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -50,6 +52,8 @@
     /// Settings of the policy service that selects the permitted workers; none
     /// if every worker is permitted.
     pub advice: Option<AdviceSettings>,
+    /// Callers need no key.
+    pub is_public: bool,
 }
 
 /// Duration of queries to the policy service, and validity of its answers.
@@ -81,6 +85,9 @@
     pub record: RecordVersion,
     pub queues: Vec<QueueSettings>,
     pub pools: Vec<PoolSettings>,
+    /// Client accounts; none if the deployment has no accounts, so that requests
+    /// need no key.
+    pub accounts: Option<Accounts>,
     /// Limits for callers.
     pub limits: CallerLimits,
 }
--- a/crates/tamarackproxy/src/state/ids.rs
+++ b/crates/tamarackproxy/src/state/ids.rs
@@ -106,6 +106,8 @@
     PoolId;
     /// Name of a service.
     ServiceId;
+    /// Name of a client account.
+    AccountId;
     /// Name of a caller within the shared account.
     CallerId;
     /// Name of a team of operators.
