Place long-running tasks of several steps on the same workers

Change: where the configuration has a standby pool, a task of a long-running step goes to a worker that already has one of another step, after the spread over racks and workers of its own step. Tasks whose tail latency counts, and best-effort tasks, are placed as before. A turn that is overdue by 2 s is no longer expected.

--- a/crates/dispatch/src/coordination/balance/tests.rs
+++ b/crates/dispatch/src/coordination/balance/tests.rs
@@ -87,6 +87,23 @@
     assert!(off > STANDBY, "{off} hosts are off");
 }
 
+/// Guards against hosts that wait idle for a surge which does not come: a turn
+/// that is overdue by two seconds is no longer expected.
+#[test]
+fn hosts_do_not_wait_for_a_surge_that_does_not_come() {
+    let mut fleet = replay_surges(true);
+    let mut waiting_steps = 0;
+    for _ in 0..150 {
+        fleet.step([0; 4], true);
+        let mut sizes = (0..POOLS.len()).map(|index| fleet.up(&pool(index)));
+        waiting_steps += usize::from(sizes.any(|size| size > HOSTS_PER_POOL));
+    }
+    println!("{waiting_steps} steps of 100 ms");
+    // The hosts join 0.7 s before the turn, wait for 2 s, and are switched off
+    // 2.3 s after they were last needed.
+    assert!(waiting_steps <= 50, "hosts waited for {waiting_steps} steps");
+}
+
 /// Guards against moves under steady demand: each of them requires a drain.
 #[test]
 fn steady_demand_moves_nothing() {
--- a/crates/dispatch/src/coordination/balance/turns.rs
+++ b/crates/dispatch/src/coordination/balance/turns.rs
@@ -25,6 +25,10 @@
 /// Time from the start of a surge in which the expected peak is used rather
 /// than the measured one, in milliseconds: twice the smoothing.
 const ONSET_MS: u64 = 2_000;
+/// Time for which a surge that is due and does not begin is still expected, in
+/// milliseconds: the smoothing of two surges' onsets. Hosts that wait for it
+/// idle meanwhile.
+const OVERDUE_SURGE_MS: u64 = 2_000;
 /// Number of the last turns whose mean is expected for the next one.
 const TURNS_MAX: usize = 3;
 /// Shortest interval between surges, in milliseconds; shorter ones are noise.
@@ -214,7 +218,8 @@
             return onset;
         };
         let starts_ms = latest_ms + turn_ms;
-        let is_due = now_ms + horizon_ms >= starts_ms && now_ms < starts_ms + turn_ms / 2;
+        let expected_until_ms = starts_ms + OVERDUE_SURGE_MS.min(turn_ms / 2);
+        let is_due = now_ms + horizon_ms >= starts_ms && now_ms < expected_until_ms;
         let candidates = pools.clone().into_iter();
         let candidates = candidates.filter(|other| self.may_be_next(other, pools.clone())).count();
         if !is_due || candidates != 1 || !self.may_be_next(pool, pools) {
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -136,6 +136,8 @@
     pub(super) durations: Durations,
     pub(super) advice: Advice,
     pub(super) suspects: Suspects,
+    /// Idle hosts of the pool can be switched off.
+    pub(super) switches_off_hosts: bool,
     /// Tasks waited for capacity after the last placement round.
     pub(super) is_short: bool,
     /// Some workers are kept for tasks that run alone.
@@ -184,6 +186,7 @@
             durations: Durations::default(),
             advice: Advice::default(),
             suspects: Suspects::default(),
+            switches_off_hosts: false,
             is_short: false,
             suspects_reserved: false,
             vacating: HashSet::new(),
@@ -227,6 +230,11 @@
         self.placing_due = true;
     }
 
+    /// Sets whether idle hosts of the pool can be switched off.
+    pub fn set_switches_off_hosts(&mut self, switches_off_hosts: bool) {
+        self.switches_off_hosts = switches_off_hosts;
+    }
+
     pub(super) fn policy(&self, queue: &QueueId) -> QueuePolicy {
         self.queues.get(queue).cloned().unwrap_or_default()
     }
--- a/crates/dispatch/src/coordination/pool/placement.rs
+++ b/crates/dispatch/src/coordination/pool/placement.rs
@@ -4,7 +4,9 @@
 //! Tasks are placed best-fit, on the worker with the least capacity left
 //! afterwards, so that large gaps stay free for the next large task.
 //! Long-running tasks are spread over racks and workers instead, so that the
-//! loss of a rack affects as few tasks of a step as possible.
+//! loss of a rack affects as few tasks of a step as possible. Where idle hosts
+//! can be switched off, tasks of different long-running steps share workers:
+//! spread over all of them they would keep most hosts of an idle pool on.
 
 use hashbrown::HashMap;
 use tamarackproxy::coordination::jobs::Resources;
@@ -12,6 +14,7 @@
 use super::{
     crashes::Suspects,
     events::WorkerKey,
+    job_table::JobTable,
     task::{Step, Task},
     workers::{Presence, Worker, WorkerTable},
 };
@@ -66,6 +69,9 @@
     pub(super) is_last_attempt: bool,
     /// Tasks beside which this one should not run.
     pub(super) suspects: Option<&'a Suspects>,
+    /// Jobs whose long-running tasks a long-running task is placed beside; none
+    /// if idle hosts are never switched off.
+    pub(super) shared_with: Option<&'a JobTable>,
 }
 
 /// Returns whether new tasks may be started on a worker.
@@ -78,6 +84,11 @@
         && worker.fits_capacity()
 }
 
+/// Returns whether a long-running task runs on a worker.
+fn has_lasting(jobs: &JobTable, worker: &Worker) -> bool {
+    worker.runs.keys().any(|&task| jobs.spec(task).is_some_and(|spec| spec.is_lasting))
+}
+
 impl PlaceQuery<'_> {
     fn accepts(&self, key: WorkerKey, worker: &Worker, free: &Resources) -> bool {
         let label_fits =
@@ -116,7 +127,8 @@
                 let on_rack = on_racks.get(&*worker.entry.rack).copied().unwrap_or(0);
                 let left = free.minus(&self.spec.allocation());
                 let left = u64::MAX - left.dominant_share(&worker.entry.capacity);
-                (self.drawbacks(key, worker), on_rack, self.step.tasks_on(key), left)
+                let opens_worker = self.shared_with.is_some_and(|jobs| !has_lasting(jobs, worker));
+                (self.drawbacks(key, worker), on_rack, self.step.tasks_on(key), opens_worker, left)
             };
             return candidates.min_by_key(score).map(|(key, ..)| key);
         }
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -352,7 +352,12 @@
         let is_last_attempt =
             !spec.is_lasting && state.failed_runs.len() as u32 + 1 >= attempts_max;
         let suspects = (state.caution() == Caution::Apart).then_some(&self.suspects);
-        Some(PlaceQuery { spec, step, task: state, is_last_attempt, suspects })
+        // Tasks whose tail latency counts, and those that raise it, keep the
+        // workers with the most room.
+        let is_sensitive = spec.tail_goal_ms.is_some() || spec.uses_leftover;
+        let shares_hosts = self.switches_off_hosts && !is_sensitive;
+        let shared_with = shares_hosts.then_some(&self.job_table);
+        Some(PlaceQuery { spec, step, task: state, is_last_attempt, suspects, shared_with })
     }
 
     /// Starts all members of a gang or none; returns false if there was not
--- a/crates/dispatch/src/coordination/pool/tests/placing.rs
+++ b/crates/dispatch/src/coordination/pool/tests/placing.rs
@@ -1,5 +1,7 @@
 //! Placement of tasks.
 
+use rstest::rstest;
+
 use super::super::QueuePolicy;
 use crate::{
     replay::pool::{PoolSimulation, job, lasting, queue, step},
@@ -42,6 +44,22 @@
     assert_eq!(racks.len(), 3);
 }
 
+/// Guards against long-running tasks of several steps that each keep a host of
+/// their own on, although hosts that are idle can be switched off.
+#[rstest]
+#[case(true, 6)]
+#[case(false, 12)]
+fn long_running_steps_share_workers(#[case] switches_off: bool, #[case] used: usize) {
+    let mut simulation = PoolSimulation::new(12, 32);
+    simulation.engine(0).set_switches_off_hosts(switches_off);
+    for _ in 0..2 {
+        simulation.submit(job(vec![StepSpec { per_worker_max: Some(1), ..lasting(6) }]));
+        simulation.run_ms(500);
+    }
+    let workers = simulation.workers.iter().filter(|worker| !worker.runs().is_empty());
+    assert_eq!(workers.count(), used);
+}
+
 /// Guards against a step that starts before the steps that it depends on.
 #[test]
 fn steps_wait_for_the_steps_before_them() {
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -153,6 +153,8 @@
     pool: &PoolId,
 ) {
     let document = document.borrow_and_update().clone();
+    let mut pools = document.iter().flat_map(|document| &document.pools);
+    engine.set_switches_off_hosts(pools.any(|pool| pool.is_standby));
     let queues = document.iter().flat_map(|document| &document.queues);
     let queues = queues.filter(|queue| queue.pool == *pool).map(|queue| {
         let policy = QueuePolicy {
