Notice the loss of the store after 1.5 s

Cause: while a data centre is cut off, its entry hosts reported themselves ready for 2.5 s, so the load balancer sent callers elsewhere only 4.3 s after the cut.

--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -32,9 +32,10 @@
 };
 
 /// Time without a reply after which the store counts as unreachable and the
-/// process as not ready, in milliseconds: two calls for changes have failed by
-/// then.
-const STORE_UNREACHABLE_MS: u64 = 2_500;
+/// process as not ready, in milliseconds: half a second after the end of a long
+/// poll. The load balancer needs two more seconds to take a data centre that is
+/// cut off out of rotation, and callers give up after three.
+const STORE_UNREACHABLE_MS: u64 = 1_500;
 
 /// Shared state of one process.
 pub(super) struct Shared<P> {
