Share a full pool among client accounts by weight

Cause: waiting work of all accounts was placed in one order, so that a flood from one account delayed every account of the pool.

Change: useful work of accounts below their entitlement goes before that of accounts above it; within each group the order is as before. Entitlements are computed once per placement round, and a step is ranked again when its account reaches its entitlement within the round. Without accounts nothing is computed.

--- a/crates/dispatch/src/coordination/pool/accounts.rs
+++ b/crates/dispatch/src/coordination/pool/accounts.rs
@@ -20,6 +20,16 @@
 }
 
 impl AccountLedger {
+    /// Returns what an account uses.
+    pub(super) fn usage(&self, account: &AccountId) -> AccountUse {
+        self.accounts.get(account).copied().unwrap_or_default()
+    }
+
+    /// Lists the accounts with runs.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&AccountId, &AccountUse)> {
+        self.accounts.iter()
+    }
+
     /// Charges a run to its account.
     pub(super) fn charge(&mut self, account: &AccountId, need: &Resources) {
         // The name is cloned only for an account without runs.
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -12,6 +12,7 @@
     crashes::Suspects,
     durations::{ArrivalRate, Durations},
     events::{JobKey, PollRequest, PoolAction, WorkerContact, WorkerKey},
+    fair_share::FairShare,
     job_table::{Job, JobTable},
     task::TaskRef,
     trail::Trail,
@@ -136,6 +137,7 @@
     pub(super) durations: Durations,
     pub(super) advice: Advice,
     pub(super) suspects: Suspects,
+    pub(super) fair_share: FairShare,
     /// Tasks waited for capacity after the last placement round.
     pub(super) is_short: bool,
     /// Some workers are kept for tasks that run alone.
@@ -184,6 +186,7 @@
             durations: Durations::default(),
             advice: Advice::default(),
             suspects: Suspects::default(),
+            fair_share: FairShare::default(),
             is_short: false,
             suspects_reserved: false,
             vacating: HashSet::new(),
@@ -227,6 +230,16 @@
         self.placing_due = true;
     }
 
+    /// Applies the client accounts of a configuration with their weights; none if
+    /// the deployment has no accounts.
+    pub fn set_accounts<I>(&mut self, weights: I)
+    where
+        I: IntoIterator<Item = (AccountId, f64)>,
+    {
+        self.fair_share.set_weights(weights);
+        self.placing_due = true;
+    }
+
     pub(super) fn policy(&self, queue: &QueueId) -> QueuePolicy {
         self.queues.get(queue).cloned().unwrap_or_default()
     }
--- a/crates/dispatch/src/coordination/pool/job_table.rs
+++ b/crates/dispatch/src/coordination/pool/job_table.rs
@@ -195,6 +195,11 @@
         Some(job)
     }
 
+    /// Returns what the tasks of each client account take.
+    pub(super) fn accounts(&self) -> &AccountLedger {
+        &self.accounts
+    }
+
     pub(super) fn find(&self, number: JobNumber) -> Option<JobKey> {
         self.by_number.get(&number).copied()
     }
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -1,7 +1,8 @@
 //! Scheduler of one pool: decides which task runs on which worker.
 //!
 //! [`PoolEngine`] connects parts that keep their own invariants: the table of
-//! jobs and tasks (`job_table`), the use by client accounts (`accounts`), the state of each worker (`workers`), the
+//! jobs and tasks (`job_table`), the use by client accounts (`accounts`) and
+//! their entitlements (`fair_share`), the state of each worker (`workers`), the
 //! priority order of waiting work (`order`), worker selection (`placement`),
 //! expected durations (`durations`), tasks under which workers crashed
 //! (`crashes`) and pending writes to the store (`writer`).
@@ -14,6 +15,7 @@
 mod durations;
 mod engine;
 mod events;
+mod fair_share;
 mod health;
 mod job_table;
 mod looks;
--- a/crates/dispatch/src/coordination/pool/order.rs
+++ b/crates/dispatch/src/coordination/pool/order.rs
@@ -3,7 +3,9 @@
 //! Load pattern: queues of a pool surge in turn to several times the pool's
 //! capacity, for seconds, and are nearly empty in between. Work that can still
 //! meet its objective goes first, ordered by value per unit of work; work that
-//! cannot waits until the surge is over and is then served by age.
+//! cannot waits until the surge is over and is then served by age. Where client
+//! accounts share the pool, useful work of accounts above their entitlement goes
+//! after that of the others.
 
 /// Inputs to the rank of a step.
 #[derive(Clone, Copy, Debug)]
@@ -42,9 +44,32 @@
     Overdue,
 }
 
+/// Groups of waiting work by what callers and accounts may claim; earlier ones go
+/// first, whatever the band.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Precedence {
+    Lasting,
+    /// Can still benefit its callers.
+    Useful,
+    /// Can still benefit its callers, but its account is above its entitlement.
+    Deferred,
+    Overdue,
+}
+
+impl From<Band> for Precedence {
+    fn from(band: Band) -> Self {
+        match band {
+            Band::Lasting => Self::Lasting,
+            Band::Timely | Band::Late => Self::Useful,
+            Band::Overdue => Self::Overdue,
+        }
+    }
+}
+
 /// Position in the order; lower ones go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
+    precedence: Precedence,
     band: Band,
     priority: u32,
     key: u64,
@@ -79,6 +104,20 @@
             Band::Lasting | Band::Overdue => oldest_first,
             Band::Timely | Band::Late => cost,
         };
-        Rank { band, priority: self.priority, key }
+        Rank { precedence: band.into(), band, priority: self.priority, key }
+    }
+}
+
+impl Rank {
+    /// Returns whether the work competes for its account's entitlement.
+    pub(super) fn is_useful(&self) -> bool {
+        self.precedence == Precedence::Useful
+    }
+
+    /// Returns the rank of the same useful work if its account is above its
+    /// entitlement.
+    #[must_use]
+    pub(super) fn deferred(self) -> Self {
+        Self { precedence: Precedence::Deferred, ..self }
     }
 }
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -16,6 +16,7 @@
         AdviceQuestion, JobKey, Order, OrderReply, OrderTarget, PoolAction, Refusal, StartOrder,
         WorkerKey,
     },
+    fair_share::Standing,
     job_table::Job,
     order::{Rank, RankInputs},
     placement::{PlaceQuery, REACHABLE_MS, Unplaceable, is_plain, takes_work},
@@ -51,26 +52,46 @@
     Paced,
 }
 
+/// Which waiting tasks of a step a placement round started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Placed {
+    /// All that may start now.
+    All,
+    /// Some, until the step's account reached its entitlement.
+    UpToEntitlement,
+    /// Not all, for lack of capacity.
+    NoRoom,
+}
+
 impl PoolEngine {
     /// Starts waiting tasks in rank order as far as free capacity allows.
     pub(super) fn place(&mut self, now_ms: u64) {
         let mut unplaceable = Unplaceable::default();
         let mut waiting = BinaryHeap::from(self.waiting_steps(now_ms));
-        while let Some(Reverse((_, step))) = waiting.pop() {
+        while let Some(Reverse((rank, step))) = waiting.pop() {
+            let current = self.shared_rank(rank, step);
+            if current != rank {
+                waiting.push(Reverse((current, step)));
+                continue;
+            }
             let Some(spec) = self.job_table.spec(step) else { continue };
             let (allocation, is_plain) = (spec.allocation(), is_plain(spec));
             if unplaceable.covers(&allocation) {
                 self.query_policy(now_ms, step);
                 continue;
             }
-            let is_placed = if spec.is_gang {
+            let placed = if spec.is_gang {
                 self.place_gang(now_ms, step)
             } else {
-                self.place_step(now_ms, step)
+                self.place_step(now_ms, step, rank)
             };
-            if !is_placed {
-                unplaceable.add(allocation, is_plain && !self.needs_ticket(step));
-                self.query_policy(now_ms, step);
+            match placed {
+                Placed::All => {}
+                Placed::UpToEntitlement => waiting.push(Reverse((rank, step))),
+                Placed::NoRoom => {
+                    unplaceable.add(allocation, is_plain && !self.needs_ticket(step));
+                    self.query_policy(now_ms, step);
+                }
             }
         }
         self.is_short = !unplaceable.is_empty();
@@ -86,11 +107,45 @@
         job.is_some_and(|job| self.policy(&job.queue).advice.is_some())
     }
 
+    /// Returns the rank of a step after the placements so far: the useful work of
+    /// an account above its entitlement is deferred. An account's use only grows
+    /// within a round, so a step is deferred at most once.
+    fn shared_rank(&self, rank: Rank, step: TaskRef) -> Rank {
+        if !self.fair_share.is_enabled() || !rank.is_useful() {
+            return rank;
+        }
+        let job = self.job_table.job(step.job);
+        let Some(account) = job.and_then(|job| job.account.as_ref()) else { return rank };
+        let used = self.job_table.accounts().usage(account);
+        match self.fair_share.standing(account, &used) {
+            Standing::Below => rank,
+            Standing::Above => rank.deferred(),
+        }
+    }
+
+    /// Computes the accounts' entitlements in this round, if there are accounts.
+    fn measure_shares(&mut self, now_ms: u64) {
+        if !self.fair_share.is_enabled() {
+            return;
+        }
+        let open = self.workers.iter().map(|(_, worker)| worker);
+        let open = open.filter(|worker| takes_work(worker, now_ms) && !worker.is_vacating);
+        let capacity =
+            open.fold(Resources::default(), |sum, worker| sum.plus(&worker.entry.capacity));
+        // Steps for which there is no room now count as waiting, too.
+        let waiting = self.job_table.unstarted().filter_map(|step| self.job_table.job(step.job));
+        let waiting = waiting.filter(|job| job.outcome.is_none());
+        let waiting = waiting.filter_map(|job| job.account.as_ref());
+        let running = self.job_table.accounts().iter().map(|(account, _)| account);
+        self.fair_share.begin_round(capacity, running.chain(waiting));
+    }
+
     /// Lists open steps with waiting tasks and their ranks.
     fn waiting_steps(&mut self, now_ms: u64) -> Vec<Reverse<(Rank, TaskRef)>> {
         let mut waiting = Vec::new();
         let largest = self.largest_free_capacity(now_ms);
         self.job_table.prune_unstarted();
+        self.measure_shares(now_ms);
         for at in self.job_table.unstarted() {
             let Some(job) = self.job_table.job(at.job) else { continue };
             if !self.is_startable(job) {
@@ -105,7 +160,7 @@
             if waits {
                 let inputs = self.rank_inputs(job, now_ms);
                 let rank = RankInputs { is_lasting: spec.is_lasting, ..inputs }.rank();
-                waiting.push(Reverse((rank, at)));
+                waiting.push(Reverse((self.shared_rank(rank, at), at)));
             }
         }
         waiting
@@ -185,12 +240,11 @@
         }
     }
 
-    /// Starts the waiting tasks of a step; returns whether all of them were
-    /// placed.
-    fn place_step(&mut self, now_ms: u64, step: TaskRef) -> bool {
+    /// Starts the waiting tasks of a step, as long as its rank stays the same.
+    fn place_step(&mut self, now_ms: u64, step: TaskRef, rank: Rank) -> Placed {
         let tasks = self.job_table.step(step).map_or(0, |step| step.tasks.len());
         let mut places = Vec::new();
-        let mut is_placed = true;
+        let mut placed = Placed::All;
         for index in 0..tasks as u32 {
             let task = TaskRef { index, ..step };
             let is_placed_alone = self.caution(task) == Caution::Alone;
@@ -200,8 +254,12 @@
             {
                 continue;
             }
+            if self.shared_rank(rank, step) != rank {
+                placed = Placed::UpToEntitlement;
+                break;
+            }
             let Some(worker) = self.choose(now_ms, task) else {
-                is_placed = false;
+                placed = Placed::NoRoom;
                 break;
             };
             let starts = self.job_table.task(task).map_or(0, |task| task.starts);
@@ -209,7 +267,7 @@
             self.start(now_ms, task, worker, starts);
         }
         self.log_starts(now_ms, step, &places);
-        is_placed
+        placed
     }
 
     /// Adds the starts of a step's tasks to the trail: the step with the age of
@@ -355,28 +413,27 @@
         Some(PlaceQuery { spec, step, task: state, is_last_attempt, suspects })
     }
 
-    /// Starts all members of a gang or none; returns false if there was not
-    /// enough capacity.
-    fn place_gang(&mut self, now_ms: u64, step: TaskRef) -> bool {
-        let Some(state) = self.job_table.step(step) else { return true };
+    /// Starts all members of a gang or none.
+    fn place_gang(&mut self, now_ms: u64, step: TaskRef) -> Placed {
+        let Some(state) = self.job_table.step(step) else { return Placed::All };
         // The gang waits until the earlier runs of all members have certainly
         // ended.
         if !state.tasks.iter().all(|task| task.waits(now_ms)) {
-            return true;
+            return Placed::All;
         }
         let members = state.tasks.len() as u32;
         if !(0..members).all(|index| self.is_crash_stored(TaskRef { index, ..step })) {
-            return true;
+            return Placed::All;
         }
         let starts = state.tasks.iter().map(|task| task.starts).max().unwrap_or(0);
-        let Some(spec) = self.job_table.spec(step) else { return true };
+        let Some(spec) = self.job_table.spec(step) else { return Placed::All };
         let (allocation, spread) = (spec.allocation(), spec.per_worker_max);
         let mut planned: HashMap<WorkerKey, (u32, Resources)> = HashMap::new();
         let mut planned_alone: HashSet<WorkerKey> = HashSet::new();
         let mut places = Vec::with_capacity(members as usize);
         for index in 0..members {
             let Some(query) = self.place_query(TaskRef { index, ..step }) else {
-                return true;
+                return Placed::All;
             };
             let runs_alone = self.caution(TaskRef { index, ..step }) == Caution::Alone;
             let free_capacity = |key: WorkerKey, worker: &Worker| match planned.get(&key) {
@@ -388,7 +445,7 @@
             let task = TaskRef { index, ..step };
             let excluded = self.exclusion(now_ms, task, Sharing::Exclusive);
             let Some(worker) = query.choose(&self.workers, now_ms, free_capacity, excluded) else {
-                return false;
+                return Placed::NoRoom;
             };
             let (count, taken) = planned.entry(worker).or_default();
             *count += 1;
@@ -403,7 +460,7 @@
             self.start(now_ms, TaskRef { index, ..step }, worker, starts);
         }
         self.log_starts(now_ms, step, &places);
-        true
+        Placed::All
     }
 
     pub(super) fn start(&mut self, now_ms: u64, task: TaskRef, key: WorkerKey, starts: u32) {
--- /dev/null
+++ b/crates/dispatch/src/coordination/pool/tests/fair_share.rs
@@ -0,0 +1,103 @@
+//! Fair share of a full pool among client accounts.
+
+use crate::replay::pool::{PoolSimulation, job, step, task};
+
+/// Creates a pool of 8 cores with two accounts of the given weights.
+fn shared_pool(weights: [f64; 2]) -> PoolSimulation {
+    let mut simulation = PoolSimulation::new(2, 4);
+    simulation.set_accounts(&[("first", weights[0]), ("second", weights[1])]);
+    simulation
+}
+
+/// Guards against an account that gets a full pool in the order of work alone: the
+/// smaller jobs of the other account would all go first.
+#[test]
+fn full_pool_is_shared_by_weight() {
+    let mut simulation = shared_pool([3.0, 1.0]);
+    for _ in 0..20 {
+        simulation.submit_as("first", job(vec![step(2, 1_000, 2_000)]));
+        simulation.submit_as("second", job(vec![step(1, 1_000, 2_000)]));
+    }
+    simulation.run_ms(200);
+    assert_eq!(simulation.running_of("first"), 6);
+    assert_eq!(simulation.running_of("second"), 2);
+}
+
+/// Guards against a step that takes more than its account's entitlement because
+/// all of its tasks are placed at once.
+#[test]
+fn large_step_stops_at_the_entitlement() {
+    let mut simulation = shared_pool([1.0, 1.0]);
+    simulation.submit_as("first", job(vec![step(8, 1_000, 2_000)]));
+    simulation.submit_as("second", job(vec![step(8, 1_000, 2_500)]));
+    simulation.run_ms(200);
+    assert_eq!(simulation.running_of("first"), 4);
+    assert_eq!(simulation.running_of("second"), 4);
+}
+
+/// Guards against capacity that stays idle because its account does not use it.
+#[test]
+fn unused_share_goes_to_the_others() {
+    let mut simulation = shared_pool([1.0, 1.0]);
+    simulation.submit_as("first", job(vec![step(1, 1_000, 5_000)]));
+    simulation.submit_as("second", job(vec![step(12, 1_000, 5_000)]));
+    simulation.run_ms(200);
+    assert_eq!(simulation.running_of("second"), 7);
+}
+
+/// Guards against an account that waits for room although the pool has some.
+#[test]
+fn pool_with_room_starts_everything() {
+    let mut simulation = shared_pool([1.0, 100.0]);
+    simulation.submit_as("first", job(vec![step(7, 1_000, 5_000)]));
+    simulation.submit_as("second", job(vec![step(1, 1_000, 5_000)]));
+    simulation.run_ms(100);
+    assert_eq!(simulation.running(), 8);
+}
+
+/// Guards against public work that waits for accounts above their entitlement.
+#[test]
+fn public_work_goes_before_accounts_above_their_entitlement() {
+    let mut simulation = shared_pool([1.0, 1.0]);
+    simulation.submit_as("second", job(vec![step(1, 1_000, 5_000)]));
+    simulation.submit_as("first", job(vec![step(7, 1_000, 600)]));
+    simulation.run_ms(100);
+    for _ in 0..8 {
+        simulation.submit_as("first", job(vec![step(1, 1_000, 600)]));
+    }
+    let public = simulation.submit(job(vec![step(3, 1_000, 650)]));
+    simulation.run_ms(700);
+    assert_eq!(simulation.running_of("first"), 4);
+    assert!((0..3).all(|index| simulation.is_running(task(public, 0, index))));
+}
+
+/// Guards against a successor that takes an account's adopted runs for unused
+/// entitlement.
+#[test]
+fn successor_counts_the_runs_that_it_finds() {
+    let mut simulation = shared_pool([1.0, 1.0]);
+    simulation.submit_as("first", job(vec![step(6, 1_000, 20_000)]));
+    simulation.run_ms(500);
+    simulation.kill(0);
+    simulation.add_controller();
+    simulation.run_ms(1_000);
+    // The jobs of the first account are worth more per work, and would go first.
+    for _ in 0..4 {
+        simulation.submit_as("first", job(vec![step(1, 1_000, 2_000)]));
+        simulation.submit_as("second", job(vec![step(2, 1_000, 2_000)]));
+    }
+    simulation.run_ms(200);
+    assert_eq!(simulation.running_of("second"), 2);
+}
+
+/// Guards against runs in excess of its entitlement that an account loses to
+/// another.
+#[test]
+fn nothing_is_preempted() {
+    let mut simulation = shared_pool([1.0, 1.0]);
+    simulation.submit_as("first", job(vec![step(8, 1_000, 3_000)]));
+    simulation.run_ms(100);
+    simulation.submit_as("second", job(vec![step(4, 1_000, 500)]));
+    simulation.run_ms(1_000);
+    assert_eq!(simulation.running_of("first"), 8);
+}
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -34,7 +34,7 @@
         WorkerContact, WorkerKey, WriteResult,
     },
     coordination::relay::{Member, choose_relays, relay_of, relays_wanted},
-    state::{ServingDocument, Vacancy, WorkerEntry, encode},
+    state::{Accounts, ServingDocument, Vacancy, WorkerEntry, encode},
 };
 
 /// Coalescing delay for changes of jobs, in milliseconds. A burst of submissions
@@ -90,7 +90,7 @@
     let mut document = shared.document.subscribe();
     let mut registry = shared.registry.subscribe();
     let mut vacate = shared.vacate.subscribe();
-    set_queues(&mut engine, &mut document, &pool);
+    apply_document(&mut engine, &mut document, &pool);
     engine.on_registry(registry.borrow_and_update().values());
 
     let jobs = list_with_retry(&shared, &jobs_prefix(&pool)).await;
@@ -147,7 +147,9 @@
     }
 }
 
-fn set_queues(
+/// Passes the queues and the client accounts of the configuration in force to the
+/// engine.
+fn apply_document(
     engine: &mut PoolEngine,
     document: &mut watch::Receiver<Option<Rc<ServingDocument>>>,
     pool: &PoolId,
@@ -165,6 +167,9 @@
         (queue.queue.clone(), policy)
     });
     engine.set_queues(queues);
+    let accounts = document.iter().filter_map(|document| document.accounts.as_ref());
+    let accounts = accounts.flat_map(Accounts::iter);
+    engine.set_accounts(accounts.map(|settings| (settings.account.clone(), settings.weight)));
 }
 
 /// Builds the recovered state of a pool from its jobs and from the progress and
@@ -228,7 +233,7 @@
                 self.on_input(input);
             }
             if document.has_changed().unwrap_or(false) {
-                set_queues(&mut self.engine.borrow_mut(), &mut document, &self.pool);
+                apply_document(&mut self.engine.borrow_mut(), &mut document, &self.pool);
             }
             if registry.has_changed().unwrap_or(false) {
                 self.engine.borrow_mut().on_registry(registry.borrow_and_update().values());
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -14,7 +14,7 @@
     coordination::jobs::Resources,
     state::{
         clock::ClockReading,
-        ids::{HostId, PoolId, QueueId, RecordVersion, Term, WorkerId},
+        ids::{AccountId, HostId, PoolId, QueueId, RecordVersion, Term, WorkerId},
     },
 };
 
@@ -284,6 +284,8 @@
     /// Time for which a crashed worker is away, in milliseconds.
     pub away_ms: u64,
     copies_allowed: bool,
+    /// Client accounts with their weights.
+    accounts: Vec<(AccountId, f64)>,
     next_job: u64,
 }
 
@@ -317,6 +319,7 @@
             crash_count: 0,
             away_ms: 3_300,
             copies_allowed: false,
+            accounts: Vec::new(),
             next_job: 1,
         };
         simulation.add_controller();
@@ -351,6 +354,7 @@
             advice: None,
         };
         engine.set_queues([(queue(), policy)]);
+        engine.set_accounts(self.accounts.iter().cloned());
         engine.confirm_control(u64::MAX);
         engine.on_registry(registry(&self.workers));
         self.workers.iter_mut().for_each(FakeWorker::on_shown);
@@ -397,18 +401,33 @@
         self.controllers[controller].is_fenced
     }
 
-    /// Stores a job and passes its record to all live engines.
+    /// Passes client accounts with their weights to all engines.
+    pub fn set_accounts(&mut self, accounts: &[(&str, f64)]) {
+        let ids = accounts.iter().map(|&(account, weight)| (AccountId::new(account), weight));
+        self.accounts = ids.collect();
+        for controller in &mut self.controllers {
+            controller.engine.set_accounts(self.accounts.iter().cloned());
+        }
+    }
+
+    /// Submits a job that is charged to no account.
     pub fn submit(&mut self, spec: JobSpec) -> JobNumber {
+        self.submit_for(None, spec)
+    }
+
+    /// Submits a job that is charged to an account.
+    pub fn submit_as(&mut self, account: &str, spec: JobSpec) -> JobNumber {
+        self.submit_for(Some(AccountId::new(account)), spec)
+    }
+
+    /// Stores a job and passes its record to all live engines.
+    fn submit_for(&mut self, account: Option<AccountId>, spec: JobSpec) -> JobNumber {
         spec.check().expect("the job can run");
         let number = JobNumber(self.next_job);
         self.next_job += 1;
         let accepted_unix_ms = self.now().unix_ms;
-        let record = JobRecord {
-            queue: queue(),
-            account: None,
-            accepted_unix_ms,
-            state: JobState::Live(spec),
-        };
+        let record =
+            JobRecord { queue: queue(), account, accepted_unix_ms, state: JobState::Live(spec) };
         self.accepted_ms.insert(number, self.now_ms);
         self.store_job(number, record);
         number
@@ -796,6 +815,13 @@
         }
     }
 
+    /// Counts the runs of an account's jobs.
+    pub fn running_of(&self, account: &str) -> usize {
+        let account = AccountId::new(account);
+        let tasks = self.workers.iter().flat_map(|worker| worker.running.keys());
+        tasks.filter(|task| self.jobs[&task.job].1.account.as_ref() == Some(&account)).count()
+    }
+
     pub fn is_running(&self, task: TaskAddress) -> bool {
         self.workers.iter().any(|worker| worker.running.contains_key(&task))
     }
