Divide what accounts leave unused by weight, and log delayed accounts

Cause: with entitlements in proportion to the weights alone, an account that needs a little more than its proportion competed with a flood for what a small third account leaves unused.

Change: entitlements are max-min fair by weight over the demands of the round, and never less than the proportional part. Public work is served before any account above its entitlement, and its demand is taken off the unused part. A log line says when an account's work is delayed by its entitlement, and when that ends.

--- a/crates/dispatch/src/coordination/pool/fair_share.rs
+++ b/crates/dispatch/src/coordination/pool/fair_share.rs
@@ -6,34 +6,88 @@
 //! that the flood waits for itself and delays the others by about one task.
 
 use hashbrown::HashMap;
-use tamarackproxy::{coordination::jobs::Resources, state::ids::AccountId};
+use tamarackproxy::{
+    coordination::jobs::Resources,
+    state::ids::{AccountId, PoolId},
+};
 
-use super::accounts::AccountUse;
+use super::{
+    accounts::AccountUse, engine::PoolEngine, order::Rank, placement::takes_work, task::TaskRef,
+};
 
 /// Weight of an account that the configuration does not list or gives no
 /// positive weight. Its accepted jobs still run, and every controller must derive
 /// the same weight, whichever configurations it has seen.
 const DEFAULT_WEIGHT: f64 = 1.0;
+/// Time without a delay after which an account's work counts as no longer
+/// delayed, in milliseconds: room in a full pool becomes free at intervals of up to
+/// a task's duration, which is below a second for most queues.
+const DELAY_OVER_MS: u64 = 1_000;
 
 /// An account's use of the pool relative to its entitlement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Standing {
-    /// Takes less than its entitlement, or is not subject to one.
+enum Standing {
+    /// Takes less than its entitlement.
     Below,
     /// Takes its entitlement or more.
     Above,
 }
 
-/// Weights of the client accounts and their entitlements in the current
+/// Time in which an account's work was started later because the account was
+/// above its entitlement, on the local clock.
+#[derive(Clone, Copy, Debug)]
+struct Delay {
+    since_ms: u64,
+    latest_ms: u64,
+}
+
+/// An account with running or waiting work.
+#[derive(Clone, Copy, Debug, Default)]
+struct Position {
+    weight: f64,
+    /// What the account takes and what its waiting tasks need.
+    demand: Resources,
+    /// The account has running or waiting work in the current round.
+    is_active: bool,
+    /// None if its work was not delayed lately.
+    delay: Option<Delay>,
+}
+
+/// State of a client account in a pool, for operators.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AccountShare {
+    /// Name of the account.
+    pub account: AccountId,
+    /// Runs that may exist.
+    pub running: u32,
+    /// Open tasks without a run.
+    pub waiting: u32,
+    /// Part of the pool's capacity that the account is entitled to, from 0 to 1.
+    pub entitlement: f64,
+    /// The account takes its entitlement or more.
+    pub is_above: bool,
+}
+
+/// Weights of the client accounts, and their entitlements in the current
 /// placement round.
+///
+/// Each account is entitled to a part of the capacity in proportion to its weight.
+/// What some accounts leave unused, and public work does not need, is divided
+/// among the others in the same way (max-min fairness). Otherwise an account that
+/// needs a little more than its proportion would compete with the flood for it.
 #[derive(Debug, Default)]
 pub(super) struct FairShare {
     weights: HashMap<AccountId, f64>,
-    /// Accounts with running or waiting work, with their weights.
-    active: HashMap<AccountId, f64>,
-    total_weight: f64,
+    positions: HashMap<AccountId, Position>,
     /// Resources that the accounts share.
     capacity: Resources,
+    /// What public work takes and what its waiting tasks need.
+    public_demand: Resources,
+    /// Entitlement of an account of weight 1, as a part of the capacity; infinite
+    /// if there is room for all demands.
+    level: f64,
+    /// The last useful work in today's order that was started in this round.
+    last_started: Option<Rank>,
 }
 
 impl FairShare {
@@ -43,13 +97,11 @@
         I: IntoIterator<Item = (AccountId, f64)>,
     {
         let usable = |weight: f64| weight.is_finite() && weight > 0.0;
-        self.weights = (weights.into_iter())
-            .map(|(account, weight)| {
-                (account, if usable(weight) { weight } else { DEFAULT_WEIGHT })
-            })
-            .collect();
-        if self.weights.is_empty() {
-            self.active.clear();
+        let or_default = |weight| if usable(weight) { weight } else { DEFAULT_WEIGHT };
+        self.weights =
+            weights.into_iter().map(|(account, weight)| (account, or_default(weight))).collect();
+        if !self.is_enabled() {
+            self.positions.clear();
         }
     }
 
@@ -58,38 +110,223 @@
         !self.weights.is_empty()
     }
 
-    /// Computes the entitlements of the accounts with running or waiting work;
-    /// an account may be listed several times.
-    pub(super) fn begin_round<'a, I>(&mut self, capacity: Resources, accounts: I)
-    where
-        I: IntoIterator<Item = &'a AccountId>,
-    {
-        self.capacity = capacity;
-        self.active.clear();
-        for account in accounts {
-            if !self.active.contains_key(account) {
-                let weight = self.weights.get(account).copied().unwrap_or(DEFAULT_WEIGHT);
-                self.active.insert(account.clone(), weight);
+    /// Begins a placement round in a pool of the given capacity, of which `used` is
+    /// taken.
+    fn begin_round(&mut self, capacity: Resources, used: Resources) {
+        (self.capacity, self.public_demand) = (capacity, used);
+        self.last_started = None;
+        for position in self.positions.values_mut() {
+            (position.demand, position.is_active) = (Resources::default(), false);
+        }
+    }
+
+    /// Adds what an account's runs take; what no account takes is public.
+    fn add_running(&mut self, account: &AccountId, taken: &Resources) {
+        self.public_demand = self.public_demand.minus(taken);
+        self.add_demand(account, taken);
+    }
+
+    /// Adds the need of waiting tasks of an account or of public work.
+    fn add_waiting(&mut self, account: Option<&AccountId>, need: &Resources) {
+        match account {
+            Some(account) => self.add_demand(account, need),
+            None => self.public_demand = self.public_demand.plus(need),
+        }
+    }
+
+    fn add_demand(&mut self, account: &AccountId, need: &Resources) {
+        let weight = self.weights.get(account).copied().unwrap_or(DEFAULT_WEIGHT);
+        // The name is cloned only for an account that had no work before.
+        let position = match self.positions.get_mut(account) {
+            Some(position) => position,
+            None => self.positions.entry(account.clone()).or_default(),
+        };
+        (position.weight, position.is_active) = (weight, true);
+        position.demand = position.demand.plus(need);
+    }
+
+    /// Returns whether the demand of an account, or of public work, is known to
+    /// exceed the pool, so that further demand does not change any entitlement.
+    fn is_demand_ample(&self, account: Option<&AccountId>) -> bool {
+        let demand = match account {
+            Some(account) => self.positions.get(account).map(|position| &position.demand),
+            None => Some(&self.public_demand),
+        };
+        demand.is_some_and(|demand| self.part(demand) >= 1.0)
+    }
+
+    /// Computes the entitlements from the demands of the round.
+    fn settle(&mut self) {
+        self.positions.retain(|_, position| position.is_active || position.delay.is_some());
+        let active = self.positions.values().filter(|position| position.is_active);
+        let mut demands: Vec<(f64, f64)> =
+            active.map(|position| (self.part(&position.demand), position.weight)).collect();
+        demands.sort_unstable_by(|(left, left_weight), (right, right_weight)| {
+            (left / left_weight).total_cmp(&(right / right_weight))
+        });
+        let weight: f64 = demands.iter().map(|(_, weight)| weight).sum();
+        let proportional = 1.0 / weight;
+        let (mut left, mut weight_left) = (1.0 - self.part(&self.public_demand), weight);
+        self.level = f64::INFINITY;
+        for (demand, weight) in demands {
+            let level = left / weight_left;
+            if demand > weight * level {
+                self.level = level.max(proportional);
+                break;
             }
+            left -= demand;
+            weight_left -= weight;
         }
-        self.total_weight = self.active.values().sum();
     }
 
-    /// Returns the part of the pool's capacity that is taken, by the dominant
-    /// resource.
-    fn taken(&self, used: &AccountUse) -> f64 {
-        let part = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
-        let (taken, whole) = (&used.taken, &self.capacity);
-        part(taken.cpu_millicores, whole.cpu_millicores)
-            .max(part(taken.memory_bytes, whole.memory_bytes))
-            .max(part(taken.accelerators.into(), whole.accelerators.into()))
+    /// Returns an amount as a part of the capacity, by the dominant resource.
+    fn part(&self, amount: &Resources) -> f64 {
+        let part = |amount: u64, whole: u64| amount as f64 / whole.max(1) as f64;
+        part(amount.cpu_millicores, self.capacity.cpu_millicores)
+            .max(part(amount.memory_bytes, self.capacity.memory_bytes))
+            .max(part(amount.accelerators.into(), self.capacity.accelerators.into()))
     }
 
-    /// Compares an account's use with its entitlement.
-    pub(super) fn standing(&self, account: &AccountId, used: &AccountUse) -> Standing {
-        match self.active.get(account) {
-            Some(weight) if self.taken(used) * self.total_weight >= *weight => Standing::Above,
+    fn standing(&self, account: &AccountId, used: &AccountUse) -> Standing {
+        match self.positions.get(account) {
+            Some(position) if self.part(&used.taken) >= position.weight * self.level => {
+                Standing::Above
+            }
             Some(_) | None => Standing::Below,
         }
     }
+
+    /// Records that waiting work of a rank was started.
+    pub(super) fn on_start(&mut self, rank: Rank) {
+        if rank.is_useful() && self.is_enabled() {
+            let is_later = self.last_started.is_none_or(|last| last.is_worth_more(&rank));
+            self.last_started = if is_later { Some(rank) } else { self.last_started };
+        }
+    }
+
+    /// Returns whether work was started in this round although the deferred work
+    /// of this rank is worth more.
+    fn is_passed_over(&self, rank: Rank) -> bool {
+        rank.is_deferred() && self.last_started.is_some_and(|last| rank.is_worth_more(&last))
+    }
+
+    /// Records that work of an account has to wait because of its entitlement.
+    fn on_delay(&mut self, now_ms: u64, pool: &PoolId, account: &AccountId, used: &AccountUse) {
+        let taken = self.part(&used.taken);
+        let level = self.level;
+        let Some(position) = self.positions.get_mut(account) else { return };
+        if position.delay.is_none() {
+            log::info!(pool = pool.as_str(), account = account.as_str(), runs = used.runs,
+                taken_percent = percent(taken),
+                entitled_percent = percent(position.weight * level);
+                "work of the account is delayed: it is above its entitlement while others wait");
+        }
+        let since_ms = position.delay.map_or(now_ms, |delay| delay.since_ms);
+        position.delay = Some(Delay { since_ms, latest_ms: now_ms });
+    }
+
+    /// Ends a placement round: logs which accounts' work is no longer delayed.
+    pub(super) fn end_round(&mut self, now_ms: u64, pool: &PoolId) {
+        for (account, position) in &mut self.positions {
+            let Some(delay) = position.delay else { continue };
+            if now_ms >= delay.latest_ms + DELAY_OVER_MS {
+                position.delay = None;
+                log::info!(pool = pool.as_str(), account = account.as_str(),
+                    delayed_ms = delay.latest_ms - delay.since_ms;
+                    "work of the account is no longer delayed by its entitlement");
+            }
+        }
+    }
+}
+
+fn percent(part: f64) -> u64 {
+    (part * 100.0).round() as u64
+}
+
+impl PoolEngine {
+    /// Computes the accounts' entitlements in this round, if there are accounts.
+    pub(super) fn measure_shares(&mut self, now_ms: u64) {
+        if !self.fair_share.is_enabled() {
+            return;
+        }
+        let open = self.workers.iter().map(|(_, worker)| worker);
+        let open = open.filter(|worker| takes_work(worker, now_ms) && !worker.is_vacating);
+        let (capacity, free) = open.fold(<(Resources, Resources)>::default(), |sums, worker| {
+            (sums.0.plus(&worker.entry.capacity), sums.1.plus(&worker.free_capacity()))
+        });
+        self.fair_share.begin_round(capacity, capacity.minus(&free));
+        for (account, used) in self.job_table.accounts().iter() {
+            self.fair_share.add_running(account, &used.taken);
+        }
+        // Steps for which there is no room now count as waiting, too.
+        for at in self.job_table.unstarted() {
+            let Some(job) = self.job_table.job(at.job) else { continue };
+            let account = job.account.as_ref();
+            if job.outcome.is_some() || self.fair_share.is_demand_ample(account) {
+                continue;
+            }
+            let (Some(spec), Some(step)) = (self.job_table.spec(at), self.job_table.step(at))
+            else {
+                continue;
+            };
+            let waiting = step.tasks.iter().filter(|task| task.is_unstarted()).count();
+            self.fair_share.add_waiting(account, &spec.need.times(waiting as u64));
+        }
+        self.fair_share.settle();
+    }
+
+    /// Returns the rank of a step after the placements so far: the useful work of
+    /// an account above its entitlement is deferred. An account's use only grows
+    /// within a round, so a step is deferred at most once.
+    pub(super) fn shared_rank(&self, rank: Rank, step: TaskRef) -> Rank {
+        if !self.fair_share.is_enabled() || !rank.is_useful() {
+            return rank;
+        }
+        let job = self.job_table.job(step.job);
+        let Some(account) = job.and_then(|job| job.account.as_ref()) else { return rank };
+        let used = self.job_table.accounts().usage(account);
+        match self.fair_share.standing(account, &used) {
+            Standing::Below => rank,
+            Standing::Above => rank.deferred(),
+        }
+    }
+
+    /// Records that a step found no room, if work that is worth less was started
+    /// before it because of its account's entitlement.
+    pub(super) fn note_delay(&mut self, now_ms: u64, rank: Rank, step: TaskRef) {
+        if !self.fair_share.is_passed_over(rank) {
+            return;
+        }
+        let job = self.job_table.job(step.job);
+        let Some(account) = job.and_then(|job| job.account.as_ref()) else { return };
+        let used = self.job_table.accounts().usage(account);
+        self.fair_share.on_delay(now_ms, &self.control.pool, account, &used);
+    }
+
+    /// Lists the accounts with running or waiting work; none without accounts.
+    pub fn account_shares(&self) -> Vec<AccountShare> {
+        let mut waiting: HashMap<&AccountId, u32> = HashMap::new();
+        for at in self.job_table.unstarted() {
+            let Some(job) = self.job_table.job(at.job).filter(|job| job.outcome.is_none()) else {
+                continue;
+            };
+            if let (Some(account), Some(step)) = (&job.account, self.job_table.step(at)) {
+                let tasks = step.tasks.iter().filter(|task| task.is_unstarted()).count();
+                *waiting.entry(account).or_default() += tasks as u32;
+            }
+        }
+        let share = &self.fair_share;
+        let active = share.positions.iter().filter(|(_, position)| position.is_active);
+        let shares = active.map(|(account, position)| {
+            let used = self.job_table.accounts().usage(account);
+            AccountShare {
+                account: account.clone(),
+                running: used.runs,
+                waiting: waiting.get(account).copied().unwrap_or(0),
+                entitlement: (position.weight * share.level).min(1.0),
+                is_above: share.standing(account, &used) == Standing::Above,
+            }
+        });
+        shares.collect()
+    }
 }
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -38,6 +38,7 @@
         PollReport, PollRequest, PoolAction, Refusal, RunningTask, StartOrder, WorkerContact,
         WorkerKey,
     },
+    fair_share::AccountShare,
     recovery::{Recovered, StoredJob},
     writer::{PoolWrite, WriteResult},
 };
--- a/crates/dispatch/src/coordination/pool/order.rs
+++ b/crates/dispatch/src/coordination/pool/order.rs
@@ -114,6 +114,18 @@
         self.precedence == Precedence::Useful
     }
 
+    /// Returns whether the work waits for that of accounts below their
+    /// entitlements.
+    pub(super) fn is_deferred(&self) -> bool {
+        self.precedence == Precedence::Deferred
+    }
+
+    /// Returns whether the work would go before `other` if no account were above
+    /// its entitlement.
+    pub(super) fn is_worth_more(&self, other: &Rank) -> bool {
+        (self.band, self.priority, self.key) < (other.band, other.priority, other.key)
+    }
+
     /// Returns the rank of the same useful work if its account is above its
     /// entitlement.
     #[must_use]
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -16,7 +16,6 @@
         AdviceQuestion, JobKey, Order, OrderReply, OrderTarget, PoolAction, Refusal, StartOrder,
         WorkerKey,
     },
-    fair_share::Standing,
     job_table::Job,
     order::{Rank, RankInputs},
     placement::{PlaceQuery, REACHABLE_MS, Unplaceable, is_plain, takes_work},
@@ -77,11 +76,12 @@
             let Some(spec) = self.job_table.spec(step) else { continue };
             let (allocation, is_plain) = (spec.allocation(), is_plain(spec));
             if unplaceable.covers(&allocation) {
+                self.note_delay(now_ms, rank, step);
                 self.query_policy(now_ms, step);
                 continue;
             }
             let placed = if spec.is_gang {
-                self.place_gang(now_ms, step)
+                self.place_gang(now_ms, step, rank)
             } else {
                 self.place_step(now_ms, step, rank)
             };
@@ -89,11 +89,13 @@
                 Placed::All => {}
                 Placed::UpToEntitlement => waiting.push(Reverse((rank, step))),
                 Placed::NoRoom => {
+                    self.note_delay(now_ms, rank, step);
                     unplaceable.add(allocation, is_plain && !self.needs_ticket(step));
                     self.query_policy(now_ms, step);
                 }
             }
         }
+        self.fair_share.end_round(now_ms, &self.control.pool);
         self.is_short = !unplaceable.is_empty();
         if unplaceable.is_empty() && std::mem::take(&mut self.copies_due) {
             self.place_copies(now_ms);
@@ -107,39 +109,6 @@
         job.is_some_and(|job| self.policy(&job.queue).advice.is_some())
     }
 
-    /// Returns the rank of a step after the placements so far: the useful work of
-    /// an account above its entitlement is deferred. An account's use only grows
-    /// within a round, so a step is deferred at most once.
-    fn shared_rank(&self, rank: Rank, step: TaskRef) -> Rank {
-        if !self.fair_share.is_enabled() || !rank.is_useful() {
-            return rank;
-        }
-        let job = self.job_table.job(step.job);
-        let Some(account) = job.and_then(|job| job.account.as_ref()) else { return rank };
-        let used = self.job_table.accounts().usage(account);
-        match self.fair_share.standing(account, &used) {
-            Standing::Below => rank,
-            Standing::Above => rank.deferred(),
-        }
-    }
-
-    /// Computes the accounts' entitlements in this round, if there are accounts.
-    fn measure_shares(&mut self, now_ms: u64) {
-        if !self.fair_share.is_enabled() {
-            return;
-        }
-        let open = self.workers.iter().map(|(_, worker)| worker);
-        let open = open.filter(|worker| takes_work(worker, now_ms) && !worker.is_vacating);
-        let capacity =
-            open.fold(Resources::default(), |sum, worker| sum.plus(&worker.entry.capacity));
-        // Steps for which there is no room now count as waiting, too.
-        let waiting = self.job_table.unstarted().filter_map(|step| self.job_table.job(step.job));
-        let waiting = waiting.filter(|job| job.outcome.is_none());
-        let waiting = waiting.filter_map(|job| job.account.as_ref());
-        let running = self.job_table.accounts().iter().map(|(account, _)| account);
-        self.fair_share.begin_round(capacity, running.chain(waiting));
-    }
-
     /// Lists open steps with waiting tasks and their ranks.
     fn waiting_steps(&mut self, now_ms: u64) -> Vec<Reverse<(Rank, TaskRef)>> {
         let mut waiting = Vec::new();
@@ -266,6 +235,9 @@
             places.push((index, worker));
             self.start(now_ms, task, worker, starts);
         }
+        if !places.is_empty() {
+            self.fair_share.on_start(rank);
+        }
         self.log_starts(now_ms, step, &places);
         placed
     }
@@ -414,7 +386,7 @@
     }
 
     /// Starts all members of a gang or none.
-    fn place_gang(&mut self, now_ms: u64, step: TaskRef) -> Placed {
+    fn place_gang(&mut self, now_ms: u64, step: TaskRef, rank: Rank) -> Placed {
         let Some(state) = self.job_table.step(step) else { return Placed::All };
         // The gang waits until the earlier runs of all members have certainly
         // ended.
@@ -459,6 +431,7 @@
         for &(index, worker) in &places {
             self.start(now_ms, TaskRef { index, ..step }, worker, starts);
         }
+        self.fair_share.on_start(rank);
         self.log_starts(now_ms, step, &places);
         Placed::All
     }
--- a/crates/dispatch/src/coordination/pool/tests/fair_share.rs
+++ b/crates/dispatch/src/coordination/pool/tests/fair_share.rs
@@ -101,3 +101,70 @@
     simulation.run_ms(1_000);
     assert_eq!(simulation.running_of("first"), 8);
 }
+
+/// Returns the entitlement of each account, in percent, by name.
+fn entitlements(simulation: &mut PoolSimulation) -> Vec<(Box<str>, u64)> {
+    let shares = simulation.engine(0).account_shares();
+    let mut found: Vec<(Box<str>, u64)> = (shares.into_iter())
+        .map(|share| (share.account.as_str().into(), (share.entitlement * 100.0).round() as u64))
+        .collect();
+    found.sort();
+    found
+}
+
+/// Guards against an account that competes with a flood for what a third account
+/// leaves unused: each of them has an equal part of that.
+#[test]
+fn unused_entitlement_is_divided_by_weight() {
+    let mut simulation = PoolSimulation::new(4, 5);
+    simulation.set_accounts(&[("first", 2.0), ("second", 1.0), ("third", 1.0)]);
+    simulation.submit_as("third", job(vec![step(2, 1_000, 5_000)]));
+    simulation.submit_as("first", job(vec![step(40, 1_000, 5_000)]));
+    simulation.submit_as("second", job(vec![step(40, 1_000, 4_000)]));
+    simulation.run_ms(200);
+    let expected = [("first", 60), ("second", 30), ("third", 30)];
+    assert_eq!(entitlements(&mut simulation), expected.map(|(name, it)| (name.into(), it)));
+    assert_eq!(simulation.running_of("first"), 12);
+    assert_eq!(simulation.running_of("second"), 6);
+    assert_eq!(simulation.running_of("third"), 2);
+}
+
+/// Guards against public work that takes away the accounts' proportional parts:
+/// its demand only reduces what they leave unused.
+#[test]
+fn public_flood_leaves_the_accounts_their_proportions() {
+    let mut simulation = shared_pool([1.0, 1.0]);
+    simulation.submit(job(vec![step(40, 1_000, 5_000)]));
+    simulation.run_ms(100);
+    simulation.submit_as("first", job(vec![step(8, 1_000, 5_000)]));
+    simulation.submit_as("second", job(vec![step(1, 1_000, 5_000)]));
+    simulation.run_ms(100);
+    let expected = [("first", 50), ("second", 50)];
+    assert_eq!(entitlements(&mut simulation), expected.map(|(name, it)| (name.into(), it)));
+}
+
+/// Guards against an accepted job that never runs because its account was removed
+/// from the configuration.
+#[test]
+fn job_of_a_removed_account_runs() {
+    let mut simulation = shared_pool([1.0, 1.0]);
+    simulation.submit_as("first", job(vec![step(40, 1_000, 2_000)]));
+    simulation.run_ms(100);
+    let removed = simulation.submit_as("removed", job(vec![step(1, 1_000, 2_000)]));
+    simulation.run_ms(2_300);
+    assert!(simulation.is_running(task(removed, 0, 0)));
+}
+
+/// Guards against a pool whose order changes although the deployment has no
+/// accounts: jobs that carry an account are in today's order then.
+#[test]
+fn order_is_unchanged_without_accounts() {
+    let mut simulation = PoolSimulation::new(2, 4);
+    simulation.submit_as("first", job(vec![step(8, 1_000, 1_000)]));
+    simulation.run_ms(100);
+    simulation.submit_as("second", job(vec![step(8, 1_000, 1_000)]));
+    simulation.submit_as("first", job(vec![step(4, 1_000, 1_000)]));
+    simulation.run_ms(1_000);
+    assert_eq!(simulation.running_of("first"), 4);
+    assert!(simulation.engine(0).account_shares().is_empty());
+}
--- a/crates/dispatch/src/replay/mod.rs
+++ b/crates/dispatch/src/replay/mod.rs
@@ -4,4 +4,5 @@
 //! when an engine violates an invariant that workers rely on.
 
 pub mod balance;
+pub mod fair_share;
 pub mod pool;
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -261,6 +261,8 @@
     /// Time and outcome of each job's stored end.
     pub ended: BTreeMap<JobNumber, (u64, JobOutcome)>,
     accepted_ms: BTreeMap<JobNumber, u64>,
+    /// When a task of each job was first started.
+    first_started_ms: BTreeMap<JobNumber, u64>,
     /// Starts that workers carried out.
     pub starts: u64,
     /// Queries to the policy service.
@@ -308,6 +310,7 @@
             acknowledged_tasks: StdHashSet::new(),
             ended: BTreeMap::new(),
             accepted_ms: BTreeMap::new(),
+            first_started_ms: BTreeMap::new(),
             starts: 0,
             questions: 0,
             needs_tickets: false,
@@ -729,6 +732,7 @@
                 );
                 worker.highest.insert(target.task, target.run);
                 self.starts += 1;
+                self.first_started_ms.entry(target.task.job).or_insert(now_ms);
                 if let Some((crashes, starts)) = self.crashes.get_mut(&target.task)
                     && *crashes >= CRASHES_MAX
                 {
@@ -843,6 +847,12 @@
         matches!(state, JobState::Ended { outcome: JobOutcome::Cancelled, .. })
     }
 
+    /// Returns the time from a job's acceptance to the first start of a task, in
+    /// milliseconds.
+    pub fn waited_ms(&self, job: JobNumber) -> Option<u64> {
+        Some(self.first_started_ms.get(&job)? - self.accepted_ms[&job])
+    }
+
     /// Returns the time from a job's acceptance to its stored end, in
     /// milliseconds.
     pub fn took_ms(&self, job: JobNumber) -> Option<u64> {
--- a/crates/tamarackproxy/src/coordination/jobs/resources.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/resources.rs
@@ -45,6 +45,17 @@
         }
     }
 
+    /// Returns a multiple of each part.
+    #[must_use]
+    pub fn times(&self, factor: u64) -> Resources {
+        let accelerators = u64::from(self.accelerators).saturating_mul(factor);
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_mul(factor),
+            memory_bytes: self.memory_bytes.saturating_mul(factor),
+            accelerators: u32::try_from(accelerators).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Returns the dominant share: the largest ratio of a part to that of
     /// `whole`, in thousandths.
     pub fn dominant_share(&self, whole: &Resources) -> u64 {
