--- a/crates/dispatch/src/coordination/pool/fair_share.rs
+++ b/crates/dispatch/src/coordination/pool/fair_share.rs
@@ -305,6 +305,9 @@
 
     /// Lists the accounts with running or waiting work; none without accounts.
     pub fn account_shares(&self) -> Vec<AccountShare> {
+        if !self.fair_share.is_enabled() {
+            return Vec::new();
+        }
         let mut waiting: HashMap<&AccountId, u32> = HashMap::new();
         for at in self.job_table.unstarted() {
             let Some(job) = self.job_table.job(at.job).filter(|job| job.outcome.is_none()) else {
--- a/crates/dispatch/src/coordination/pool/tests/fair_share.rs
+++ b/crates/dispatch/src/coordination/pool/tests/fair_share.rs
@@ -1,6 +1,9 @@
 //! Fair share of a full pool among client accounts.
 
-use crate::replay::pool::{PoolSimulation, job, step, task};
+use crate::replay::{
+    fair_share::{AccountLoad, FloodPhase, FloodReplay, TASK_MAX_MS},
+    pool::{PoolSimulation, job, step, task},
+};
 
 /// Creates a pool of 8 cores with two accounts of the given weights.
 fn shared_pool(weights: [f64; 2]) -> PoolSimulation {
@@ -168,3 +171,48 @@
     assert_eq!(simulation.running_of("first"), 4);
     assert!(simulation.engine(0).account_shares().is_empty());
 }
+
+const FLOODING: AccountLoad = AccountLoad { account: "flooding", weight: 1.0, load: 0.65 };
+const STEADY: AccountLoad = AccountLoad { account: "steady", weight: 1.0, load: 0.30 };
+const PHASES: [FloodPhase; 2] = [FloodPhase::During, FloodPhase::After];
+
+/// Guards against a flood of one account that delays the jobs of another, during
+/// the flood or while its backlog is worked off, and against a flooding account
+/// whose accepted jobs never end. Without the fair share the load shows the fault.
+#[test]
+fn flood_delays_other_accounts_by_at_most_one_task() {
+    for seed in [1, 2] {
+        println!("seed {seed}");
+        let replay = FloodReplay::new(&[FLOODING, STEADY], seed);
+        let unshared = replay.run();
+        let replay = replay.with_fair_share();
+        let (shared, quiet) = (replay.run(), replay.without_flood().run());
+        for phase in PHASES {
+            let extra_ms = shared.extra_wait_ms(&quiet, phase, 100);
+            assert!(extra_ms <= u64::from(TASK_MAX_MS), "{phase:?}: {extra_ms} ms");
+            assert!(shared.timely_share(phase) >= quiet.timely_share(phase) - 0.01, "{phase:?}");
+        }
+        assert_eq!(shared.flood_ended, shared.flood_jobs);
+        assert!(unshared.timely_share(FloodPhase::During) < 0.5);
+    }
+}
+
+/// Guards against a small third account whose unused part protects nobody: the
+/// second account needs more than a third of the pool.
+#[test]
+fn flood_does_not_take_what_a_third_account_leaves_unused() {
+    let loads = [
+        AccountLoad { load: 0.45, ..FLOODING },
+        AccountLoad { load: 0.40, ..STEADY },
+        AccountLoad { account: "small", load: 0.10, ..STEADY },
+    ];
+    for seed in [1, 2] {
+        println!("seed {seed}");
+        let replay = FloodReplay::new(&loads, seed).with_fair_share();
+        let (shared, quiet) = (replay.run(), replay.without_flood().run());
+        for phase in PHASES {
+            let extra_ms = shared.extra_wait_ms(&quiet, phase, 95);
+            assert!(extra_ms <= u64::from(TASK_MAX_MS), "{phase:?}: {extra_ms} ms");
+        }
+    }
+}
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -1,6 +1,8 @@
 //! Controller of one pool: connects the pool's engine to the store and the
 //! workers.
 
+mod account_metrics;
+
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use hashbrown::{HashMap, HashSet};
@@ -15,6 +17,7 @@
     time::{Instant, sleep_until},
 };
 
+use self::account_metrics::AccountMetrics;
 use super::{
     clock,
     control::{AbortOnDrop, LeaseState, previous_holder_grace_ms},
@@ -121,6 +124,7 @@
     let fence = Fence::new(&pool_scope(&pool), tenure.key_version);
     let controller = Controller {
         shared: Rc::clone(&shared),
+        account_metrics: AccountMetrics::new(pool.clone()),
         pool,
         fence: Rc::new(fence),
         engine,
@@ -199,6 +203,7 @@
     pool: PoolId,
     fence: Rc<Fence>,
     engine: Rc<RefCell<PoolEngine>>,
+    account_metrics: AccountMetrics,
     inputs: mpsc::UnboundedSender<Input>,
     /// Calls in flight; aborted when the controller is dropped.
     calls: JoinSet<()>,
@@ -253,6 +258,9 @@
             actions.into_iter().for_each(|action| self.carry_out(action));
             while self.calls.try_join_next().is_some() {}
             let now_ms = clock::read().monotonic_ms;
+            if self.account_metrics.take_due(now_ms) {
+                self.account_metrics.set(&self.engine.borrow().account_shares());
+            }
             // A step that is due already is not repeated at once: control may have
             // run out.
             let next_ms = self.engine.borrow().next_step_ms().max(now_ms + STEP_MIN_MS);
--- a/crates/standins/src/bench/dispatch.rs
+++ b/crates/standins/src/bench/dispatch.rs
@@ -6,6 +6,7 @@
 use tamarack_dispatch::{
     replay::{
         balance::{Fleet, HOST_MILLICORES, HOSTS_PER_POOL, POOLS, STEP_MS, replay_surges},
+        fair_share::{AccountLoad, FloodPhase, FloodReplay, TASK_MAX_MS},
         pool::{PoolSimulation, job, lasting, step},
     },
     state::StepSpec,
@@ -23,6 +24,16 @@
 /// load, in milliseconds; stated by the users.
 const INTERFERENCE_MS: f64 = 4_500.0;
 
+/// Load of a pool that is just full: one account floods it, the other stays within
+/// its entitlement.
+const ACCOUNTS: [AccountLoad; 2] = [
+    AccountLoad { account: "flooding", weight: 1.0, load: 0.65 },
+    AccountLoad { account: "steady", weight: 1.0, load: 0.30 },
+];
+/// Fraction of the jobs of an account that a flood may make late; the goal is none,
+/// and a replay has about 100 such jobs.
+const FLOOD_LATE_SHARE: f64 = 0.01;
+
 /// Job of a surge: arrival time, number of tasks and estimated time of a task;
 /// times in milliseconds.
 struct SurgeJob {
@@ -45,7 +56,9 @@
 /// Runs all policies.
 pub fn run(options: &BenchOptions) -> Vec<Figure> {
     let seeds = options.seed..options.seed + options.seeds;
-    seeds.flat_map(|seed| [order(seed)].into_iter().chain(pools()).chain(throttling())).collect()
+    let figures =
+        |seed| [order(seed)].into_iter().chain(pools()).chain(throttling()).chain(flood(seed));
+    seeds.flat_map(figures).collect()
 }
 
 /// Measures the share of jobs that meet their objective in a surge of twice the
@@ -110,6 +123,30 @@
     [late, on]
 }
 
+/// Measures by how much a flood from one account delays the jobs of another, and the
+/// share of these that meet their objective; the baselines have no fair share.
+fn flood(seed: u64) -> Vec<Figure> {
+    let replay = FloodReplay::new(&ACCOUNTS, seed);
+    let unshared = replay.run();
+    let replay = replay.with_fair_share();
+    let (shared, quiet) = (replay.run(), replay.without_flood().run());
+    let phases = [(FloodPhase::During, "in_a_flood"), (FloodPhase::After, "after_a_flood")];
+    let figures = phases.into_iter().flat_map(|(phase, name)| {
+        let wait_ms = shared.extra_wait_ms(&quiet, phase, 100) as f64;
+        let wait = Figure::new(NAME, format!("longest_extra_wait_of_others_{name}"), wait_ms, "ms")
+            .with_baseline(unshared.extra_wait_ms(&quiet, phase, 100) as f64)
+            .with_bound(Bound::AtMost(TASK_MAX_MS.into()));
+        let timely = shared.timely_share(phase);
+        let least = quiet.timely_share(phase) - FLOOD_LATE_SHARE;
+        let timely =
+            Figure::new(NAME, format!("jobs_of_others_in_objective_{name}"), timely, "share")
+                .with_baseline(unshared.timely_share(phase))
+                .with_bound(Bound::AtLeast(least));
+        [wait, timely]
+    });
+    figures.collect()
+}
+
 /// Returns the host time if hosts moved without delay and the load were known.
 fn least_host_seconds(replayed: &Fleet) -> f64 {
     // The load is the same in every replay: total work divided by the capacity of
