--- a/crates/dispatch/src/coordination/pool/fair_share.rs
+++ b/crates/dispatch/src/coordination/pool/fair_share.rs
@@ -66,6 +66,22 @@
     pub entitlement: f64,
     /// The account takes its entitlement or more.
     pub is_above: bool,
+    /// Its work was started later because of that, in the last second.
+    pub is_delayed: bool,
+}
+
+impl AccountShare {
+    /// Creates the state of an account without work in the pool.
+    pub fn idle(account: AccountId) -> Self {
+        Self {
+            account,
+            running: 0,
+            waiting: 0,
+            entitlement: 0.0,
+            is_above: false,
+            is_delayed: false,
+        }
+    }
 }
 
 /// Weights of the client accounts, and their entitlements in the current
@@ -328,6 +344,7 @@
                 waiting: waiting.get(account).copied().unwrap_or(0),
                 entitlement: (position.weight * share.level).min(1.0),
                 is_above: share.standing(account, &used) == Standing::Above,
+                is_delayed: position.delay.is_some(),
             }
         });
         shares.collect()
--- a/crates/dispatch/src/coordination/pool/tests/fair_share.rs
+++ b/crates/dispatch/src/coordination/pool/tests/fair_share.rs
@@ -105,6 +105,28 @@
     assert_eq!(simulation.running_of("first"), 8);
 }
 
+/// Guards against operators who are not told that an account's work is delayed, or
+/// that it is no longer.
+#[test]
+fn delay_by_the_entitlement_is_shown_until_it_ends() {
+    let mut simulation = shared_pool([1.0, 1.0]);
+    let is_delayed = |simulation: &mut PoolSimulation| {
+        let shares = simulation.engine(0).account_shares();
+        shares.iter().any(|share| share.account.as_str() == "first" && share.is_delayed)
+    };
+    for _ in 0..20 {
+        simulation.submit_as("first", job(vec![step(1, 1_000, 600)]));
+    }
+    simulation.run_ms(300);
+    assert!(!is_delayed(&mut simulation), "no other account waits");
+    simulation.submit_as("second", job(vec![step(6, 1_000, 600)]));
+    simulation.run_ms(500);
+    assert!(is_delayed(&mut simulation));
+    simulation.submit_as("first", job(vec![step(1, 1_000, 5_000)]));
+    simulation.run_ms(2_500);
+    assert!(!is_delayed(&mut simulation), "the pool has room");
+}
+
 /// Returns the entitlement of each account, in percent, by name.
 fn entitlements(simulation: &mut PoolSimulation) -> Vec<(Box<str>, u64)> {
     let shares = simulation.engine(0).account_shares();
@@ -154,7 +176,11 @@
     simulation.submit_as("first", job(vec![step(40, 1_000, 2_000)]));
     simulation.run_ms(100);
     let removed = simulation.submit_as("removed", job(vec![step(1, 1_000, 2_000)]));
-    simulation.run_ms(2_300);
+    simulation.run_ms(300);
+    // The first account is entitled to what the waiting core leaves of 8.
+    let expected = [("first", 88), ("removed", 88)];
+    assert_eq!(entitlements(&mut simulation), expected.map(|(name, it)| (name.into(), it)));
+    simulation.run_ms(2_000);
     assert!(simulation.is_running(task(removed, 0, 0)));
 }
 
--- a/crates/dispatch/src/node/pool/account_metrics.rs
+++ b/crates/dispatch/src/node/pool/account_metrics.rs
@@ -37,31 +37,22 @@
     pub(super) fn set(&mut self, shares: &[AccountShare]) {
         let active: HashSet<AccountId> = shares.iter().map(|share| share.account.clone()).collect();
         for account in self.shown.difference(&active) {
-            self.set_account(account, 0, 0, 0.0, false);
-        }
-        for share in shares {
-            let AccountShare { account, running, waiting, entitlement, is_above } = share;
-            self.set_account(account, *running, *waiting, *entitlement, *is_above);
+            self.set_account(&AccountShare::idle(account.clone()));
         }
+        shares.iter().for_each(|share| self.set_account(share));
         self.shown = active;
     }
 
-    fn set_account(
-        &self,
-        account: &AccountId,
-        running: u32,
-        waiting: u32,
-        entitlement: f64,
-        is_above: bool,
-    ) {
+    fn set_account(&self, share: &AccountShare) {
         let set = |name: &'static str, value: f64| {
-            let labels = [("pool", self.pool.to_string()), ("account", account.to_string())];
+            let labels = [("pool", self.pool.to_string()), ("account", share.account.to_string())];
             metrics::gauge!(name, &labels).set(value);
         };
-        set("account_running", running.into());
-        set("account_waiting", waiting.into());
-        set("account_entitlement", entitlement);
-        set("account_above_entitlement", u8::from(is_above).into());
+        set("account_running", share.running.into());
+        set("account_waiting", share.waiting.into());
+        set("account_entitlement", share.entitlement);
+        set("account_above_entitlement", u8::from(share.is_above).into());
+        set("account_delayed", u8::from(share.is_delayed).into());
     }
 }
 
--- a/crates/dispatch/src/replay/mod.rs
+++ b/crates/dispatch/src/replay/mod.rs
@@ -5,4 +5,5 @@
 
 pub mod balance;
 pub mod fair_share;
+pub mod placement;
 pub mod pool;
--- a/crates/standins/src/bench/dispatch.rs
+++ b/crates/standins/src/bench/dispatch.rs
@@ -1,12 +1,15 @@
 //! Benchmark `dispatch`: policies of the dispatcher, run on its engines, each
 //! compared with a simple baseline.
 
+use std::time::Instant;
+
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tamarack_dispatch::{
     replay::{
         balance::{Fleet, HOST_MILLICORES, HOSTS_PER_POOL, POOLS, STEP_MS, replay_surges},
         fair_share::{AccountLoad, FloodPhase, FloodReplay, TASK_MAX_MS},
+        placement::WaitingPool,
         pool::{PoolSimulation, job, lasting, step},
     },
     state::StepSpec,
@@ -34,6 +37,16 @@
 /// and a replay has about 100 such jobs.
 const FLOOD_LATE_SHARE: f64 = 0.01;
 
+/// Most accounts of a deployment; stated by the users.
+const ACCOUNTS_MAX: usize = 220;
+/// Goal: a placement round of four times as many steps costs about four times as
+/// much; the order takes a little more than linear time.
+const ROUND_GROWTH_BOUND: f64 = 6.0;
+const ROUND_STEPS: usize = 2_000;
+/// Rounds of one timing, and timings of which the shortest counts.
+const ROUNDS: usize = 20;
+const ROUND_TIMINGS: usize = 5;
+
 /// Job of a surge: arrival time, number of tasks and estimated time of a task;
 /// times in milliseconds.
 struct SurgeJob {
@@ -58,7 +71,7 @@
     let seeds = options.seed..options.seed + options.seeds;
     let figures =
         |seed| [order(seed)].into_iter().chain(pools()).chain(throttling()).chain(flood(seed));
-    seeds.flat_map(figures).collect()
+    seeds.flat_map(figures).chain(rounds()).collect()
 }
 
 /// Measures the share of jobs that meet their objective in a surge of twice the
@@ -147,6 +160,32 @@
     figures.collect()
 }
 
+/// Measures the cost of a placement round of a full pool with accounts: with four
+/// times as many waiting steps, and relative to a pool without accounts.
+fn rounds() -> [Figure; 2] {
+    let mut pools = [(ROUND_STEPS, 0), (ROUND_STEPS, ACCOUNTS_MAX), (4 * ROUND_STEPS, 0)]
+        .into_iter()
+        .chain([(4 * ROUND_STEPS, ACCOUNTS_MAX)])
+        .map(|(steps, accounts)| (WaitingPool::new(steps, accounts), f64::INFINITY))
+        .collect::<Vec<_>>();
+    // The timings of the pools alternate, so that other load on the machine affects
+    // all of them.
+    for _ in 0..ROUND_TIMINGS {
+        for (pool, least_s) in &mut pools {
+            let began = Instant::now();
+            pool.run_rounds(ROUNDS);
+            *least_s = least_s.min(began.elapsed().as_secs_f64());
+        }
+    }
+    let cost_s = |index: usize| pools.get(index).map_or(f64::NAN, |(_, least_s)| *least_s);
+    let growth = cost_s(3) / cost_s(1);
+    let growth = Figure::new(NAME, "round_cost_of_four_times_the_steps", growth, "ratio")
+        .with_baseline(cost_s(2) / cost_s(0))
+        .with_bound(Bound::AtMost(ROUND_GROWTH_BOUND));
+    let accounts = cost_s(1) / cost_s(0);
+    [growth, Figure::new(NAME, "round_cost_with_accounts", accounts, "ratio").with_baseline(1.0)]
+}
+
 /// Returns the host time if hosts moved without delay and the load were known.
 fn least_host_seconds(replayed: &Fleet) -> f64 {
     // The load is the same in every replay: total work divided by the capacity of
