--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -12,6 +12,7 @@
     crashes::Suspects,
     durations::{ArrivalRate, Durations},
     events::{JobKey, PollRequest, PoolAction, WorkerContact, WorkerKey},
+    fair_share::FairShare,
     job_table::{Job, JobTable},
     task::TaskRef,
     trail::Trail,
@@ -138,6 +139,7 @@
     pub(super) suspects: Suspects,
     /// Idle hosts of the pool can be switched off.
     pub(super) switches_off_hosts: bool,
+    pub(super) fair_share: FairShare,
     /// Tasks waited for capacity after the last placement round.
     pub(super) is_short: bool,
     /// Some workers are kept for tasks that run alone.
@@ -187,6 +189,7 @@
             advice: Advice::default(),
             suspects: Suspects::default(),
             switches_off_hosts: false,
+            fair_share: FairShare::default(),
             is_short: false,
             suspects_reserved: false,
             vacating: HashSet::new(),
@@ -235,6 +238,16 @@
         self.switches_off_hosts = switches_off_hosts;
     }
 
+    /// Applies the client accounts of a configuration with their weights; none if
+    /// the deployment has no accounts.
+    pub fn set_accounts<I>(&mut self, weights: I)
+    where
+        I: IntoIterator<Item = (AccountId, f64)>,
+    {
+        self.fair_share.set_weights(weights);
+        self.placing_due = true;
+    }
+
     pub(super) fn policy(&self, queue: &QueueId) -> QueuePolicy {
         self.queues.get(queue).cloned().unwrap_or_default()
     }
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -1,6 +1,8 @@
 //! Controller of one pool: connects the pool's engine to the store and the
 //! workers.
 
+mod account_metrics;
+
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use hashbrown::{HashMap, HashSet};
@@ -15,6 +17,7 @@
     time::{Instant, sleep_until},
 };
 
+use self::account_metrics::AccountMetrics;
 use super::{
     clock,
     control::{AbortOnDrop, LeaseState, previous_holder_grace_ms},
@@ -34,7 +37,7 @@
         WorkerContact, WorkerKey, WriteResult,
     },
     coordination::relay::{Member, choose_relays, relay_of, relays_wanted},
-    state::{ServingDocument, Vacancy, WorkerEntry, encode},
+    state::{Accounts, ServingDocument, Vacancy, WorkerEntry, encode},
 };
 
 /// Coalescing delay for changes of jobs, in milliseconds. A burst of submissions
@@ -90,7 +93,7 @@
     let mut document = shared.document.subscribe();
     let mut registry = shared.registry.subscribe();
     let mut vacate = shared.vacate.subscribe();
-    set_queues(&mut engine, &mut document, &pool);
+    apply_document(&mut engine, &mut document, &pool);
     engine.on_registry(registry.borrow_and_update().values());
 
     let jobs = list_with_retry(&shared, &jobs_prefix(&pool)).await;
@@ -121,6 +124,7 @@
     let fence = Fence::new(&pool_scope(&pool), tenure.key_version);
     let controller = Controller {
         shared: Rc::clone(&shared),
+        account_metrics: AccountMetrics::new(pool.clone()),
         pool,
         fence: Rc::new(fence),
         engine,
@@ -147,7 +151,9 @@
     }
 }
 
-fn set_queues(
+/// Passes the queues and the client accounts of the configuration in force to the
+/// engine.
+fn apply_document(
     engine: &mut PoolEngine,
     document: &mut watch::Receiver<Option<Rc<ServingDocument>>>,
     pool: &PoolId,
@@ -167,6 +173,9 @@
         (queue.queue.clone(), policy)
     });
     engine.set_queues(queues);
+    let accounts = document.iter().filter_map(|document| document.accounts.as_ref());
+    let accounts = accounts.flat_map(Accounts::iter);
+    engine.set_accounts(accounts.map(|settings| (settings.account.clone(), settings.weight)));
 }
 
 /// Builds the recovered state of a pool from its jobs and from the progress and
@@ -196,6 +205,7 @@
     pool: PoolId,
     fence: Rc<Fence>,
     engine: Rc<RefCell<PoolEngine>>,
+    account_metrics: AccountMetrics,
     inputs: mpsc::UnboundedSender<Input>,
     /// Calls in flight; aborted when the controller is dropped.
     calls: JoinSet<()>,
@@ -230,7 +240,7 @@
                 self.on_input(input);
             }
             if document.has_changed().unwrap_or(false) {
-                set_queues(&mut self.engine.borrow_mut(), &mut document, &self.pool);
+                apply_document(&mut self.engine.borrow_mut(), &mut document, &self.pool);
             }
             if registry.has_changed().unwrap_or(false) {
                 self.engine.borrow_mut().on_registry(registry.borrow_and_update().values());
@@ -250,6 +260,9 @@
             actions.into_iter().for_each(|action| self.carry_out(action));
             while self.calls.try_join_next().is_some() {}
             let now_ms = clock::read().monotonic_ms;
+            if self.account_metrics.take_due(now_ms) {
+                self.account_metrics.set(&self.engine.borrow().account_shares());
+            }
             // A step that is due already is not repeated at once: control may have
             // run out.
             let next_ms = self.engine.borrow().next_step_ms().max(now_ms + STEP_MIN_MS);
--- a/crates/dispatch/src/replay/mod.rs
+++ b/crates/dispatch/src/replay/mod.rs
@@ -4,4 +4,6 @@
 //! when an engine violates an invariant that workers rely on.
 
 pub mod balance;
+pub mod fair_share;
+pub mod placement;
 pub mod pool;
--- a/crates/standins/src/bench/dispatch.rs
+++ b/crates/standins/src/bench/dispatch.rs
@@ -1,11 +1,15 @@
 //! Benchmark `dispatch`: policies of the dispatcher, run on its engines, each
 //! compared with a simple baseline.
 
+use std::time::Instant;
+
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tamarack_dispatch::{
     replay::{
         balance::{Fleet, HOST_MILLICORES, HOSTS_PER_POOL, POOLS, STEP_MS, replay_surges},
+        fair_share::{AccountLoad, FloodPhase, FloodReplay, TASK_MAX_MS},
+        placement::WaitingPool,
         pool::{PoolSimulation, job, lasting, step},
     },
     state::StepSpec,
@@ -23,6 +27,27 @@
 /// load, in milliseconds; stated by the users.
 const INTERFERENCE_MS: f64 = 4_500.0;
 
+/// Load of a pool that is just full: one account floods it, the other stays within
+/// its entitlement.
+const ACCOUNTS: [AccountLoad; 2] = [
+    AccountLoad { account: "flooding", weight: 1.0, load: 0.65 },
+    AccountLoad { account: "steady", weight: 1.0, load: 0.30 },
+];
+/// Fraction of the jobs of an account that a flood may make late; the goal is none,
+/// and a replay has about 100 such jobs.
+const FLOOD_LATE_SHARE: f64 = 0.01;
+
+/// Most accounts of a deployment; stated by the users.
+const ACCOUNTS_MAX: usize = 220;
+/// Goal: the cost of a placement round grows with the number of waiting steps as it
+/// does without accounts, which is a little more than linear. The rest is the noise
+/// of the timings.
+const ROUND_GROWTH_BOUND: f64 = 1.25;
+const ROUND_STEPS: usize = 2_000;
+/// Rounds of one timing, and timings of which the shortest counts.
+const ROUNDS: usize = 20;
+const ROUND_TIMINGS: usize = 5;
+
 /// Job of a surge: arrival time, number of tasks and estimated time of a task;
 /// times in milliseconds.
 struct SurgeJob {
@@ -45,7 +70,9 @@
 /// Runs all policies.
 pub fn run(options: &BenchOptions) -> Vec<Figure> {
     let seeds = options.seed..options.seed + options.seeds;
-    seeds.flat_map(|seed| [order(seed)].into_iter().chain(pools()).chain(throttling())).collect()
+    let figures =
+        |seed| [order(seed)].into_iter().chain(pools()).chain(throttling()).chain(flood(seed));
+    seeds.flat_map(figures).chain(rounds()).collect()
 }
 
 /// Measures the share of jobs that meet their objective in a surge of twice the
@@ -110,6 +137,56 @@
     [late, on]
 }
 
+/// Measures by how much a flood from one account delays the jobs of another, and the
+/// share of these that meet their objective; the baselines have no fair share.
+fn flood(seed: u64) -> Vec<Figure> {
+    let replay = FloodReplay::new(&ACCOUNTS, seed);
+    let unshared = replay.run();
+    let replay = replay.with_fair_share();
+    let (shared, quiet) = (replay.run(), replay.without_flood().run());
+    let phases = [(FloodPhase::During, "in_a_flood"), (FloodPhase::After, "after_a_flood")];
+    let figures = phases.into_iter().flat_map(|(phase, name)| {
+        let wait_ms = shared.extra_wait_ms(&quiet, phase, 100) as f64;
+        let wait = Figure::new(NAME, format!("longest_extra_wait_of_others_{name}"), wait_ms, "ms")
+            .with_baseline(unshared.extra_wait_ms(&quiet, phase, 100) as f64)
+            .with_bound(Bound::AtMost(TASK_MAX_MS.into()));
+        let timely = shared.timely_share(phase);
+        let least = quiet.timely_share(phase) - FLOOD_LATE_SHARE;
+        let timely =
+            Figure::new(NAME, format!("jobs_of_others_in_objective_{name}"), timely, "share")
+                .with_baseline(unshared.timely_share(phase))
+                .with_bound(Bound::AtLeast(least));
+        [wait, timely]
+    });
+    figures.collect()
+}
+
+/// Measures the cost of a placement round of a full pool with accounts: with four
+/// times as many waiting steps, and relative to a pool without accounts.
+fn rounds() -> [Figure; 2] {
+    let mut pools = [(ROUND_STEPS, 0), (ROUND_STEPS, ACCOUNTS_MAX), (4 * ROUND_STEPS, 0)]
+        .into_iter()
+        .chain([(4 * ROUND_STEPS, ACCOUNTS_MAX)])
+        .map(|(steps, accounts)| (WaitingPool::new(steps, accounts), f64::INFINITY))
+        .collect::<Vec<_>>();
+    // The timings of the pools alternate, so that other load on the machine affects
+    // all of them.
+    for _ in 0..ROUND_TIMINGS {
+        for (pool, least_s) in &mut pools {
+            let began = Instant::now();
+            pool.run_rounds(ROUNDS);
+            *least_s = least_s.min(began.elapsed().as_secs_f64());
+        }
+    }
+    let cost_s = |index: usize| pools.get(index).map_or(f64::NAN, |(_, least_s)| *least_s);
+    let (growth, baseline) = (cost_s(3) / cost_s(1), cost_s(2) / cost_s(0));
+    let growth = Figure::new(NAME, "round_cost_of_four_times_the_steps", growth, "ratio")
+        .with_baseline(baseline)
+        .with_bound(Bound::AtMost(ROUND_GROWTH_BOUND * baseline));
+    let accounts = cost_s(1) / cost_s(0);
+    [growth, Figure::new(NAME, "round_cost_with_accounts", accounts, "ratio").with_baseline(1.0)]
+}
+
 /// Returns the host time if hosts moved without delay and the load were known.
 fn least_host_seconds(replayed: &Fleet) -> f64 {
     // The load is the same in every replay: total work divided by the capacity of
