Keep shares of client accounts' limits in each pool

Each pool's controller holds a share of each limited account's limit and judges starts by it. Shares are raised one at a time over all pools, and are lowered as soon as they are not needed.

--- a/crates/dispatch/src/coordination/access.rs
+++ b/crates/dispatch/src/coordination/access.rs
@@ -67,6 +67,11 @@
 }
 
 impl ConfigurationAge {
+    /// Returns whether every change that is older than `bound_ms` is known.
+    pub fn is_within(&self, bound_ms: u64) -> bool {
+        self.now_ms < self.confirmed_ms + bound_ms
+    }
+
     /// Returns whether no key can have been withdrawn for so long that it must
     /// have stopped.
     pub fn is_current(&self) -> bool {
--- a/crates/dispatch/src/coordination/mod.rs
+++ b/crates/dispatch/src/coordination/mod.rs
@@ -6,5 +6,6 @@
 pub mod control;
 pub mod pool;
 pub mod relay;
+pub mod shares;
 pub mod submission;
 pub mod upkeep;
--- a/crates/dispatch/src/coordination/pool/copies.rs
+++ b/crates/dispatch/src/coordination/pool/copies.rs
@@ -40,6 +40,9 @@
         }
         slow.retain(|&task| self.is_crash_stored(task));
         for task in slow {
+            if !self.may_start(task, 1) {
+                continue;
+            }
             if let Some(worker) = self.choose(now_ms, task) {
                 let starts = self.job_table.task(task).map_or(0, |task| task.starts);
                 log::info!(task:? = self.job_table.address(task);
--- a/crates/dispatch/src/coordination/pool/crashes.rs
+++ b/crates/dispatch/src/coordination/pool/crashes.rs
@@ -473,6 +473,10 @@
         let mut free = self.workers_for_alone(now_ms);
         let mut unplaced = Vec::new();
         for (_, task) in waiting {
+            if !self.may_start(task, 1) {
+                self.note_blocked(now_ms, task, 1);
+                continue;
+            }
             let is_gang = self.job_table.spec(task).is_none_or(|spec| spec.is_gang);
             let worker = if is_gang || free == 0 { None } else { self.choose(now_ms, task) };
             match worker {
--- a/crates/dispatch/src/coordination/pool/demand.rs
+++ b/crates/dispatch/src/coordination/pool/demand.rs
@@ -35,6 +35,23 @@
         work.sum()
     }
 
+    /// Returns the processors that a job's long-running tasks need, in
+    /// thousandths of a core, without waiting ones that a limit blocks.
+    fn lasting_millicores(&self, job: &Job) -> u64 {
+        let is_limit_reached = self.is_limit_reached(job);
+        let lasting = job.spec.steps.iter().enumerate().filter(|(_, spec)| spec.is_lasting);
+        let millicores = lasting.map(|(index, spec)| {
+            let occurrence = job.occurrences.values().next_back();
+            let state = occurrence.and_then(|occurrence| occurrence.steps.get(index));
+            let tasks = match state.filter(|_| is_limit_reached) {
+                Some(step) => step.tasks.iter().filter(|task| !task.runs.is_empty()).count() as u64,
+                None => u64::from(spec.tasks),
+            };
+            tasks * spec.allocation().cpu_millicores
+        });
+        millicores.sum()
+    }
+
     /// Returns the pool's demand, by which hosts are moved between pools.
     /// Figures are rounded, so that small changes cost no write.
     fn demand(&self, now_ms: u64) -> Demand {
@@ -42,14 +59,12 @@
         let round = |value: u64, unit: u64| value.div_ceil(unit) * unit;
         let live = || self.job_table.iter().filter(|(_, job)| job.outcome.is_none());
         let (mut backlog_core_ms, mut overdue_core_ms) = (0.0, 0.0);
-        for (_, job) in live() {
+        for (_, job) in live().filter(|(_, job)| !self.is_limit_reached(job)) {
             let is_overdue = self.rank_inputs(job, now_ms).is_overdue();
             let sum = if is_overdue { &mut overdue_core_ms } else { &mut backlog_core_ms };
             *sum += self.batch_work_core_ms(job);
         }
-        let lasting = live().flat_map(|(_, job)| &job.spec.steps).filter(|step| step.is_lasting);
-        let lasting: u64 =
-            lasting.map(|step| u64::from(step.tasks) * step.allocation().cpu_millicores).sum();
+        let lasting: u64 = live().map(|(_, job)| self.lasting_millicores(job)).sum();
         let is_idle = |worker: &&Worker| {
             worker.is_empty()
                 && is_reachable(worker)
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -250,8 +250,10 @@
                     .with_account(record.account)
                     .with_arrival(now, record.accepted_unix_ms, is_inherited);
                 self.durations.on_job(&job.queue, job.work_core_ms());
-                let work_core_ms = self.batch_work_core_ms(&job);
-                self.arrivals.add(now.monotonic_ms, work_core_ms);
+                if !self.is_limit_reached(&job) {
+                    let work_core_ms = self.batch_work_core_ms(&job);
+                    self.arrivals.add(now.monotonic_ms, work_core_ms);
+                }
                 let key = self.job_table.insert(job);
                 self.job_table.open_due(key, now.unix_ms);
                 self.placing_due = true;
@@ -398,8 +400,10 @@
             self.placing_due = false;
             self.next_place_ms = now_ms + PLACE_INTERVAL_MS;
             self.stop_obsolete_runs(now_ms);
+            self.begin_limits();
             self.place_alone(now_ms);
             self.place(now_ms);
+            self.end_limits(now_ms);
             self.summarize(now_ms);
             self.trail.flush(&self.control.pool, self.control.term);
         }
--- a/crates/dispatch/src/coordination/pool/job_table.rs
+++ b/crates/dispatch/src/coordination/pool/job_table.rs
@@ -249,6 +249,15 @@
         });
     }
 
+    /// Returns the use by client accounts.
+    pub(super) fn accounts(&self) -> &AccountLedger {
+        &self.accounts
+    }
+
+    pub(super) fn accounts_mut(&mut self) -> &mut AccountLedger {
+        &mut self.accounts
+    }
+
     /// Adds a run of a task and charges it to the job's account.
     pub(super) fn add_run(&mut self, task: TaskRef, run: Run) {
         let Some(state) = self.task_mut(task) else { return };
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -347,8 +347,13 @@
             return;
         }
         let allocation = task.and_then(|task| self.job_table.spec(task)).map(StepSpec::allocation);
+        let charge = task.and_then(|task| {
+            let account = self.job_table.job(task.job)?.account.clone()?;
+            Some((account, self.job_table.spec(task)?.need))
+        });
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let orphan = OrphanRun { number: running.run, allocation, stop_sent_ms: Some(now_ms) };
+        let stop_sent_ms = Some(now_ms);
+        let orphan = OrphanRun { number: running.run, allocation, charge, stop_sent_ms };
         let known =
             worker.orphan_runs.get(&address).is_some_and(|known| known.number == running.run);
         if !known {
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -16,6 +16,7 @@
 mod events;
 mod health;
 mod job_table;
+mod limits;
 mod looks;
 mod order;
 mod pacing;
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -81,7 +81,7 @@
 
     /// Returns whether a step's queue has a policy that permits only some
     /// workers.
-    fn needs_ticket(&self, step: TaskRef) -> bool {
+    pub(super) fn needs_ticket(&self, step: TaskRef) -> bool {
         let job = self.job_table.job(step.job);
         job.is_some_and(|job| self.policy(&job.queue).advice.is_some())
     }
@@ -200,6 +200,10 @@
             {
                 continue;
             }
+            if !self.may_start(task, 1) {
+                self.note_blocked(now_ms, task, self.waiting_from(now_ms, task));
+                break;
+            }
             let Some(worker) = self.choose(now_ms, task) else {
                 is_placed = false;
                 break;
@@ -212,6 +216,13 @@
         is_placed
     }
 
+    /// Counts the waiting tasks of a step from `task` on.
+    fn waiting_from(&self, now_ms: u64, task: TaskRef) -> u64 {
+        let Some(step) = self.job_table.step(task) else { return 0 };
+        let later = step.tasks.iter().skip(task.index as usize);
+        later.filter(|task| task.waits(now_ms)).count() as u64
+    }
+
     /// Adds the starts of a step's tasks to the trail: the step with the age of
     /// its job, then each task's index, run and worker.
     pub(super) fn log_starts(&mut self, now_ms: u64, step: TaskRef, places: &[(u32, WorkerKey)]) {
@@ -369,6 +380,7 @@
             return true;
         }
         let starts = state.tasks.iter().map(|task| task.starts).max().unwrap_or(0);
+        let is_allowed = self.may_start(step, members.into());
         let Some(spec) = self.job_table.spec(step) else { return true };
         let (allocation, spread) = (spec.allocation(), spec.per_worker_max);
         let mut planned: HashMap<WorkerKey, (u32, Resources)> = HashMap::new();
@@ -388,7 +400,7 @@
             let task = TaskRef { index, ..step };
             let excluded = self.exclusion(now_ms, task, Sharing::Exclusive);
             let Some(worker) = query.choose(&self.workers, now_ms, free_capacity, excluded) else {
-                return false;
+                return !is_allowed;
             };
             let (count, taken) = planned.entry(worker).or_default();
             *count += 1;
@@ -398,6 +410,10 @@
             }
             places.push(worker);
         }
+        if !is_allowed {
+            self.note_blocked(now_ms, step, members.into());
+            return true;
+        }
         let places: Vec<_> = (0..).zip(places).collect();
         for &(index, worker) in &places {
             self.start(now_ms, TaskRef { index, ..step }, worker, starts);
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -5,7 +5,10 @@
 
 use hashbrown::HashMap;
 use slotmap::{KeyData, SlotMap};
-use tamarackproxy::{coordination::jobs::Resources, state::ids::WorkerId};
+use tamarackproxy::{
+    coordination::jobs::Resources,
+    state::ids::{AccountId, WorkerId},
+};
 
 use super::{
     events::{EndedTask, WorkerKey},
@@ -55,11 +58,14 @@
 }
 
 /// A run that the worker lists and that belongs to no live task.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct OrphanRun {
     pub(super) number: RunNumber,
     /// Resources that the run takes; none if its job is unknown.
     pub(super) allocation: Option<Resources>,
+    /// Client account of the run's job and the need that counts for it; none if
+    /// the job is unknown or has no account.
+    pub(super) charge: Option<(AccountId, Resources)>,
     pub(super) stop_sent_ms: Option<u64>,
 }
 
--- /dev/null
+++ b/crates/dispatch/src/coordination/shares/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of the share engine.
--- a/crates/dispatch/src/node/control.rs
+++ b/crates/dispatch/src/node/control.rs
@@ -133,6 +133,11 @@
 }
 
 impl Holders {
+    /// Lists the scopes that have a holder.
+    pub(super) fn held_scopes(&self) -> impl Iterator<Item = &str> {
+        self.scopes.keys().map(|scope| &**scope)
+    }
+
     /// Returns the load of a process: its processors and the scopes it holds.
     fn load(&self, entry: &EntryId, millicores: u32) -> ControlLoad {
         let scopes = self.scopes.iter().filter(|(_, holder)| holder.tenure.holder == *entry);
--- a/crates/dispatch/src/node/keys.rs
+++ b/crates/dispatch/src/node/keys.rs
@@ -6,10 +6,11 @@
     state::ids::{EntryId, PoolId, RecordVersion, WorkerId},
 };
 
-use super::platform::{Transaction, TransactionReply};
+use super::platform::{Listing, Transaction, TransactionReply};
 use crate::{
     coordination::{
         pool::{PoolWrite, WriteResult},
+        shares::{ListedShares, ShareWrite, ShareWriteResult},
         submission::{SubmissionResult, SubmissionWrite},
         upkeep::UpkeepWrite,
     },
@@ -99,6 +100,21 @@
     format!("{SUMMARY_PREFIX}{pool}").into()
 }
 
+/// Prefix of the pools' shares of client accounts' limits.
+pub(super) const SHARES_PREFIX: &str = "account-shares/";
+/// Empty key that every raise of a share replaces. It sorts before the pools, so
+/// that a listing reads it first.
+const RAISE_KEY: &str = "account-shares/-raise";
+
+fn share_key(pool: &PoolId) -> Box<str> {
+    format!("{SHARES_PREFIX}{pool}").into()
+}
+
+/// Parses the name of a pool's scope.
+pub(super) fn pool_of_scope(scope: &str) -> Option<PoolId> {
+    scope.strip_prefix("pool-")?.parse().ok()
+}
+
 pub(super) fn vacated_key(worker: &WorkerId) -> Box<str> {
     format!("{VACATED_PREFIX}{worker}").into()
 }
@@ -253,6 +269,66 @@
     WriteResult::Conflict(changed.collect())
 }
 
+/// Decodes the shares of all pools. None if one of them cannot be decoded, since
+/// what it holds must not be used by another pool.
+pub(super) fn listed_shares(listing: &Listing) -> Option<ListedShares> {
+    let mut shares = ListedShares::default();
+    for item in &listing.items {
+        if *item.key == *RAISE_KEY {
+            shares.raise = item.version;
+            continue;
+        }
+        let Some(pool) = item.key.strip_prefix(SHARES_PREFIX).and_then(|name| name.parse().ok())
+        else {
+            log::error!(key = &*item.key; "key names no pool and is ignored");
+            continue;
+        };
+        shares.pools.insert(pool, (item.version, decode_item(item)?));
+    }
+    Some(shares)
+}
+
+/// Builds the transaction of a write of a pool's shares.
+pub(super) fn share_transaction(
+    fence: &Fence,
+    pool: &PoolId,
+    write: &ShareWrite,
+) -> Result<Transaction, RecordError> {
+    let key = share_key(pool);
+    let mut transaction = Transaction {
+        expected: vec![fence.condition(), (key.clone(), write.version)],
+        put: vec![encode_entry(key, &write.record)?],
+        remove: Vec::new(),
+    };
+    if let Some(version) = write.raise {
+        transaction.expected.push((RAISE_KEY.into(), version));
+        transaction.put.push((RAISE_KEY.into(), Bytes::new()));
+    }
+    for (pool, version) in &write.abandoned {
+        let key = share_key(pool);
+        let control = Fence::new(&pool_scope(pool), RecordVersion(0));
+        transaction.expected.extend([(key.clone(), *version), control.condition()]);
+        transaction.remove.push(key);
+    }
+    Ok(transaction)
+}
+
+/// Converts the store's reply to a write of a pool's shares.
+pub(super) fn share_result(
+    fence: &Fence,
+    reply: Result<TransactionReply, StoreError>,
+) -> ShareWriteResult {
+    match reply {
+        Ok(TransactionReply::Written(version)) => ShareWriteResult::Written(version),
+        Ok(TransactionReply::Conflict(conflict)) if fence.is_broken(&conflict) => {
+            ShareWriteResult::OldTerm
+        }
+        Ok(TransactionReply::Conflict(_)) => ShareWriteResult::Conflict,
+        Err(StoreError::NotSent | StoreError::Throttled) => ShareWriteResult::NotWritten,
+        Err(StoreError::Unknown | StoreError::Malformed(_)) => ShareWriteResult::Unknown,
+    }
+}
+
 /// Builds the transaction that stores new jobs.
 pub(super) fn submission_transaction(write: &SubmissionWrite) -> Transaction {
     let expected = write.jobs.iter().map(|(key, _)| (key.clone(), RecordVersion(0))).collect();
--- a/crates/dispatch/src/node/mod.rs
+++ b/crates/dispatch/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod relay;
 mod server;
 mod shared;
+mod shares;
 mod upkeep;
 
 pub use self::{
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -26,6 +26,7 @@
     platform::{Platform, Transaction},
     relay::{CallEnd, CallOutcome, RelayLink, list_members},
     shared::Shared,
+    shares::{ShareReply, Shares},
 };
 use crate::{
     coordination::pool::{
@@ -66,6 +67,7 @@
     Advised(AdviceQuestion, Option<Vec<(WorkerId, Box<str>)>>),
     Relayed(CallOutcome, CallEnd),
     Members(Vec<Member>),
+    Shares(ShareReply),
 }
 
 /// Controls a pool until it is aborted or fenced.
@@ -119,10 +121,13 @@
     shared.engines.borrow_mut().insert(pool.clone(), Rc::clone(&engine));
     let _registered = EngineRegistration { shared: Rc::clone(&shared), pool: pool.clone() };
     let fence = Fence::new(&pool_scope(&pool), tenure.key_version);
-    let controller = Controller {
+    let fence = Rc::new(fence);
+    let shares = Shares::new(Rc::clone(&shared), pool.clone(), Rc::clone(&fence));
+    let mut controller = Controller {
         shared: Rc::clone(&shared),
         pool,
-        fence: Rc::new(fence),
+        fence,
+        shares,
         engine,
         inputs,
         calls: JoinSet::new(),
@@ -132,6 +137,7 @@
         direct_until_ms: HashMap::new(),
         requests,
     };
+    controller.set_limits(&document);
     controller.run(receiver, document, registry, vacate, lease).await;
 }
 
@@ -193,6 +199,8 @@
     shared: Rc<Shared<P>>,
     pool: PoolId,
     fence: Rc<Fence>,
+    /// Shares of the limits of client accounts.
+    shares: Shares<P>,
     engine: Rc<RefCell<PoolEngine>>,
     inputs: mpsc::UnboundedSender<Input>,
     /// Calls in flight; aborted when the controller is dropped.
@@ -229,6 +237,7 @@
             }
             if document.has_changed().unwrap_or(false) {
                 set_queues(&mut self.engine.borrow_mut(), &mut document, &self.pool);
+                self.set_limits(&document);
             }
             if registry.has_changed().unwrap_or(false) {
                 self.engine.borrow_mut().on_registry(registry.borrow_and_update().values());
@@ -239,6 +248,8 @@
             }
             self.refresh_members();
             self.engine.borrow_mut().confirm_control(lease.confirmed_until_ms());
+            // Ended runs may have left room that another pool is entitled to.
+            self.shares.sync(&mut self.engine.borrow_mut());
             let actions = self.engine.borrow_mut().step(clock::read());
             if actions.iter().any(|action| matches!(action, PoolAction::Fenced)) {
                 // No further action may be taken after a higher term was seen.
@@ -246,11 +257,14 @@
                 return;
             }
             actions.into_iter().for_each(|action| self.carry_out(action));
+            self.step_shares();
             while self.calls.try_join_next().is_some() {}
             let now_ms = clock::read().monotonic_ms;
             // A step that is due already is not repeated at once: control may have
             // run out.
-            let next_ms = self.engine.borrow().next_step_ms().max(now_ms + STEP_MIN_MS);
+            let next_ms = self.engine.borrow().next_step_ms();
+            let next_ms = next_ms.min(self.shares.next_step_ms().unwrap_or(u64::MAX));
+            let next_ms = next_ms.max(now_ms + STEP_MIN_MS);
             let until = Instant::now() + Duration::from_millis(next_ms.saturating_sub(now_ms));
             tokio::select! {
                 () = sleep_until(until) => {}
@@ -262,6 +276,24 @@
         }
     }
 
+    /// Applies the limits of the configuration in force.
+    fn set_limits(&mut self, document: &watch::Receiver<Option<Rc<ServingDocument>>>) {
+        if let Some(document) = &*document.borrow() {
+            self.shares.set_document(&mut self.engine.borrow_mut(), document);
+        }
+    }
+
+    /// Makes the call about shares that is due.
+    fn step_shares(&mut self) {
+        self.shares.sync(&mut self.engine.borrow_mut());
+        let Some(call) = self.shares.step() else { return };
+        let (call, inputs) = (self.shares.carry_out(call), self.inputs.clone());
+        self.calls.spawn_local(async move {
+            // The receiver is gone when control has ended.
+            let _ = inputs.send(Input::Shares(call.await));
+        });
+    }
+
     /// Applies the requests to vacate workers. One with another version is a new
     /// request, which has to be confirmed again.
     fn set_requests(&mut self, requests: HashMap<WorkerId, RecordVersion>) {
@@ -366,6 +398,7 @@
         let input = match input {
             Input::Relayed(outcome, end) => return self.on_relayed(outcome, end),
             Input::Members(members) => return self.on_members(&members),
+            Input::Shares(reply) => return self.shares.on_reply(reply),
             input => input,
         };
         let now = clock::read();
@@ -384,7 +417,7 @@
             )) => {}
             Input::Started(target, reply) => engine.on_start_reply(now, target, reply),
             Input::Stopped(target, reply) => engine.on_stop_reply(now, target, reply),
-            Input::Paced | Input::Relayed(..) | Input::Members(_) => {}
+            Input::Paced | Input::Relayed(..) | Input::Members(_) | Input::Shares(_) => {}
             Input::Polled(worker, result) => engine.on_poll(now, worker, result),
             Input::Written(result) => engine.on_write(now, result),
             Input::Advised(question, allowed) => engine.on_advice(now, &question, allowed),
--- a/crates/dispatch/src/state/mod.rs
+++ b/crates/dispatch/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod job;
 mod record;
 mod serving;
+mod share;
 mod wave;
 mod worker;
 
@@ -19,6 +20,7 @@
         SurgeRecord, TaskProgress, Vacancy, VacateReason, VacateRequest, decode, encode,
     },
     serving::{AdviceSettings, CallerLimits, PoolSettings, QueueSettings, ServingDocument},
+    share::{AccountShare, ShareRecord},
     wave::{WaveNumber, WaveRecord, WaveRequest, WaveState},
     worker::{Registration, WorkerEntry},
 };
--- a/crates/tamarackproxy/src/coordination/jobs/resources.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/resources.rs
@@ -45,6 +45,27 @@
         }
     }
 
+    /// Returns the amount taken `count` times.
+    #[must_use]
+    pub fn times(&self, count: u64) -> Resources {
+        let accelerators = u64::from(self.accelerators).saturating_mul(count);
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_mul(count),
+            memory_bytes: self.memory_bytes.saturating_mul(count),
+            accelerators: u32::try_from(accelerators).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the smaller amount of each part.
+    #[must_use]
+    pub fn smaller(&self, other: &Resources) -> Resources {
+        Self {
+            cpu_millicores: self.cpu_millicores.min(other.cpu_millicores),
+            memory_bytes: self.memory_bytes.min(other.memory_bytes),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Returns the dominant share: the largest ratio of a part to that of
     /// `whole`, in thousandths.
     pub fn dominant_share(&self, whole: &Resources) -> u64 {
