--- a/crates/dispatch/src/coordination/access/tests.rs
+++ b/crates/dispatch/src/coordination/access/tests.rs
@@ -127,3 +127,13 @@
     let text = format!("{:?}", account(&hasher, "a", &["secret-key"]));
     assert!(text.contains("KeyDigest(..)") && !text.contains("secret"), "{text}");
 }
+
+/// Guards against a limit that is applied later than `config_apply_ms` after it
+/// fell, because the age of the configuration counts from a later time than the
+/// sending of its last read.
+#[test]
+fn age_of_the_configuration_is_bounded() {
+    let age = ConfigurationAge { now_ms: 12_999, confirmed_ms: 10_000, revocation_ms: None };
+    assert!(age.is_within(3_000));
+    assert!(!ConfigurationAge { now_ms: 13_000, ..age }.is_within(3_000));
+}
--- a/crates/dispatch/src/coordination/shares/account.rs
+++ b/crates/dispatch/src/coordination/shares/account.rs
@@ -120,8 +120,11 @@
 
     pub(super) fn set_demand(&mut self, now_ms: u64, demand: &AccountDemand) {
         self.running = self.limit.limited(&demand.running);
-        self.blocked = self.limit.limited(&demand.blocked);
         self.unit = self.limit.limited(&demand.unit);
+        // What the whole limit has no room for must not keep a share.
+        let could_start = self.unit.fits_in(&self.limit.bounds());
+        let blocked = if could_start { demand.blocked } else { Resources::default() };
+        self.blocked = self.limit.limited(&blocked);
         self.peak.add(now_ms, &self.wanted());
     }
 
--- a/crates/dispatch/src/coordination/shares/engine.rs
+++ b/crates/dispatch/src/coordination/shares/engine.rs
@@ -153,8 +153,13 @@
     /// Sets whether the configuration is known to be current.
     pub fn set_current(&mut self, is_current: bool) {
         if self.is_current != is_current && self.has_limits() {
-            log::info!(pool = self.pool.as_str(), is_current = is_current;
-                "starts for accounts with a limit depend on the configuration's age");
+            if is_current {
+                log::info!(pool = self.pool.as_str();
+                    "configuration is current; accounts with a limit may start tasks");
+            } else {
+                log::warn!(pool = self.pool.as_str();
+                    "configuration may be outdated; accounts with a limit start nothing");
+            }
         }
         self.is_current = is_current;
     }
@@ -433,6 +438,11 @@
         (hash ^ (hash >> 17)) % CONFLICT_SPREAD_MS
     }
 
+    fn set_gauge(&self, gauge: &'static str, account: &AccountId, value: u64) {
+        let labels = [("account", account.as_str().to_owned()), ("pool", self.pool.to_string())];
+        metrics::gauge!(gauge, &labels).set(value as f64);
+    }
+
     /// Logs the shares that a write changed, one line for each account.
     fn log_changes(&self, record: &ShareRecord) {
         let names = self.own.accounts.keys().chain(record.accounts.keys());
@@ -444,6 +454,8 @@
                 (true, false) => "raised",
                 (false, false) => "lowered",
             };
+            self.set_gauge("account_share_millicores", name, after.held.cpu_millicores);
+            self.set_gauge("account_wanted_millicores", name, after.wanted.cpu_millicores);
             log::info!(pool = self.pool.as_str(), account = name.as_str(),
                 change = change, before:? = before.held, after:? = after.held,
                 wanted:? = after.wanted; "share of an account's limit was changed");
@@ -474,6 +486,7 @@
                 room:? = account.room(); "account is blocked by its limit");
             metrics::counter!("account_limit_blocks", "account" => name.as_str().to_owned())
                 .increment(1);
+            set_blocked(pool, name, true);
         }
     } else if account.blocked_since_ms.is_some() && now_ms >= account.blocked_ms + UNBLOCKED_LOG_MS
     {
@@ -481,6 +494,12 @@
         if std::mem::take(&mut account.is_reported) {
             log::info!(pool = pool.as_str(), account = name.as_str();
                 "account is no longer blocked by its limit");
+            set_blocked(pool, name, false);
         }
     }
 }
+
+fn set_blocked(pool: &PoolId, account: &AccountId, is_blocked: bool) {
+    let labels = [("account", account.as_str().to_owned()), ("pool", pool.to_string())];
+    metrics::gauge!("account_blocked", &labels).set(if is_blocked { 1.0 } else { 0.0 });
+}
--- a/crates/dispatch/src/coordination/shares/tests/movement.rs
+++ b/crates/dispatch/src/coordination/shares/tests/movement.rs
@@ -67,6 +67,19 @@
     }
 }
 
+/// Guards against a share that is held for tasks which the whole limit has no
+/// room for.
+#[test]
+fn task_above_the_whole_limit_holds_nothing() {
+    let mut world = World::new(2, cores(4));
+    world.submit(0, 5, cores(8), 300);
+    world.run_ms(500);
+    assert_eq!(world.held(0), cores(0));
+    world.submit(1, 4, cores(1), 300);
+    world.run_ms(60);
+    assert_eq!(world.controllers[1].starts, 4);
+}
+
 /// Guards against a resource other than processors that is treated differently,
 /// and against a limit of 0 that blocks instead of allowing everything.
 #[test]
--- a/crates/dispatch/src/node/shares.rs
+++ b/crates/dispatch/src/node/shares.rs
@@ -136,3 +136,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
