--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -18,6 +18,7 @@
 mod fair_share;
 mod health;
 mod job_table;
+mod limits;
 mod looks;
 mod order;
 mod pacing;
--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod fair_share;
 mod interleavings;
+mod limits;
 mod order;
 mod pacing;
 mod placing;
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -420,17 +420,21 @@
 
     /// Submits a job that is charged to an account.
     pub fn submit_as(&mut self, account: &str, spec: JobSpec) -> JobNumber {
-        self.submit_for(Some(AccountId::new(account)), spec)
+        self.submit_for(Some(&AccountId::new(account)), spec)
     }
 
-    /// Stores a job and passes its record to all live engines.
-    fn submit_for(&mut self, account: Option<AccountId>, spec: JobSpec) -> JobNumber {
+    /// Stores a job of a client account and passes its record to all live engines.
+    pub fn submit_for(&mut self, account: Option<&AccountId>, spec: JobSpec) -> JobNumber {
         spec.check().expect("the job can run");
         let number = JobNumber(self.next_job);
         self.next_job += 1;
         let accepted_unix_ms = self.now().unix_ms;
-        let record =
-            JobRecord { queue: queue(), account, accepted_unix_ms, state: JobState::Live(spec) };
+        let record = JobRecord {
+            queue: queue(),
+            account: account.cloned(),
+            accepted_unix_ms,
+            state: JobState::Live(spec),
+        };
         self.accepted_ms.insert(number, self.now_ms);
         self.store_job(number, record);
         number
--- a/crates/tamarackproxy/src/coordination/jobs/resources.rs
+++ b/crates/tamarackproxy/src/coordination/jobs/resources.rs
@@ -56,6 +56,16 @@
         }
     }
 
+    /// Returns the smaller amount of each part.
+    #[must_use]
+    pub fn smaller(&self, other: &Resources) -> Resources {
+        Self {
+            cpu_millicores: self.cpu_millicores.min(other.cpu_millicores),
+            memory_bytes: self.memory_bytes.min(other.memory_bytes),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Returns the dominant share: the largest ratio of a part to that of
     /// `whole`, in thousandths.
     pub fn dominant_share(&self, whole: &Resources) -> u64 {
