--- a/crates/dispatch/src/coordination/shares/tests/faults.rs
+++ b/crates/dispatch/src/coordination/shares/tests/faults.rs
@@ -1,5 +1,9 @@
 //! What happens to shares when a controller, a link or the store fails halfway.
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tamarackproxy::coordination::jobs::Resources;
+
 use super::world::{APPLY_MS, World, cores, pool};
 
 /// Guards against two controllers that use the same part of a limit because both
@@ -179,3 +183,58 @@
     assert!(!world.records.contains_key(&pool(1)));
     assert!(world.controllers[0].taken().cpu_millicores >= 9_000, "{:?}", world.held(0));
 }
+
+/// Guards against an order of faults that no other test has: starts above the
+/// limit, and controllers that never start anything again.
+#[test]
+fn random_faults_neither_exceed_the_limit_nor_stop_the_account() {
+    for seed in 0..24 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let pools = random.random_range(2..6);
+        let limit = |random: &mut ChaCha8Rng| {
+            Resources::new(random.random_range(4..40) * 1_000, random.random_range(4..60) << 30, 0)
+        };
+        let first = limit(&mut random);
+        let mut world = World::new(pools, first);
+        for controller in &mut world.controllers {
+            controller.capacity = Resources::new(24_000, 64 << 30, 0);
+        }
+        for _ in 0..60 {
+            let pool = random.random_range(0..pools);
+            match random.random_range(0..16) {
+                0 => world.set_limit(limit(&mut random)),
+                1 => world.controllers[pool].is_cut_off = true,
+                2 | 3 => {
+                    let delay_ms = random.random_range(10..4_000);
+                    world.controllers[pool].write_delay_ms = Some(delay_ms);
+                }
+                4 => world.take_over(pool),
+                5 => drop(world.apply_delays_ms.insert(pool, random.random_range(0..APPLY_MS))),
+                6..9 => {
+                    world.controllers[pool].is_cut_off = false;
+                    world.controllers[pool].write_delay_ms = None;
+                    world.reveal(pool);
+                }
+                _ => {
+                    let need = Resources::new(
+                        random.random_range(1..4) * 1_000,
+                        random.random_range(0..4) << 30,
+                        0,
+                    );
+                    let (tasks, lasts_ms) =
+                        (random.random_range(1..12), random.random_range(50..1_500));
+                    world.submit(pool, tasks, need, lasts_ms);
+                }
+            }
+            world.run_ms(random.random_range(5..700));
+        }
+        for pool in 0..pools {
+            world.controllers[pool].is_cut_off = false;
+            world.controllers[pool].write_delay_ms = None;
+            world.reveal(pool);
+        }
+        world.run_ms(120_000);
+        let waiting: Vec<_> = world.controllers.iter().map(|it| it.waiting.len()).collect();
+        assert!(waiting.iter().all(|&waiting| waiting == 0), "seed {seed}: {waiting:?} wait");
+    }
+}
--- a/crates/dispatch/src/coordination/shares/tests/movement.rs
+++ b/crates/dispatch/src/coordination/shares/tests/movement.rs
@@ -176,3 +176,46 @@
         world.run_ms(2_000);
     }
 }
+
+/// Returns the mean use of the limit, in percent, over the steps in which work
+/// waited at their beginning, while pools surge in turn to four times their mean
+/// for 4 s under a limit of 1.9 times the mean use of all.
+fn use_while_work_waits(pools: usize, seed: u64) -> u64 {
+    const MEAN_CORES: f64 = 10.0;
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let limit = (1.9 * MEAN_CORES * pools as f64 / 2.0) as u64;
+    let mut world = World::new(pools, cores(limit));
+    let begin_ms = world.now_ms;
+    let (mut used, mut steps) = (0, 0);
+    while world.now_ms < begin_ms + 48_000 {
+        // Two neighbours surge at once, so that their surges overlap.
+        let surging = ((world.now_ms - begin_ms) / 4_000) as usize % pools;
+        for pool in 0..pools {
+            let is_surging = pool == surging || pool == (surging + 1) % pools;
+            let mean_cores = MEAN_CORES * if is_surging { 4.0 } else { 0.05 };
+            if random.random_bool((mean_cores * STEP_MS as f64 / 500.0).min(1.0)) {
+                world.submit(pool, 1, cores(1), random.random_range(200..800));
+            }
+        }
+        let waits = world.controllers.iter().any(|it| !it.waiting.is_empty());
+        world.run_ms(STEP_MS);
+        if waits {
+            used += world.taken().cpu_millicores;
+            steps += 1;
+        }
+    }
+    let calls: usize = world.controllers.iter().map(|it| it.calls.len()).sum();
+    let percent = used / steps.max(1) / (limit * 10);
+    println!("{pools} pools: {percent}% of the limit in {steps} steps, {calls} calls in 51 s");
+    percent
+}
+
+/// Guards against parts of a limit that are unused while work waits, because they
+/// move too slowly between pools.
+#[test]
+fn limit_is_used_while_work_waits() {
+    for (pools, least_percent) in [(1, 90), (2, 85), (4, 85), (8, 80)] {
+        let percent = use_while_work_waits(pools, 3);
+        assert!(percent >= least_percent, "{pools} pools use {percent}%");
+    }
+}
--- a/crates/dispatch/src/coordination/shares/tests/world.rs
+++ b/crates/dispatch/src/coordination/shares/tests/world.rs
@@ -180,6 +180,7 @@
         let successor = self.new_controller(index);
         let old = std::mem::replace(&mut self.controllers[index], successor);
         let new = &mut self.controllers[index];
+        new.capacity = old.capacity;
         new.unseen = old.running;
         new.waiting = old.waiting;
         // Writes of the old controller are still on their way.
