Forward callers' requests from a process without the store to its peers

Cause: a process that does not reach the store answers submissions, state requests and cancellations with 503, although other processes reach it.

Change: such a process sends the request to a registered process on the relay port, which handles it with its own configuration and key check and never forwards it again. Requests in flight are bounded on both sides, at most two peers are asked, and a submission is answered "not accepted" only if no write of either process may still take effect.

--- a/crates/dispatch/src/coordination/mod.rs
+++ b/crates/dispatch/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod access;
 pub mod balance;
 pub mod control;
+pub mod forwarding;
 pub mod pool;
 pub mod relay;
 pub mod submission;
--- a/crates/dispatch/src/coordination/relay.rs
+++ b/crates/dispatch/src/coordination/relay.rs
@@ -13,7 +13,7 @@
 };
 
 use hashbrown::HashSet;
-use tamarackproxy::state::ids::{EntryId, PoolId, WorkerId};
+use tamarackproxy::state::ids::{DataCentreId, EntryId, PoolId, WorkerId};
 
 /// Default number of workers for each relay.
 pub const WORKERS_PER_RELAY: usize = 56;
@@ -33,6 +33,8 @@
     pub address: SocketAddr,
     /// Processors of its host, in thousandths of a core.
     pub millicores: u32,
+    /// Data centre of its host.
+    pub data_centre: DataCentreId,
 }
 
 /// Returns how many relays a pool of `workers` needs.
--- a/crates/dispatch/src/coordination/relay/tests.rs
+++ b/crates/dispatch/src/coordination/relay/tests.rs
@@ -7,6 +7,7 @@
         entry: EntryId::new(name),
         address: format!("127.0.0.1:{}", 1 + weight(&name) % 60_000).parse().expect("an address"),
         millicores,
+        data_centre: DataCentreId::new("d"),
     }
 }
 
--- a/crates/dispatch/src/node/callers.rs
+++ b/crates/dispatch/src/node/callers.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
+use serde::{Deserialize, Serialize};
 use tamarackproxy::{
     protocol::store::{KeyValue, StoreError},
     state::ids::{PoolId, QueueId},
@@ -76,7 +77,7 @@
 }
 
 /// Reasons why a request is rejected before it is processed.
-#[derive(Clone, Debug, Display, PartialEq)]
+#[derive(Clone, Debug, Display, PartialEq, Serialize, Deserialize)]
 pub enum RequestError {
     /// no queue serves this path; check the host name and the prefix
     NoSuchQueue,
@@ -97,7 +98,7 @@
 }
 
 /// Response to a caller, before the platform encodes it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum CallerResponse {
     /// The job is stored.
     Accepted,
@@ -131,6 +132,13 @@
     Refused(RequestError),
 }
 
+/// Returns when the response to a request must be sent, in milliseconds on the
+/// local clock.
+pub(super) fn caller_deadline_ms(received_ms: u64, timeout_ms: Option<u64>) -> u64 {
+    let timeout_ms = timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS).saturating_sub(RESPONSE_MARGIN_MS);
+    received_ms.saturating_add(timeout_ms)
+}
+
 /// Serves one request within its timeout.
 pub(super) async fn serve<P>(
     shared: &Rc<Shared<P>>,
--- a/crates/dispatch/src/node/fake.rs
+++ b/crates/dispatch/src/node/fake.rs
@@ -1,10 +1,15 @@
-//! Fakes for tests: a platform whose store and host service do not answer, and a
-//! store of one control lease.
+//! Fakes for tests: a platform whose host service does not answer and whose store
+//! answers on demand, and a store of one control lease.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
-use http::{HeaderMap, Response};
+use hashbrown::HashMap;
+use http::{HeaderMap, Method, Response, header};
 use tamarackproxy::{
     protocol::store::{KeyValue, StoreError, StoreReply, StoreRequest},
     state::ids::{HostId, LeaseId, PoolId, RecordVersion, WorkerId},
@@ -28,12 +33,43 @@
         upkeep::{HostOrderReply, HostView},
     },
     settings::DispatchSettings,
-    state::{KeyDigest, QueueSettings, ServingDocument, WaveNumber, WaveState, WorkerEntry},
+    state::{
+        CallerKey, JobSpec, KeyDigest, KeyHasher, QueueSettings, ServingDocument, WaveNumber,
+        WaveState, WorkerEntry,
+    },
 };
 
-/// Platform that records orders and transactions; only workers answer.
+/// How a process reaches the fake store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Reach {
+    /// Reads are not sent, and writes have no effect and no reply.
+    #[default]
+    Cut,
+    /// No call can be sent.
+    Disconnected,
+    /// Calls never return.
+    Silent,
+    /// The store refuses every call.
+    Throttled,
+    /// Writes take effect, but their replies are lost.
+    RepliesLost,
+    /// Calls are answered.
+    Up,
+}
+
+/// Values of a fake store that several processes share.
+pub(super) type StoredValues = Rc<RefCell<HashMap<Box<str>, KeyValue>>>;
+
+/// Platform that records orders and transactions; unless `reach` says
+/// otherwise, only workers answer.
 #[derive(Default)]
 pub(super) struct Workers {
+    /// How the process reaches the store.
+    pub(super) reach: Rc<Cell<Reach>>,
+    /// Values of the store.
+    pub(super) stored: StoredValues,
+    /// Hashes callers' keys, which are the values of the Authorization header.
+    pub(super) key_hasher: KeyHasher,
     /// Payloads of the starts, oldest first.
     pub(super) payloads: Rc<RefCell<Vec<Box<str>>>>,
     /// Transactions, oldest first; none of them has a reply in time.
@@ -42,18 +78,57 @@
     pub(super) order_ms: u64,
 }
 
+impl Workers {
+    /// Returns `cut` or another error if calls have no effect at present.
+    async fn reach_for(&self, cut: StoreError) -> Result<(), StoreError> {
+        match self.reach.get() {
+            Reach::Cut => Err(cut),
+            Reach::Disconnected => Err(StoreError::NotSent),
+            Reach::Silent => std::future::pending().await,
+            Reach::Throttled => Err(StoreError::Throttled),
+            Reach::RepliesLost | Reach::Up => Ok(()),
+        }
+    }
+
+    fn apply(&self, transaction: &Transaction) -> TransactionReply {
+        let mut stored = self.stored.borrow_mut();
+        let version = |stored: &HashMap<Box<str>, KeyValue>, key: &str| {
+            stored.get(key).map_or(RecordVersion(0), |item| item.version)
+        };
+        if transaction.expected.iter().any(|(key, expected)| version(&stored, key) != *expected) {
+            let keys = transaction.expected.iter();
+            let found = keys.filter_map(|(key, _)| stored.get(key).cloned()).collect();
+            return TransactionReply::Conflict(found);
+        }
+        let latest = stored.values().map(|item| item.version.0).max().unwrap_or_default();
+        let version = RecordVersion(latest + 1);
+        for (key, value) in &transaction.put {
+            let item = KeyValue { key: key.clone(), value: value.clone(), version };
+            stored.insert(key.clone(), item);
+        }
+        TransactionReply::Written(version)
+    }
+}
+
 impl Platform for Workers {
-    async fn store(&self, _: &StoreRequest) -> Result<StoreReply, StoreError> {
-        Err(StoreError::NotSent)
+    async fn store(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
+        self.reach_for(StoreError::NotSent).await?;
+        let StoreRequest::Get { key } = request else { return Err(StoreError::NotSent) };
+        Ok(StoreReply::Value(self.stored.borrow().get(key).cloned()))
     }
 
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionReply, StoreError> {
         self.transactions.borrow_mut().push(transaction.clone());
-        Err(StoreError::Unknown)
+        self.reach_for(StoreError::Unknown).await?;
+        let reply = self.apply(transaction);
+        if self.reach.get() == Reach::RepliesLost { Err(StoreError::Unknown) } else { Ok(reply) }
     }
 
-    async fn list(&self, _: &str) -> Result<Listing, StoreError> {
-        Err(StoreError::NotSent)
+    async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.reach_for(StoreError::NotSent).await?;
+        let stored = self.stored.borrow();
+        let items = stored.values().filter(|item| item.key.starts_with(prefix));
+        Ok(Listing { items: items.cloned().collect(), as_of: RecordVersion(0) })
     }
 
     async fn changes(&self, _: &str, _: RecordVersion, _: u64) -> Result<Changes, ChangesError> {
@@ -119,18 +194,34 @@
         HostOrderReply::Refused
     }
 
-    fn caller_key(&self, _: &HeaderMap) -> Option<KeyDigest> {
-        None
+    fn caller_key(&self, headers: &HeaderMap) -> Option<CallerKey> {
+        headers.get(header::AUTHORIZATION)?.to_str().ok().map(CallerKey::new)
+    }
+
+    fn key_digest(&self, key: &CallerKey) -> KeyDigest {
+        self.key_hasher.digest(key.secret())
     }
 
     fn decode_request(
         &self,
         _: &ServingDocument,
-        _: &QueueSettings,
-        _: RequestHead<'_>,
+        queue: &QueueSettings,
+        head: RequestHead<'_>,
         _: &[u8],
     ) -> Result<CallerRequest, RequestError> {
-        unreachable!("the test sends no requests of callers")
+        let queue = queue.clone();
+        if head.path.is_empty() {
+            return Ok(CallerRequest::CountWaiting { queue });
+        }
+        let job = head.path.parse().map_err(|_| RequestError::JobNumber)?;
+        match *head.method {
+            Method::POST => {
+                let spec = JobSpec { payload: "".into(), steps: Vec::new(), schedule: None };
+                Ok(CallerRequest::Submit { queue, job, spec })
+            }
+            Method::DELETE => Ok(CallerRequest::Cancel { queue, job }),
+            _ => Ok(CallerRequest::State { queue, job }),
+        }
     }
 
     fn timeout_ms(&self, _: &HeaderMap) -> Option<u64> {
@@ -209,7 +300,16 @@
 
 /// Returns the shared state of a process on this platform.
 pub(super) fn shared(platform: Workers) -> Rc<Shared<Workers>> {
-    let settings = DispatchSettings::parse(SETTINGS).expect("the settings are valid");
+    shared_with(platform, |_| {})
+}
+
+/// Returns the shared state of a process with changed settings.
+pub(super) fn shared_with<F>(platform: Workers, change: F) -> Rc<Shared<Workers>>
+where
+    F: FnOnce(&mut DispatchSettings),
+{
+    let mut settings = DispatchSettings::parse(SETTINGS).expect("the settings are valid");
+    change(&mut settings);
     Rc::new(Shared::new(platform, settings))
 }
 
--- a/crates/dispatch/src/node/launch.rs
+++ b/crates/dispatch/src/node/launch.rs
@@ -15,6 +15,7 @@
 use super::{
     control::{AbortOnDrop, Scope, control, on_holders},
     follow::{PrefixUpdate, follow},
+    forward::follow_peers,
     keys::{CONTROL_PREFIX, FLEET_PREFIX, FleetKey, fleet_key},
     platform::Platform,
     relay,
@@ -110,6 +111,7 @@
         tokio::task::spawn_local(relay::register(Rc::clone(&shared), address));
     }
     let _followers = start_followers(&shared);
+    tokio::task::spawn_local(follow_peers(Rc::clone(&shared)));
     tokio::task::spawn_local(supervise(Rc::clone(&shared)));
     tokio::task::spawn_local(write_logs(logs));
     loop {
--- a/crates/dispatch/src/node/mod.rs
+++ b/crates/dispatch/src/node/mod.rs
@@ -8,11 +8,13 @@
 #[cfg(test)]
 pub(crate) mod fake;
 mod follow;
+mod forward;
 mod keys;
 mod launch;
 mod platform;
 mod pool;
 mod relay;
+mod requests;
 mod server;
 mod shared;
 mod upkeep;
--- a/crates/dispatch/src/node/platform.rs
+++ b/crates/dispatch/src/node/platform.rs
@@ -23,7 +23,8 @@
         upkeep::{HostOrderReply, HostView},
     },
     state::{
-        KeyDigest, QueueSettings, ServingDocument, WaveNumber, WaveRequest, WaveState, WorkerEntry,
+        CallerKey, KeyDigest, QueueSettings, ServingDocument, WaveNumber, WaveRequest, WaveState,
+        WorkerEntry,
     },
 };
 
@@ -198,9 +199,12 @@
         pool: &PoolId,
     ) -> impl Future<Output = HostOrderReply>;
 
-    /// Returns the digest of the key that a request's headers carry; none if
-    /// there is no well-formed key.
-    fn caller_key(&self, headers: &http::HeaderMap) -> Option<KeyDigest>;
+    /// Returns the key that a request's headers carry; none if there is no
+    /// well-formed key.
+    fn caller_key(&self, headers: &http::HeaderMap) -> Option<CallerKey>;
+
+    /// Returns the digest of a key, which identifies it in the configuration.
+    fn key_digest(&self, key: &CallerKey) -> KeyDigest;
 
     /// Decodes a caller's request to a queue.
     ///
--- a/crates/dispatch/src/node/relay/members.rs
+++ b/crates/dispatch/src/node/relay/members.rs
@@ -59,7 +59,11 @@
     let StoreReply::Lease { lease, .. } = granted else {
         return Err(StoreError::Malformed(format!("unexpected reply {granted:?}").into()));
     };
-    let record = MemberRecord { address, millicores: shared.settings.millicores() };
+    let record = MemberRecord {
+        address,
+        millicores: shared.settings.millicores(),
+        data_centre: shared.settings.data_centre.clone(),
+    };
     let value = encode(&record).map_err(|error| StoreError::Malformed(error.to_string().into()))?;
     let key = member_key(&shared.settings.entry);
     // An earlier process of the same name may have left an entry.
@@ -106,8 +110,8 @@
     let listing = shared.list(MEMBERS_PREFIX).await?;
     let members = listing.items.iter().filter_map(|item| {
         let entry = item.key.strip_prefix(MEMBERS_PREFIX)?.parse().ok()?;
-        let MemberRecord { address, millicores } = decode_item(item)?;
-        Some(Member { entry, address, millicores })
+        let MemberRecord { address, millicores, data_centre } = decode_item(item)?;
+        Some(Member { entry, address, millicores, data_centre })
     });
     Ok(members.filter(|member| member.entry != shared.settings.entry).collect())
 }
--- a/crates/dispatch/src/node/relay/server.rs
+++ b/crates/dispatch/src/node/relay/server.rs
@@ -1,4 +1,5 @@
-//! The relay's side: carries calls of other processes' controllers.
+//! The relay port: carries calls of other processes' controllers, and passes the
+//! requests that other processes forward to [`super::super::forward`].
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -18,7 +19,7 @@
 };
 
 use super::{
-    super::{clock, platform::Platform, shared::Shared},
+    super::{clock, forward, platform::Platform, shared::Shared},
     message::{BATCH_MAX_BYTES, PATH, RelayCall, RelayReply, WINDOW_BYTES, target},
 };
 use crate::{
@@ -34,7 +35,7 @@
 /// Timeout for the handshake of a new connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Binds an address and carries calls for controllers that connect to it;
+/// Binds an address and serves controllers and processes that forward requests;
 /// returns the bound address.
 pub(in crate::node) async fn listen<P>(
     shared: Rc<Shared<P>>,
@@ -60,7 +61,7 @@
                 tokio::task::spawn_local(async move {
                     if let Err(error) = serve(shared, stream).await {
                         log::info!(peer:display = peer, error:display = error;
-                            "link of a controller has ended");
+                            "link of another process has ended");
                     }
                 });
             }
@@ -100,12 +101,16 @@
 ) where
     P: Platform,
 {
-    if request.uri().path() != PATH {
-        let mut response = Response::new(());
-        *response.status_mut() = StatusCode::NOT_FOUND;
-        // The peer learns of a failure from the end of its stream.
-        let _ = respond.send_response(response, true);
-        return;
+    match request.uri().path() {
+        PATH => {}
+        forward::PATH => return forward::serve_stream(&shared, request, respond).await,
+        _ => {
+            let mut response = Response::new(());
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            // The peer learns of a failure from the end of its stream.
+            let _ = respond.send_response(response, true);
+            return;
+        }
     }
     let Ok(mut outgoing) = respond.send_response(Response::new(()), false) else { return };
     let (replies, mut receiver) = mpsc::unbounded_channel();
--- a/crates/dispatch/src/node/server.rs
+++ b/crates/dispatch/src/node/server.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -11,16 +11,13 @@
 use tokio::{net::TcpListener, time::timeout};
 
 use super::{
-    callers::{CallerResponse, RETRY_AFTER_MS, RequestError, serve},
+    callers::RequestError,
     clock,
-    platform::{Platform, RequestHead},
+    platform::Platform,
+    requests::{self, Answer, ReceivedRequest},
     shared::Shared,
 };
-use crate::coordination::access::{self, AccessError};
 
-/// Retry delay sent to callers while no configuration is in force, in
-/// milliseconds.
-const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
 /// Delay after a failed accept, in milliseconds; gives open connections time to
 /// free file descriptors.
 const ACCEPT_RETRY_MS: u64 = 20;
@@ -161,7 +158,7 @@
     let began_ms = clock::read().monotonic_ms;
     let (head, body) = request.into_parts();
     let request_id = shared.platform.request_id(&head.headers).unwrap_or_default().to_owned();
-    let Answer { account, response } = answer_caller(shared, &head, body).await;
+    let Answer { account, response } = answer_caller(shared, &head, body, began_ms).await;
     let took_ms = clock::read().monotonic_ms.saturating_sub(began_ms);
     log::info!(request = request_id, method = head.method.as_str(), path = head.uri.path(),
         account = account.as_ref().map(AccountId::as_str), answer:? = response, took_ms = took_ms,
@@ -171,28 +168,11 @@
     shared.platform.encode_response(&response).map(Full::from)
 }
 
-/// Response to a caller, with the client account that the request acts for.
-struct Answer {
-    account: Option<AccountId>,
-    response: CallerResponse,
-}
-
-impl From<CallerResponse> for Answer {
-    fn from(response: CallerResponse) -> Self {
-        Self { account: None, response }
-    }
-}
-
-impl From<RequestError> for Answer {
-    fn from(error: RequestError) -> Self {
-        CallerResponse::Refused(error).into()
-    }
-}
-
 async fn answer_caller<P>(
     shared: &Rc<Shared<P>>,
     head: &http::request::Parts,
     body: Incoming,
+    received_ms: u64,
 ) -> Answer
 where
     P: Platform,
@@ -213,37 +193,17 @@
             return RequestError::Malformed(reason.into()).into();
         }
     };
-    // The configuration is read after the body, so that a slow request is not
-    // handled with an outdated configuration.
-    let Some(document) = shared.document() else {
-        return CallerResponse::NotAccepted { retry_after_ms: NO_CONFIGURATION_RETRY_MS }.into();
-    };
     let authority = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let authority = authority.or(head.uri.host()).unwrap_or_default();
-    let authority = authority.split(':').next().unwrap_or_default();
-    let Some((queue, path)) = document.route(authority, head.uri.path()) else {
-        return RequestError::NoSuchQueue.into();
-    };
-    let key = shared.platform.caller_key(&head.headers);
-    let caller = match access::check(&document, queue, key.as_ref(), shared.configuration_age()) {
-        Ok(caller) => caller,
-        Err(AccessError::Unauthorized) => {
-            return RequestError::Unauthorized.into();
-        }
-        Err(AccessError::Unconfirmed) if head.method == Method::POST => {
-            return CallerResponse::NotAccepted { retry_after_ms: RETRY_AFTER_MS }.into();
-        }
-        Err(AccessError::Unconfirmed) => {
-            return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS }.into();
-        }
-    };
-    let request_head = RequestHead { method: &head.method, path };
-    let response = match shared.platform.decode_request(&document, queue, request_head, &body) {
-        Ok(request) => {
-            let timeout_ms = shared.platform.timeout_ms(&head.headers);
-            serve(shared, &caller, request, timeout_ms).await
-        }
-        Err(error) => CallerResponse::Refused(error),
+    let request = ReceivedRequest {
+        method: &head.method,
+        authority: authority.split(':').next().unwrap_or_default(),
+        path: head.uri.path(),
+        key: shared.platform.caller_key(&head.headers),
+        request_id: shared.platform.request_id(&head.headers).unwrap_or_default(),
+        body,
+        received_ms,
+        timeout_ms: shared.platform.timeout_ms(&head.headers),
     };
-    Answer { account: caller.account().cloned(), response }
+    requests::answer(shared, &request).await
 }
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -17,6 +17,7 @@
     clock,
     control::Holders,
     follow::PrefixUpdate,
+    forward::Forwarder,
     platform::{
         Changes, ChangesError, Listing, OperatorRecord, Platform, Transaction, TransactionReply,
     },
@@ -73,8 +74,12 @@
     store_reply_ms: Cell<u64>,
     /// Whether the store was last logged as unreachable.
     store_is_unreachable: Cell<bool>,
+    /// The last call to the store could not be sent.
+    store_is_disconnected: Cell<bool>,
     next_request: Cell<u64>,
     pub(super) requests_open: Cell<usize>,
+    /// Forwards requests to other processes.
+    pub(super) forwarder: Forwarder,
 }
 
 impl<P> Shared<P>
@@ -82,6 +87,7 @@
     P: Platform,
 {
     pub(super) fn new(platform: P, settings: DispatchSettings) -> Self {
+        let forwarder = Forwarder::new(settings.data_centre.clone());
         Self {
             platform,
             settings,
@@ -103,8 +109,10 @@
             configuration_confirmed_ms: Cell::new(0),
             store_reply_ms: Cell::new(0),
             store_is_unreachable: Cell::new(true),
+            store_is_disconnected: Cell::new(false),
             next_request: Cell::new(0),
             requests_open: Cell::new(0),
+            forwarder,
         }
     }
 
@@ -127,6 +135,11 @@
         clock::read().monotonic_ms < self.store_reply_ms.get() + STORE_UNREACHABLE_MS
     }
 
+    /// Returns whether the last call to the store could not even be sent.
+    pub(super) fn store_is_disconnected(&self) -> bool {
+        self.store_is_disconnected.get()
+    }
+
     /// Records that a prefix was read successfully by a call sent at `sent_ms`.
     pub(super) fn confirm_prefix(&self, prefix: &str, sent_ms: u64) {
         if prefix == self.platform.operator_prefix() {
@@ -152,6 +165,7 @@
     /// unreachable.
     fn record_result<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
         metrics::counter!("store_calls").increment(1);
+        self.store_is_disconnected.set(matches!(result, Err(StoreError::NotSent)));
         match &result {
             Ok(_) => {
                 self.store_reply_ms.set(clock::read().monotonic_ms);
--- a/crates/dispatch/src/state/account.rs
+++ b/crates/dispatch/src/state/account.rs
@@ -5,6 +5,7 @@
 use hashbrown::HashMap;
 use hmac::{Hmac, Mac};
 use rand::RngCore;
+use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use tamarackproxy::{coordination::jobs::Resources, state::ids::AccountId};
 
@@ -21,6 +22,33 @@
     }
 }
 
+/// A caller's key as it was sent. Its debug output hides it, and it has no other
+/// way into a log line.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CallerKey(Box<str>);
+
+impl CallerKey {
+    /// Creates the key from its text.
+    pub fn new<T>(text: T) -> Self
+    where
+        T: Into<Box<str>>,
+    {
+        Self(text.into())
+    }
+
+    /// Returns the text, which must not be logged or stored.
+    pub fn secret(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for CallerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("CallerKey(..)")
+    }
+}
+
 /// Hashes callers' keys with a random key of this process, so that digests mean
 /// nothing elsewhere.
 pub struct KeyHasher([u8; DIGEST_BYTES]);
--- a/crates/dispatch/src/state/job.rs
+++ b/crates/dispatch/src/state/job.rs
@@ -11,7 +11,7 @@
 const STEPS_MAX: usize = 1_000;
 
 /// Reasons why a job specification is refused.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum InvalidJob {
     /// the job has no steps; give at least one
     NoSteps,
--- a/crates/dispatch/src/state/mod.rs
+++ b/crates/dispatch/src/state/mod.rs
@@ -10,7 +10,7 @@
 mod worker;
 
 pub use self::{
-    account::{AccountSettings, Accounts, KeyDigest, KeyHasher},
+    account::{AccountSettings, Accounts, CallerKey, KeyDigest, KeyHasher},
     ids::{JobNumber, JobNumberError, RunNumber, TaskAddress},
     job::{InvalidJob, JobSpec, Schedule, StepSpec, TASKS_MAX},
     record::{
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use strum::{Display as StrumDisplay, EnumString};
 use tamarackproxy::{
-    state::ids::{AccountId, EntryId, HostId, PoolId, QueueId, Term, WorkerId},
+    state::ids::{AccountId, DataCentreId, EntryId, HostId, PoolId, QueueId, Term, WorkerId},
     transport::frame::{self, FrameError},
 };
 
@@ -198,6 +198,8 @@
     pub address: SocketAddr,
     /// Processors of its host, in thousandths of a core.
     pub millicores: u32,
+    /// Data centre of its host.
+    pub data_centre: DataCentreId,
 }
 
 /// Value of `control/handover/<scope>`: a host with more processors asks the
--- a/crates/tamarackproxy/src/transport/peer_stream.rs
+++ b/crates/tamarackproxy/src/transport/peer_stream.rs
@@ -35,10 +35,11 @@
 }
 
 /// Reads a body of at most `max_bytes` to its end.
-pub(super) async fn read_bounded(
-    mut body: RecvStream,
-    max_bytes: usize,
-) -> Result<Vec<u8>, FrameError> {
+///
+/// # Errors
+///
+/// Returns [`FrameError`] for a larger body or one that ends early.
+pub async fn read_bounded(mut body: RecvStream, max_bytes: usize) -> Result<Vec<u8>, FrameError> {
     let mut whole = Vec::new();
     while let Some(part) = body.data().await {
         let part = part.map_err(|error| FrameError::Malformed(error.to_string().into()))?;
