Forward nothing to paused peers, and ask peers that lost an answer last

A paused peer's kernel accepts connections, so a request sent there could be carried out after its caller was answered. A new connection now counts as established when the peer has answered a ping.

--- a/crates/dispatch/src/coordination/forwarding/engine.rs
+++ b/crates/dispatch/src/coordination/forwarding/engine.rs
@@ -8,8 +8,8 @@
 use crate::coordination::relay::Member;
 
 /// Most forwarded requests in flight, at the process that forwards and at the
-/// peer that handles them: with bodies of the default limit of 256 KiB they take
-/// 16 MiB, a tenth of the memory of the smallest host.
+/// peer that handles them: messages with bodies of the default limit of 256 KiB
+/// take 16 MiB, a tenth of the memory of the smallest host.
 pub const IN_FLIGHT_MAX: usize = 64;
 /// Time without an answer after which a state request or a cancellation is also
 /// sent to a peer, in milliseconds: two thirds of the timeout of a store call.
@@ -27,6 +27,14 @@
 /// for its response, so that less leaves it no time for the store.
 const ASK_MIN_MS: u64 = 100;
 
+/// When a peer last was of no help, in milliseconds on the local clock.
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    failed_ms: u64,
+    /// Until when the peer is not asked.
+    avoid_until_ms: u64,
+}
+
 /// A peer to ask.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Question {
@@ -42,8 +50,8 @@
     data_centre: DataCentreId,
     /// Peers in the order of their names.
     peers: Vec<Member>,
-    /// When peers last could not help, in milliseconds on the local clock.
-    failed_ms: HashMap<EntryId, u64>,
+    /// Peers that last were of no help.
+    failures: HashMap<EntryId, Failure>,
     /// Number of choices so far; peers of equal rank take turns by it.
     turn: usize,
     in_flight: usize,
@@ -53,14 +61,14 @@
     /// Creates the state of a process in this data centre; `turn` is random, so
     /// that processes do not all begin with the same peer.
     pub fn new(data_centre: DataCentreId, turn: usize) -> Self {
-        let (peers, failed_ms) = (Vec::new(), HashMap::new());
-        Self { data_centre, peers, failed_ms, turn, in_flight: 0 }
+        let (peers, failures) = (Vec::new(), HashMap::new());
+        Self { data_centre, peers, failures, turn, in_flight: 0 }
     }
 
     /// Replaces the list of peers. What is remembered of those that stay is kept.
     pub fn set_peers(&mut self, mut peers: Vec<Member>) {
         peers.sort_by(|left, right| left.entry.cmp(&right.entry));
-        self.failed_ms.retain(|entry, _| peers.iter().any(|peer| peer.entry == *entry));
+        self.failures.retain(|entry, _| peers.iter().any(|peer| peer.entry == *entry));
         self.peers = peers;
     }
 
@@ -135,12 +143,21 @@
         request: &mut ForwardedRequest,
         result: AttemptResult,
     ) -> Verdict {
-        match result {
+        let avoid_ms = match result {
             AttemptResult::NoStore | AttemptResult::NotConnected | AttemptResult::Rejected => {
-                self.failed_ms.insert(peer.clone(), now_ms);
+                Some(AVOID_MS)
+            }
+            // The peer may be paused, but its answer may also have been lost on
+            // the way: it is asked after the others.
+            AttemptResult::Lost => Some(0),
+            AttemptResult::Answered(_) | AttemptResult::Overloaded => None,
+        };
+        match avoid_ms {
+            Some(avoid_ms) => {
+                let failure = Failure { failed_ms: now_ms, avoid_until_ms: now_ms + avoid_ms };
+                self.failures.insert(peer.clone(), failure);
             }
-            AttemptResult::Answered(_) => drop(self.failed_ms.remove(peer)),
-            AttemptResult::Overloaded | AttemptResult::Lost => {}
+            None => drop(self.failures.remove(peer)),
         }
         request.on_result(result)
     }
@@ -154,14 +171,17 @@
         now_ms: u64,
         request: &ForwardedRequest,
     ) -> impl Iterator<Item = &Member> + use<'_> {
-        let failed_within = |peer: &Member, within_ms: u64| {
-            self.failed_ms.get(&peer.entry).is_some_and(|failed| now_ms < failed + within_ms)
+        let failure = |peer: &Member| self.failures.get(&peer.entry);
+        let is_avoided =
+            |peer: &Member| failure(peer).is_some_and(|failure| now_ms < failure.avoid_until_ms);
+        let is_suspect = |peer: &Member| {
+            failure(peer).is_some_and(|failure| now_ms < failure.failed_ms + SUSPECT_MS)
         };
         let count = self.peers.len().max(1);
         let mut ranked: Vec<_> = (self.peers.iter().enumerate())
-            .filter(|(_, peer)| !request.has_asked(&peer.entry) && !failed_within(peer, AVOID_MS))
+            .filter(|(_, peer)| !request.has_asked(&peer.entry) && !is_avoided(peer))
             .map(|(index, peer)| {
-                let is_suspect = failed_within(peer, SUSPECT_MS);
+                let is_suspect = is_suspect(peer);
                 let is_asked = request.has_asked_in(&peer.data_centre);
                 let is_far = peer.data_centre != self.data_centre;
                 let turns = (index + count - self.turn % count) % count;
--- a/crates/dispatch/src/coordination/forwarding/tests.rs
+++ b/crates/dispatch/src/coordination/forwarding/tests.rs
@@ -59,6 +59,18 @@
     }
 }
 
+/// Guards against a peer that is paused and takes half of the time of every
+/// request, and against a peer that is given up because one answer was lost.
+#[test]
+fn peer_that_lost_an_answer_is_asked_last() {
+    let mut forwarding = forwarding(&[peer("a", "own"), peer("b", "far")]);
+    let mut request = begin(&mut forwarding, RequestKind::Read, false);
+    let first = forwarding.next(0, &mut request).expect("a peer").peer.entry;
+    forwarding.on_result(0, &first, &mut request, AttemptResult::Lost);
+    let (asked, _) = ask_all(&mut forwarding, 1, AttemptResult::Overloaded);
+    assert_eq!(*asked, ["b".into(), "a".into()]);
+}
+
 /// Guards against requests that cross between data centres although a peer is
 /// near, and against one peer that gets all of them.
 #[test]
--- a/crates/dispatch/src/node/forward/client.rs
+++ b/crates/dispatch/src/node/forward/client.rs
@@ -221,9 +221,15 @@
     };
     let took_ms = clock::read().monotonic_ms.saturating_sub(began_ms);
     metrics::counter!("forwarded_requests", "outcome" => forwarded.outcome.name()).increment(1);
-    log::info!(request = request.request_id, method = request.method.as_str(),
-        path = request.path, outcome = forwarded.outcome.name(), took_ms = took_ms;
-        "request was given to peers");
+    if forwarded.response.is_some() {
+        log::info!(request = request.request_id, method = request.method.as_str(),
+            path = request.path, outcome = forwarded.outcome.name(), took_ms = took_ms;
+            "request was forwarded");
+    } else {
+        log::info!(request = request.request_id, method = request.method.as_str(),
+            path = request.path, outcome = forwarded.outcome.name(), took_ms = took_ms;
+            "request could not be forwarded");
+    }
     forwarded
 }
 
@@ -244,17 +250,19 @@
             Ok(question) => question,
             Err(outcome) => return unanswered(outcome, &state),
         };
-        let message = ForwardMessage::new(&shared.settings.entry, request, limit_ms);
-        let Ok(message) = message.encode() else {
-            return unanswered(ForwardOutcome::TooLarge, &state);
-        };
         let link = shared.forwarder.link(peer.address);
-        let reply = link.ask(message, Duration::from_millis(limit_ms)).await;
+        let reply = link.ask(limit_ms, |left_ms| {
+            ForwardMessage::new(&shared.settings.entry, request, left_ms).encode()
+        });
+        let reply = reply.await;
+        if reply == Err(LinkError::TooLarge) {
+            return unanswered(ForwardOutcome::TooLarge, &state);
+        }
         let (result, response) = attempt_result(kind, reply);
         if response.is_none() {
             let outcome = ForwardOutcome::from(result).name();
             log::info!(request = request.request_id, peer = peer.entry.as_str(),
-                outcome = outcome; "peer did not serve a forwarded request");
+                outcome = outcome; "peer did not answer a forwarded request");
         }
         let now_ms = clock::read().monotonic_ms;
         let verdict = engine.borrow_mut().on_result(now_ms, &peer.entry, &mut state, result);
@@ -286,7 +294,7 @@
         }
         Ok(ForwardReply::NoStore) => (AttemptResult::NoStore, None),
         Ok(ForwardReply::Overloaded) => (AttemptResult::Overloaded, None),
-        Err(LinkError::NotConnected) => (AttemptResult::NotConnected, None),
+        Err(LinkError::NotConnected | LinkError::TooLarge) => (AttemptResult::NotConnected, None),
         Err(LinkError::Rejected) => (AttemptResult::Rejected, None),
         Err(LinkError::Lost) => (AttemptResult::Lost, None),
     }
--- a/crates/dispatch/src/node/forward/link.rs
+++ b/crates/dispatch/src/node/forward/link.rs
@@ -9,10 +9,10 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use h2::client::SendRequest;
+use h2::{Ping, client::SendRequest};
 use http::{Method, Request, StatusCode};
 use tamarackproxy::transport::{
-    frame,
+    frame::{self, FrameError},
     peer_stream::{read_bounded, send_all},
 };
 use tokio::{net::TcpStream, sync::Mutex, task::JoinHandle, time::timeout};
@@ -34,6 +34,8 @@
 pub(super) enum LinkError {
     /// There is no connection; nothing was sent.
     NotConnected,
+    /// The message is too large; nothing was sent.
+    TooLarge,
     /// The peer refused the message and did nothing.
     Rejected,
     /// The request was sent, and no usable reply arrived.
@@ -66,17 +68,21 @@
         Self { address, current: RefCell::default(), connecting: Mutex::new(()) }
     }
 
-    /// Sends a message and returns the reply, if it arrives in time.
-    pub(super) async fn ask(
-        &self,
-        message: Bytes,
-        time: Duration,
-    ) -> Result<ForwardReply, LinkError> {
+    /// Sends a message and returns the reply, if it arrives within `limit_ms`.
+    /// `encode` gets the time that is left once the connection is established,
+    /// in milliseconds.
+    pub(super) async fn ask<F>(&self, limit_ms: u64, encode: F) -> Result<ForwardReply, LinkError>
+    where
+        F: FnOnce(u64) -> Result<Bytes, FrameError>,
+    {
         let began_ms = clock::read().monotonic_ms;
-        let connecting = timeout(CONNECT_TIMEOUT.min(time), self.connection()).await;
+        let connect_time = CONNECT_TIMEOUT.min(Duration::from_millis(limit_ms));
+        let connecting = timeout(connect_time, self.connection()).await;
         let connection = connecting.ok().flatten().ok_or(LinkError::NotConnected)?;
         let sent_ms = clock::read().monotonic_ms;
-        let time = time.saturating_sub(Duration::from_millis(sent_ms.saturating_sub(began_ms)));
+        let left_ms = limit_ms.saturating_sub(sent_ms.saturating_sub(began_ms));
+        let message = encode(left_ms).map_err(|_| LinkError::TooLarge)?;
+        let time = Duration::from_millis(left_ms);
         match timeout(time, exchange(connection.streams.clone(), message)).await {
             Ok(Ok(reply)) => {
                 connection.replied_ms.set(clock::read().monotonic_ms);
@@ -143,14 +149,21 @@
     let mut builder = h2::client::Builder::new();
     builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(WINDOW_BYTES);
     let handshake = builder.handshake::<_, Bytes>(stream).await;
-    let (streams, connection) = handshake.map_err(ConnectError::Handshake)?;
+    let (streams, mut connection) = handshake.map_err(ConnectError::Handshake)?;
+    let ping = connection.ping_pong();
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!(peer:display = address, error:display = error;
                 "connection to a peer ended");
         }
     });
-    Ok(Connection { streams, replied_ms: Cell::new(0), task })
+    let connection = Connection { streams, replied_ms: Cell::new(0), task };
+    // The kernel of a paused peer accepts connections. Nothing may be sent that
+    // the peer would carry out when it goes on.
+    if let Some(mut ping) = ping {
+        ping.ping(Ping::opaque()).await.map_err(ConnectError::Handshake)?;
+    }
+    Ok(connection)
 }
 
 async fn exchange(streams: SendRequest<Bytes>, message: Bytes) -> Result<ForwardReply, LinkError> {
--- a/crates/dispatch/src/node/forward/tests.rs
+++ b/crates/dispatch/src/node/forward/tests.rs
@@ -16,7 +16,7 @@
     transport::peer_stream::send_all,
 };
 use tokio::{
-    io::{AsyncReadExt, copy_bidirectional},
+    io::copy_bidirectional,
     net::{TcpListener, TcpStream},
 };
 
@@ -168,21 +168,15 @@
     (address, count)
 }
 
-/// Peer that reads what it is sent and then ends the connection.
+/// Peer that reads each request and then ends the connection.
 async fn losing_peer() -> SocketAddr {
     let listener = TcpListener::bind(any_port()).await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     tokio::task::spawn_local(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(async move {
-                let mut read = Vec::new();
-                // The request follows the preface of 24 bytes and the settings.
-                while !read.windows(JOB.len()).any(|part| part == JOB.as_bytes()) {
-                    if stream.read_buf(&mut read).await.unwrap_or(0) == 0 {
-                        return;
-                    }
-                }
-            });
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut connection = h2::server::handshake(stream).await.expect("a handshake");
+            let accepted = connection.accept().await;
+            drop(accepted.expect("a request").expect("a request"));
         }
     });
     address
@@ -352,15 +346,16 @@
         let losing = losing_peer().await;
         cut.shared.forwarder.set_peers(vec![member("a-2", losing)]);
         assert_eq!(cut.answer(Method::POST).await, CallerResponse::Unknown);
+        let cut = Process::start("a-1", &stored, Reach::Cut).await;
         let refusing = Process::start("a-3", &stored, Reach::Up).await;
         refusing.reach.set(Reach::Throttled);
         let peers = vec![member("a-2", losing), member("a-3", refusing.address)];
         cut.shared.forwarder.set_peers(peers);
-        for _ in 0..2 {
-            let answer = cut.answer(Method::POST).await;
-            assert!(matches!(answer, CallerResponse::Unknown) || not_accepted(&answer));
-        }
-        assert!(refusing.writes() > 0);
+        // The peers take turns, and the one that lost an answer comes last.
+        let answers = [cut.answer(Method::POST).await, cut.answer(Method::POST).await];
+        let unknown = answers.iter().filter(|answer| **answer == CallerResponse::Unknown);
+        assert_eq!(unknown.count(), 1, "{answers:?}");
+        assert!(answers.iter().any(not_accepted), "{answers:?}");
     });
 }
 
@@ -639,8 +634,22 @@
     });
 }
 
-/// Guards against a process that forgets its peers when it loses the store, and
-/// against one that forwards to itself.
+/// Guards against requests that a paused peer carries out when it goes on, after
+/// they were answered: its kernel accepts connections.
+#[test]
+fn paused_peer_gets_no_request() {
+    block_on(async {
+        let stored = StoredValues::default();
+        let cut = Process::start("a-1", &stored, Reach::Cut).await;
+        let paused = TcpListener::bind(any_port()).await.expect("a free port");
+        let address = paused.local_addr().expect("an address");
+        cut.shared.forwarder.set_peers(vec![member("a-2", address)]);
+        let answer = cut.answer(Method::POST).await;
+        assert!(not_accepted(&answer), "{answer:?}");
+    });
+}
+
+/// Guards against a process that forgets its peers when it loses the store.
 #[test]
 fn list_of_peers_is_kept_without_the_store() {
     block_on(async {
