--- a/crates/dispatch/src/node/forward/tests.rs
+++ b/crates/dispatch/src/node/forward/tests.rs
@@ -304,17 +304,50 @@
         let answer = cut.answer_within(Method::POST, JOB, 400).await;
         assert_eq!(answer, CallerResponse::Unknown);
         let whole = Process::start("a-3", &stored, Reach::Up).await;
+        // A process that does not know yet that the peer is slow.
+        let cut = Process::start("a-1", &stored, Reach::Cut).await;
         cut.know(&[&slow, &whole]);
+        // The peers take turns, so that one request asks the slow one first.
         for number in 0..2 {
             let path = format!("/q/000000000000000{number}");
-            let answer = cut.answer_within(Method::POST, &path, 600).await;
+            let answer = cut.answer_within(Method::POST, &path, 1_000).await;
             assert_eq!(answer, CallerResponse::Accepted);
         }
     });
 }
 
+/// Waits until a process handles no request; fails if that does not happen.
+async fn until_idle(process: &Process) {
+    let idle = async {
+        while process.shared.requests_open.get() > 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    let idle = tokio::time::timeout(Duration::from_secs(2), idle).await;
+    idle.expect("the process ends its requests");
+}
+
 /// Guards against places of a peer that stay taken by requests whose sender no
-/// longer waits, and against a silent connection that is used again.
+/// longer waits while its connection stays open.
+#[test]
+fn request_that_is_given_up_releases_its_place() {
+    block_on(async {
+        let peer = Process::start("a-2", &StoredValues::default(), Reach::Up).await;
+        peer.reach.set(Reach::Silent);
+        let stream = TcpStream::connect(peer.address).await.expect("a connection");
+        let (streams, connection) =
+            h2::client::handshake(stream).await.expect("the handshake succeeds");
+        tokio::task::spawn_local(connection);
+        let message = message(700).encode().expect("a message");
+        let answer = post(&streams, message);
+        let waited = tokio::time::timeout(Duration::from_millis(100), answer).await;
+        assert!(waited.is_err());
+        until_idle(&peer).await;
+        assert_eq!(peer.writes(), 1);
+    });
+}
+
+/// Guards against a silent connection that is used again.
 #[test]
 fn silent_connection_is_closed() {
     block_on(async {
@@ -327,9 +360,7 @@
         assert_eq!(cut.answer_within(Method::POST, JOB, 300).await, CallerResponse::Unknown);
         slow.reach.set(Reach::Up);
         let path = "/q/0000000000000001";
-        while slow.shared.requests_open.get() > 0 {
-            tokio::task::yield_now().await;
-        }
+        until_idle(&slow).await;
         let answer = cut.answer_within(Method::POST, path, 3_000).await;
         assert_eq!(answer, CallerResponse::Accepted);
         assert_eq!(connections.get(), 2);
