Reject submissions that are known to end too late

The controller of a pool without room publishes its useful waiting work by account, priority, work per value and remaining time. Processes that receive submissions read it once a second and reject a job whose earliest end is after three times its objective.

--- a/crates/dispatch/src/coordination/mod.rs
+++ b/crates/dispatch/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! actions out.
 
 pub mod access;
+pub mod admission;
 pub mod balance;
 pub mod control;
 pub mod pool;
--- a/crates/dispatch/src/coordination/pool/demand.rs
+++ b/crates/dispatch/src/coordination/pool/demand.rs
@@ -99,6 +99,7 @@
         }
         waiting.sort();
         let demand = self.demand(now_ms);
-        self.writer.set_summary(Summary { waiting, demand });
+        let load = self.load(now_ms);
+        self.writer.set_summary(Summary { waiting, demand, load });
     }
 }
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -10,7 +10,7 @@
 use super::{
     advice::Advice,
     crashes::Suspects,
-    durations::{ArrivalRate, Durations},
+    durations::{ArrivalRate, Durations, EndedRate},
     events::{JobKey, PollRequest, PoolAction, WorkerContact, WorkerKey},
     job_table::{Job, JobTable},
     task::TaskRef,
@@ -154,6 +154,7 @@
     /// polled yet; none once reconciliation is finished.
     pub(super) unreconciled: Option<Vec<RosterEntry>>,
     pub(super) arrivals: ArrivalRate,
+    pub(super) ended: EndedRate,
     /// End times of ended jobs, in milliseconds since 1970, kept until their
     /// records are removed. Live records of these jobs are ignored: a listing
     /// may have been read before the end was stored.
@@ -193,6 +194,7 @@
             handover_grace_until_ms: 0,
             unreconciled: Some(Vec::new()),
             arrivals: ArrivalRate::default(),
+            ended: EndedRate::default(),
             finished: HashMap::new(),
             placing_due: false,
             copies_due: false,
@@ -472,6 +474,11 @@
         times.into_iter().flatten().fold(self.next_check_ms, u64::min)
     }
 
+    /// Returns whether tasks waited for capacity after the last placement round.
+    pub fn is_short(&self) -> bool {
+        self.is_short
+    }
+
     /// Returns a job's state for callers.
     pub fn job_state(&self, number: JobNumber) -> Option<JobView> {
         let job = self.job_table.job(self.job_table.find(number)?)?;
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -168,6 +168,8 @@
                 if let Some(ran_ms) = ran_ms {
                     let expected_ms = self.durations.expected_ms(&queue, spec.estimate_ms);
                     self.durations.on_task(&queue, ran_ms);
+                    let cores = spec.allocation().cpu_millicores as f64 / 1_000.0;
+                    self.ended.add(now_ms, cores * expected_ms as f64);
                     if let Some(worker) = self.workers.get_mut(key) {
                         worker.health.on_success(ran_ms, expected_ms);
                     }
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -3,7 +3,7 @@
 //! [`PoolEngine`] connects parts that keep their own invariants: the table of
 //! jobs and tasks (`job_table`), the use by client accounts (`accounts`), the state of each worker (`workers`), the
 //! priority order of waiting work (`order`), worker selection (`placement`),
-//! expected durations (`durations`), tasks under which workers crashed
+//! expected durations (`durations`), the published load (`load`, `profile`), tasks under which workers crashed
 //! (`crashes`) and pending writes to the store (`writer`).
 
 mod accounts;
@@ -16,10 +16,12 @@
 mod events;
 mod health;
 mod job_table;
+mod load;
 mod looks;
 mod order;
 mod pacing;
 mod placement;
+mod profile;
 mod recovery;
 mod registry;
 mod starts;
@@ -40,5 +42,7 @@
     writer::{PoolWrite, WriteResult},
 };
 
+pub(crate) use self::profile::JobProfile;
+
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/coordination/pool/order.rs
+++ b/crates/dispatch/src/coordination/pool/order.rs
@@ -27,7 +27,17 @@
 
 /// Multiple of the objective after which callers no longer benefit from a
 /// result.
-const LATE_FACTOR: u64 = 3;
+pub(super) const LATE_FACTOR: u64 = 3;
+/// Largest value of a job relative to others of its queue; the cap that the
+/// users apply.
+const VALUE_MAX: f64 = 4.0;
+
+/// Returns the value of a job whose work is this multiple of its queue's
+/// average. The users' own measure: 30% is the same for each job, the rest grows
+/// with its size.
+pub(super) fn value(relative_work: f64) -> f64 {
+    (0.3 + 0.7 * relative_work).min(VALUE_MAX)
+}
 
 /// Priority bands of waiting work; earlier ones go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -69,10 +79,22 @@
         self.band() == Band::Overdue
     }
 
+    /// Returns the work per unit of value, in whole core-milliseconds: how much
+    /// other work the job delays for what it is worth.
+    pub(super) fn cost_core_ms(&self) -> u64 {
+        (self.remaining_core_ms / self.value.max(0.01)) as u64
+    }
+
+    /// Returns the times for which the job can still meet its objective and can
+    /// still be useful if its next tasks start by then, in milliseconds.
+    pub(super) fn slack_ms(&self) -> (u64, u64) {
+        let end_ms = self.age_ms + self.critical_path_ms;
+        let left_ms = |limit_ms: u64| limit_ms.saturating_sub(end_ms);
+        (left_ms(self.objective_ms), left_ms(self.objective_ms * LATE_FACTOR))
+    }
+
     pub(super) fn rank(&self) -> Rank {
-        // Work per unit of value, in whole core-milliseconds: how much other
-        // work the job delays for what it is worth.
-        let cost = (self.remaining_core_ms / self.value.max(0.01)) as u64;
+        let cost = self.cost_core_ms();
         let oldest_first = u64::MAX - self.age_ms;
         let band = self.band();
         let key = match band {
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -17,7 +17,7 @@
         WorkerKey,
     },
     job_table::Job,
-    order::{Rank, RankInputs},
+    order::{Rank, RankInputs, value},
     placement::{PlaceQuery, REACHABLE_MS, Unplaceable, is_plain, takes_work},
     task::{Run, RunPhase, TaskRef},
     workers::Worker,
@@ -38,9 +38,6 @@
 /// Longest time for which the inputs to a job's rank are reused, in
 /// milliseconds: expected durations change by a few percent within it.
 const RANK_MAX_AGE_MS: u64 = 250;
-/// Largest value of a job relative to others of its queue; the cap that the
-/// users apply.
-const VALUE_MAX: f64 = 4.0;
 
 /// Whether best-effort tasks and tasks that serve users may share a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -122,7 +119,7 @@
 
     /// Returns the largest free amount of each resource on any worker. A task
     /// that needs more of one cannot be placed, whatever its rank.
-    fn largest_free_capacity(&self, now_ms: u64) -> Resources {
+    pub(super) fn largest_free_capacity(&self, now_ms: u64) -> Resources {
         let open = self.workers.iter().filter(|(_, worker)| takes_work(worker, now_ms));
         open.map(|(_, worker)| worker.free_capacity()).fold(
             Resources::default(),
@@ -179,9 +176,7 @@
             critical_path_ms: open_paths_ms.iter().max().copied().unwrap_or(0),
             objective_ms: (policy.stretch * chain_ms as f64) as u64 + policy.objective_ms,
             remaining_core_ms,
-            // The users' own measure: 30% is the same for each job, the rest
-            // grows with its size.
-            value: (0.3 + 0.7 * relative).min(VALUE_MAX),
+            value: value(relative),
         }
     }
 
--- a/crates/dispatch/src/coordination/submission.rs
+++ b/crates/dispatch/src/coordination/submission.rs
@@ -112,6 +112,11 @@
         self.queue.push_back(key);
     }
 
+    /// Returns whether a submission of this key is not answered yet.
+    pub fn is_pending(&self, key: &str) -> bool {
+        self.pending.contains_key(key)
+    }
+
     /// Returns whether every submission was answered.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/crates/dispatch/src/node/callers.rs
+++ b/crates/dispatch/src/node/callers.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    clock,
+    backlog, clock,
     keys::{decode_item, submission_result, submission_transaction, summary_key},
     platform::{Platform, Transaction, TransactionReply},
     shared::Shared,
@@ -22,6 +22,7 @@
 use crate::{
     coordination::{
         access::Caller,
+        admission::NewJob,
         pool::JobView,
         submission::{SubmissionAction, SubmissionAnswer, SubmissionWrite},
     },
@@ -106,6 +107,12 @@
         /// Delay before another try, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The job is not stored because it would end too late for its caller.
+    Overloaded {
+        /// Delay after which such a job could meet its objective, in
+        /// milliseconds.
+        retry_after_ms: u64,
+    },
     /// The outcome is unknown: the request may have taken effect or may do so
     /// later.
     Unknown,
@@ -178,14 +185,19 @@
         return CallerResponse::NotAccepted { retry_after_ms: RETRY_AFTER_MS };
     }
     let now = clock::read();
+    let new = NewJob { queue, account: caller.account(), spec: &spec };
+    let delay = match backlog::check(shared, job, &new).await {
+        Ok(delay) => delay,
+        Err(rejection) => return rejection,
+    };
     let record = JobRecord {
         queue: queue.queue.clone(),
         account: caller.account().cloned(),
         accepted_unix_ms: now.unix_ms,
         state: JobState::Live(spec),
     };
-    let record = match encode(&record) {
-        Ok(record) => Bytes::from(record),
+    let value = match encode(&record) {
+        Ok(value) => Bytes::from(value),
         Err(error) => {
             let error = RequestError::Malformed(error.to_string().into());
             return CallerResponse::Refused(error);
@@ -196,11 +208,15 @@
     shared.submission_replies.borrow_mut().insert(request, sender);
     let key = JobRecord::key(queue.pool.as_str(), job);
     let deadline_ms = now.monotonic_ms + timeout_ms;
-    shared.submissions.borrow_mut().submit(request, key, record, deadline_ms);
+    shared.submissions.borrow_mut().submit(request, key, value, deadline_ms);
     send_due_writes(shared);
     match receiver.await {
-        Ok(SubmissionAnswer::Accepted) => CallerResponse::Accepted,
+        Ok(SubmissionAnswer::Accepted) => {
+            backlog::on_accepted(shared, queue, &record);
+            CallerResponse::Accepted
+        }
         Ok(SubmissionAnswer::NotAccepted { retry_after_ms }) => {
+            let retry_after_ms = delay.map_or(retry_after_ms, |ms| ms.max(retry_after_ms));
             CallerResponse::NotAccepted { retry_after_ms }
         }
         Ok(SubmissionAnswer::Unknown) | Err(_) => CallerResponse::Unknown,
--- a/crates/dispatch/src/node/mod.rs
+++ b/crates/dispatch/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! A running process: connects the engines to the store, the workers and the
 //! callers.
 
+mod backlog;
 mod callers;
 mod calls;
 pub mod clock;
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::{
+    backlog::Backlog,
     calls::WorkerCalls,
     clock,
     control::Holders,
@@ -64,6 +65,7 @@
     /// Engines of the pools that this process controls.
     pub(super) engines: RefCell<HashMap<PoolId, Rc<RefCell<PoolEngine>>>>,
     pub(super) submissions: RefCell<Submissions>,
+    pub(super) backlog: Backlog,
     pub(super) submission_replies: RefCell<HashMap<RequestId, oneshot::Sender<SubmissionAnswer>>>,
     pub(super) stopping: watch::Sender<bool>,
     /// When the last successful read of the operator's records was sent, in
@@ -98,6 +100,7 @@
             attempted: RefCell::default(),
             engines: RefCell::default(),
             submissions: RefCell::default(),
+            backlog: Backlog::default(),
             submission_replies: RefCell::default(),
             stopping: watch::Sender::new(false),
             configuration_confirmed_ms: Cell::new(0),
--- a/crates/dispatch/src/replay/mod.rs
+++ b/crates/dispatch/src/replay/mod.rs
@@ -3,5 +3,6 @@
 //! The tests and `tamarack-bench` replay the same load. A simulation panics
 //! when an engine violates an invariant that workers rely on.
 
+pub mod admission;
 pub mod balance;
 pub mod pool;
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -14,7 +14,7 @@
     coordination::jobs::Resources,
     state::{
         clock::ClockReading,
-        ids::{HostId, PoolId, QueueId, RecordVersion, Term, WorkerId},
+        ids::{AccountId, HostId, PoolId, QueueId, RecordVersion, Term, WorkerId},
     },
 };
 
@@ -26,7 +26,7 @@
     },
     state::{
         JobNumber, JobOutcome, JobRecord, JobSpec, JobState, ProgressRecord, Registration, Roster,
-        RunNumber, StepSpec, TaskAddress, WorkerEntry,
+        RunNumber, StepSpec, Summary, TaskAddress, WorkerEntry,
     },
 };
 
@@ -245,6 +245,8 @@
     jobs: BTreeMap<JobNumber, (RecordVersion, JobRecord)>,
     progress: BTreeMap<JobNumber, ProgressRecord>,
     roster: Roster,
+    /// The stored summary with its version.
+    summary: (RecordVersion, Summary),
     /// Index of the controller whose writes are accepted.
     holder: usize,
     pub store_is_up: bool,
@@ -297,6 +299,7 @@
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
             roster: Roster::default(),
+            summary: (RecordVersion(0), Summary::default()),
             holder: 0,
             store_is_up: true,
             write_delay_ms: None,
@@ -399,19 +402,38 @@
 
     /// Stores a job and passes its record to all live engines.
     pub fn submit(&mut self, spec: JobSpec) -> JobNumber {
-        spec.check().expect("the job can run");
         let number = JobNumber(self.next_job);
         self.next_job += 1;
+        self.submit_to(number, queue(), None, spec);
+        number
+    }
+
+    /// Stores a job of a queue and an account under a number of the caller's
+    /// choice, and passes its record to all live engines.
+    pub fn submit_to(
+        &mut self,
+        number: JobNumber,
+        queue: QueueId,
+        account: Option<AccountId>,
+        spec: JobSpec,
+    ) {
+        spec.check().expect("the job can run");
         let accepted_unix_ms = self.now().unix_ms;
-        let record = JobRecord {
-            queue: queue(),
-            account: None,
-            accepted_unix_ms,
-            state: JobState::Live(spec),
-        };
+        let record = JobRecord { queue, account, accepted_unix_ms, state: JobState::Live(spec) };
         self.accepted_ms.insert(number, self.now_ms);
         self.store_job(number, record);
-        number
+    }
+
+    /// Returns the processors of the pool that no run uses, in thousandths of a
+    /// core.
+    pub fn free_millicores(&self) -> u64 {
+        let free = |worker: &FakeWorker| worker.entry.capacity.minus(&worker.used()).cpu_millicores;
+        self.workers.iter().map(free).sum()
+    }
+
+    /// Returns the stored summary with its version.
+    pub fn summary(&self) -> (RecordVersion, &Summary) {
+        (self.summary.0, &self.summary.1)
     }
 
     /// Returns a job's record as stored.
@@ -781,6 +803,9 @@
         if let Some(roster) = write.roster {
             self.roster = roster;
         }
+        if let Some(summary) = write.summary {
+            self.summary = (version, summary);
+        }
         WriteResult::Written(version)
     }
 
--- a/crates/dispatch/src/state/mod.rs
+++ b/crates/dispatch/src/state/mod.rs
@@ -15,8 +15,9 @@
     job::{InvalidJob, JobSpec, Schedule, StepSpec, TASKS_MAX},
     record::{
         BalanceRecord, CrashRecord, Demand, HandoverRequest, JobOutcome, JobRecord, JobState,
-        MemberRecord, ProgressRecord, RecordError, Roster, RosterEntry, StepProgress, Summary,
-        SurgeRecord, TaskProgress, Vacancy, VacateReason, VacateRequest, decode, encode,
+        MemberRecord, Overload, PoolLoad, ProgressRecord, QueueMeans, RecordError, Roster,
+        RosterEntry, StepProgress, Summary, SurgeRecord, TaskProgress, Vacancy, VacateReason,
+        VacateRequest, WaitingWork, decode, encode,
     },
     serving::{AdviceSettings, CallerLimits, PoolSettings, QueueSettings, ServingDocument},
     wave::{WaveNumber, WaveRecord, WaveRequest, WaveState},
--- a/crates/dispatch/src/state/record.rs
+++ b/crates/dispatch/src/state/record.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use strum::{Display as StrumDisplay, EnumString};
 use tamarackproxy::{
+    coordination::jobs::Resources,
     state::ids::{AccountId, EntryId, HostId, PoolId, QueueId, Term, WorkerId},
     transport::frame::{self, FrameError},
 };
@@ -169,6 +170,77 @@
     pub waiting: Vec<(QueueId, u64)>,
     /// Resource demand of the pool.
     pub demand: Demand,
+    /// What bounds the wait of new jobs.
+    pub load: PoolLoad,
+}
+
+/// Capacity of a pool and, while it is overloaded, the work that goes before
+/// new jobs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// Processors of the workers that take work, without those of long-running
+    /// tasks, in thousandths of a core.
+    pub capacity_millicores: u64,
+    /// Processors of registered workers that do not take work yet, in thousandths
+    /// of a core.
+    pub joining_millicores: u64,
+    /// The waiting work; none while the pool has room for it.
+    pub overload: Option<Overload>,
+}
+
+/// Waiting work of a pool without room.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Overload {
+    /// Clock of the controller, in seconds; changes the record while the pool is
+    /// overloaded, so that readers can tell that it is current.
+    pub clock_s: u64,
+    /// Expected work of the tasks that ended in the last seconds per time, in
+    /// thousandths of a core.
+    pub ended_millicores: u64,
+    /// Most unused processors on one worker, in thousandths of a core.
+    pub free_millicores: u64,
+    /// Largest amount of each resource on one worker.
+    pub largest_worker: Resources,
+    /// Averages by which declared durations are corrected.
+    pub queues: Vec<QueueMeans>,
+    /// Accounts with waiting or running work.
+    pub accounts: Vec<AccountId>,
+    /// Waiting work that can still be useful. Work that is left out makes waits
+    /// look shorter.
+    pub waiting: Vec<WaitingWork>,
+}
+
+/// Averages of one queue.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueMeans {
+    /// The queue.
+    pub queue: QueueId,
+    /// Mean duration of a task, in milliseconds; none before the first end.
+    pub task_ms: Option<u64>,
+    /// Mean declared work of a job, in core-milliseconds.
+    pub work_core_ms: Option<u64>,
+}
+
+/// Waiting work of similar jobs of one account and priority. Times count from
+/// the writing of the summary and are rounded down.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct WaitingWork {
+    /// Account of the jobs; none for public work.
+    pub account: Option<AccountId>,
+    /// Priority of the queue; 0 is the highest.
+    pub priority: u32,
+    /// Upper bound of the jobs' work per unit of value, in core-milliseconds.
+    pub cost_core_ms: u64,
+    /// Upper bound of the processors of one task, in thousandths of a core.
+    pub task_millicores: u64,
+    /// Time for which the jobs can still meet their objective if they start, in
+    /// milliseconds.
+    pub timely_ms: u64,
+    /// Time for which the jobs can still be useful if they start, in
+    /// milliseconds.
+    pub useful_ms: u64,
+    /// Expected work of the waiting tasks, in core-milliseconds.
+    pub core_ms: u64,
 }
 
 /// Resource demand of a pool's work, as estimated by its controller.
--- a/crates/standins/src/bench/dispatch.rs
+++ b/crates/standins/src/bench/dispatch.rs
@@ -5,6 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use tamarack_dispatch::{
     replay::{
+        admission::{Rejecting, SurgeCounts, SurgeMix, replay_surges as replay_rejections},
         balance::{Fleet, HOST_MILLICORES, HOSTS_PER_POOL, POOLS, STEP_MS, replay_surges},
         pool::{PoolSimulation, job, lasting, step},
     },
@@ -38,6 +39,12 @@
     }
 }
 
+/// Goal: of 100 rejected jobs at most one could have been useful.
+const WRONG_BOUND: f64 = 0.01;
+/// Surges of one replay.
+const SURGES: u64 = 3;
+/// Most rejected jobs for which a replay is repeated.
+const SAMPLES_MAX: usize = 100;
 const WORKERS: usize = 4;
 const WORKER_CORES: u64 = 16;
 const TASK_CORES: u64 = 2;
@@ -45,7 +52,12 @@
 /// Runs all policies.
 pub fn run(options: &BenchOptions) -> Vec<Figure> {
     let seeds = options.seed..options.seed + options.seeds;
-    seeds.flat_map(|seed| [order(seed)].into_iter().chain(pools()).chain(throttling())).collect()
+    let figures = |seed| {
+        let rejections = [SurgeMix::OneQueue, SurgeMix::TwoQueues];
+        let rejections = rejections.into_iter().flat_map(move |mix| rejection(seed, mix));
+        [order(seed)].into_iter().chain(pools()).chain(throttling()).chain(rejections)
+    };
+    seeds.flat_map(figures).collect()
 }
 
 /// Measures the share of jobs that meet their objective in a surge of twice the
@@ -110,6 +122,46 @@
     [late, on]
 }
 
+/// Measures the rejection of work that is known to end too late, in surges of
+/// five times the pool's capacity; the baselines accept everything.
+fn rejection(seed: u64, mix: SurgeMix) -> Vec<Figure> {
+    let accepting = replay_rejections(seed, SURGES, mix, Rejecting::Never);
+    let rejecting = replay_rejections(seed, SURGES, mix, Rejecting::Known);
+    // What the rejected jobs would have been worth: the same surges, in which one
+    // of them at a time is accepted.
+    let judged = &rejecting.judged_useless;
+    let sampled = judged.iter().step_by(judged.len().div_ceil(SAMPLES_MAX).max(1));
+    let wrong: u64 = sampled
+        .clone()
+        .map(|&caller| {
+            let other = replay_rejections(seed, SURGES, mix, Rejecting::Except(caller));
+            u64::from(other.is_useful[caller])
+        })
+        .sum();
+    let wrong_share = wrong as f64 / sampled.count().max(1) as f64;
+    let prefix = match mix {
+        SurgeMix::OneQueue => "one_queue",
+        SurgeMix::TwoQueues => "two_queues",
+    };
+    let figure = |name: &str, unit: &'static str, value: &dyn Fn(&SurgeCounts) -> f64| {
+        Figure::new(NAME, format!("rejection/{prefix}/{name}"), value(&rejecting), unit)
+            .with_baseline(value(&accepting))
+    };
+    let share = |part: u64, counts: &SurgeCounts| part as f64 / counts.jobs as f64;
+    vec![
+        figure("in_time", "share", &|counts| share(counts.in_time, counts)),
+        figure("late", "share", &|counts| share(counts.late, counts)),
+        figure("useless", "share", &|counts| share(counts.useless, counts)),
+        figure("given_up", "share", &|counts| share(counts.given_up, counts)),
+        figure("rejections", "count", &|counts| counts.rejections as f64),
+        figure("useless_work", "core-seconds", &|counts| counts.useless_core_ms / 1_000.0),
+        Figure::new(NAME, format!("rejection/{prefix}/rejected_wrongly"), wrong_share, "share")
+            .with_bound(Bound::AtMost(WRONG_BOUND)),
+        figure("rejected_with_room", "count", &|counts| counts.rejected_with_room as f64)
+            .with_bound(Bound::AtMost(0.0)),
+    ]
+}
+
 /// Returns the host time if hosts moved without delay and the load were known.
 fn least_host_seconds(replayed: &Fleet) -> f64 {
     // The load is the same in every replay: total work divided by the capacity of
