--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -474,11 +474,6 @@
         times.into_iter().flatten().fold(self.next_check_ms, u64::min)
     }
 
-    /// Returns whether tasks waited for capacity after the last placement round.
-    pub fn is_short(&self) -> bool {
-        self.is_short
-    }
-
     /// Returns a job's state for callers.
     pub fn job_state(&self, number: JobNumber) -> Option<JobView> {
         let job = self.job_table.job(self.job_table.find(number)?)?;
--- a/crates/dispatch/src/coordination/pool/load.rs
+++ b/crates/dispatch/src/coordination/pool/load.rs
@@ -52,11 +52,10 @@
                 joining += own;
             }
         }
-        let overload = self.is_short.then(|| self.overload(now_ms, capacity)).flatten();
         PoolLoad {
             capacity_millicores: capacity.next_multiple_of(MILLICORES_UNIT),
             joining_millicores: joining.next_multiple_of(MILLICORES_UNIT),
-            overload,
+            overload: self.overload(now_ms, capacity),
         }
     }
 
--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod failures;
 mod interleavings;
+mod load;
 mod order;
 mod pacing;
 mod placing;
--- a/crates/dispatch/src/node/fake.rs
+++ b/crates/dispatch/src/node/fake.rs
@@ -38,6 +38,8 @@
     pub(super) payloads: Rc<RefCell<Vec<Box<str>>>>,
     /// Transactions, oldest first; none of them has a reply in time.
     pub(super) transactions: Rc<RefCell<Vec<Transaction>>>,
+    /// Listed prefixes, oldest first; none of them has a reply.
+    pub(super) lists: Rc<RefCell<Vec<Box<str>>>>,
     /// Time that workers take to answer an order, in milliseconds.
     pub(super) order_ms: u64,
 }
@@ -52,7 +54,8 @@
         Err(StoreError::Unknown)
     }
 
-    async fn list(&self, _: &str) -> Result<Listing, StoreError> {
+    async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.lists.borrow_mut().push(prefix.into());
         Err(StoreError::NotSent)
     }
 
--- a/crates/dispatch/src/replay/admission.rs
+++ b/crates/dispatch/src/replay/admission.rs
@@ -24,6 +24,8 @@
 const TASK_CORES: u64 = 2;
 /// Demand in a surge as a multiple of the pool's capacity.
 const SURGE_FACTOR: f64 = 5.0;
+/// Demand between surges as a multiple of the pool's capacity.
+const LULL_FACTOR: f64 = 0.05;
 /// Duration of a surge and time between the starts of two surges, in
 /// milliseconds: four queues take turns.
 const SURGE_MS: u64 = 4_000;
@@ -67,8 +69,6 @@
     queue: QueueSettings,
     spec: JobSpec,
     first_ms: u64,
-    /// Time of the next try; none once the job is accepted or given up.
-    next_ms: Option<u64>,
     tries: u32,
     /// When the job was accepted; none if it was not.
     accepted_ms: Option<u64>,
@@ -144,11 +144,16 @@
     let patient = settings(QueueId::new("patient"), 3.0, 4_000);
     let queues = [settings(queue(), 1.6, 600), patient];
     let capacity_cores = (WORKERS as u64 * WORKER_CORES) as f64;
-    let gap_ms = MEAN_WORK_CORE_MS / (capacity_cores * SURGE_FACTOR);
-    let jobs_per_surge = (SURGE_MS as f64 / gap_ms) as u64;
-    let arrivals = (0..surges)
-        .flat_map(|surge| (0..jobs_per_surge).map(move |index| (surge, index)))
-        .map(|(surge, index)| surge * PERIOD_MS + (index as f64 * gap_ms) as u64);
+    let mut arrivals = Vec::new();
+    let mut at_ms = 0.0;
+    while at_ms < (surges * PERIOD_MS) as f64 {
+        arrivals.push(at_ms as u64);
+        let is_surge = at_ms as u64 % PERIOD_MS < SURGE_MS;
+        let factor = if is_surge { SURGE_FACTOR } else { LULL_FACTOR };
+        // The gap after the last job of a lull ends with the next surge.
+        let next_surge_ms = ((at_ms as u64 / PERIOD_MS + 1) * PERIOD_MS) as f64;
+        at_ms = (at_ms + MEAN_WORK_CORE_MS / (capacity_cores * factor)).min(next_surge_ms);
+    }
     let caller = |(index, at_ms): (u64, u64)| {
         let estimate_ms = declared_ms(index + 1) as u32;
         let spec = job(vec![step(random.random_range(1..=8), TASK_CORES * 1_000, estimate_ms)]);
@@ -160,7 +165,6 @@
             queue: queue.clone(),
             spec,
             first_ms: at_ms,
-            next_ms: Some(at_ms),
             tries: 0,
             accepted_ms: None,
             was_judged_useless: false,
@@ -171,7 +175,19 @@
 
 /// Replays `surges` surges, one after the other.
 pub fn replay_surges(seed: u64, surges: u64, mix: SurgeMix, rejecting: Rejecting) -> SurgeCounts {
-    let mut replay = Replay::new(seed, surges, mix, rejecting);
+    replay(Replay::new(seed, surges, mix, rejecting), surges)
+}
+
+/// Replays the same surges without the jobs of the callers that are not `kept`:
+/// what could be gained if it were known at once which jobs end too late, and
+/// their callers did not return.
+pub fn replay_kept(seed: u64, surges: u64, mix: SurgeMix, kept: &[bool]) -> SurgeCounts {
+    let mut without = Replay::new(seed, surges, mix, Rejecting::Never);
+    without.due.retain(|&(_, at), ()| kept.get(at).copied().unwrap_or(true));
+    replay(without, surges)
+}
+
+fn replay(mut replay: Replay, surges: u64) -> SurgeCounts {
     let end_ms = surges * PERIOD_MS + DRAIN_MS;
     for now_ms in (0..end_ms).step_by(TICK_MS as usize) {
         replay.read_summaries(now_ms);
@@ -260,7 +276,7 @@
             if !is_forced {
                 self.counts.rejections += 1;
                 let cores = caller.spec.steps[0].tasks as u64 * TASK_CORES * 1_000;
-                let has_room = !self.simulation.engine(0).is_short()
+                let has_room = self.simulation.summary().1.load.overload.is_none()
                     && self.simulation.free_millicores() >= cores;
                 self.counts.rejected_with_room += u64::from(has_room);
                 if caller.tries < TRIES_MAX {
