--- a/crates/dispatch/src/coordination/admission/engine.rs
+++ b/crates/dispatch/src/coordination/admission/engine.rs
@@ -5,10 +5,8 @@
 
 use super::bound::Contest;
 use crate::{
-    coordination::pool::JobProfile,
-    state::{
-        Accounts, JobSpec, Overload, PoolLoad, QueueMeans, QueueSettings, StepSpec, WaitingWork,
-    },
+    coordination::pool::{JobProfile, is_limited_by_processors},
+    state::{Accounts, JobSpec, Overload, PoolLoad, QueueMeans, QueueSettings, WaitingWork},
 };
 
 /// Age from which on knowledge is not used, in milliseconds; stated by the
@@ -155,21 +153,14 @@
     /// summary is read.
     pub fn on_accepted(&mut self, now_ms: u64, job: &NewJob<'_>) {
         let Some(known) = self.pools.get_mut(&job.queue.pool) else { return };
-        let Some(overload) = &known.load.overload else { return };
-        let profile = profile(overload, job);
+        // Outdated knowledge is not used, and must not grow.
+        let is_current = known.age_ms(now_ms).is_some_and(|age_ms| age_ms <= KNOWLEDGE_MAX_AGE_MS);
         let since_ms = now_ms.saturating_sub(known.written_ms());
-        let is_plain = !job.spec.is_lasting() && job.spec.schedule.is_none();
-        // Only the steps that can start at once, on any worker, go before others.
-        let goes_anywhere = |step: &StepSpec| {
-            !step.is_gang
-                && step.required_label.is_none()
-                && step.per_worker_max.is_none()
-                && step.need.accelerators == 0
-        };
-        let is_alone = job.spec.steps.len() == 1 && job.spec.steps.iter().all(goes_anywhere);
-        if !is_plain || !is_alone || job.queue.advice.is_some() {
+        let Some(overload) = known.load.overload.as_ref().filter(|_| is_current) else { return };
+        if !goes_anywhere(overload, job) {
             return;
         }
+        let profile = profile(overload, job);
         let left_ms = |limit_ms: u64| since_ms + limit_ms.saturating_sub(profile.critical_path_ms);
         let work = WaitingWork {
             account: job.account.cloned(),
@@ -272,6 +263,21 @@
     })
 }
 
+/// Returns whether all tasks of a job can start at once, on any worker. Others do
+/// not certainly go before a new job.
+fn goes_anywhere(overload: &Overload, job: &NewJob<'_>) -> bool {
+    let [step] = job.spec.steps.as_slice() else { return false };
+    let has_choice = step.required_label.is_none() && step.per_worker_max.is_none();
+    let shares_workers = step.uses_leftover || step.tail_goal_ms.is_some();
+    !step.is_lasting
+        && !step.is_gang
+        && has_choice
+        && !shares_workers
+        && job.spec.schedule.is_none()
+        && job.queue.advice.is_none()
+        && is_limited_by_processors(&step.allocation(), &overload.largest_worker)
+}
+
 fn profile(overload: &Overload, job: &NewJob<'_>) -> JobProfile {
     let is_of = |means: &&QueueMeans| means.queue == job.queue.queue;
     JobProfile::new(job.spec, job.queue, overload.queues.iter().find(is_of))
--- a/crates/dispatch/src/coordination/admission/tests/surge.rs
+++ b/crates/dispatch/src/coordination/admission/tests/surge.rs
@@ -59,3 +59,28 @@
     let gained = (kept.in_time + kept.late).abs_diff(accepting.in_time + accepting.late);
     assert!(gained * 10 <= accepting.jobs, "{gained} of {} jobs", accepting.jobs);
 }
+
+/// Guards against callers that return in a second wave: all at once, or to be
+/// rejected again in the lull.
+#[test]
+fn returning_callers_come_one_by_one_and_are_accepted() {
+    let rejecting = replay_surges(1, SURGES, SurgeMix::TwoQueues, Rejecting::Known);
+    let returns_ms = &rejecting.returns_ms;
+    let ended = rejecting.judged_useless.iter().filter(|&&caller| rejecting.is_useful[caller]);
+    println!(
+        "{} returns, {} of {} callers were still served well: {returns_ms:?}",
+        returns_ms.len(),
+        ended.count(),
+        rejecting.judged_useless.len()
+    );
+    assert_eq!(rejecting.given_up, 0);
+    let crowd = |from_ms: u64| {
+        returns_ms.iter().filter(|&&at_ms| (from_ms..from_ms + 100).contains(&at_ms)).count()
+    };
+    let largest = returns_ms.iter().map(|&at_ms| crowd(at_ms)).max().unwrap_or(0);
+    assert!(
+        largest * 3 <= returns_ms.len().max(3),
+        "{largest} of {} within 100 ms",
+        returns_ms.len()
+    );
+}
--- a/crates/dispatch/src/coordination/pool/load.rs
+++ b/crates/dispatch/src/coordination/pool/load.rs
@@ -15,6 +15,7 @@
     engine::PoolEngine,
     job_table::Job,
     placement::{is_plain, takes_work},
+    profile::is_limited_by_processors,
     task::TaskRef,
     workers::{Presence, Worker},
 };
@@ -70,7 +71,8 @@
     }
 
     fn overload(&self, now_ms: u64, capacity_millicores: u64) -> Option<Overload> {
-        let waiting = self.waiting_groups(now_ms);
+        let largest_worker = self.largest_worker();
+        let waiting = self.waiting_groups(now_ms, &largest_worker);
         let core_ms: u64 = waiting.iter().map(|group| group.core_ms).sum();
         if core_ms < capacity_millicores * OVERLOAD_MS / 1_000 {
             return None;
@@ -84,7 +86,7 @@
             clock_s: now_ms / 1_000,
             ended_millicores: self.ended.millicores(now_ms).next_multiple_of(MILLICORES_UNIT),
             free_millicores: free.next_multiple_of(MILLICORES_UNIT),
-            largest_worker: self.largest_worker(),
+            largest_worker,
             queues: self.durations.means(),
             accounts,
             waiting,
@@ -105,14 +107,17 @@
 
     /// Sums up the waiting work that can still be useful, the largest groups
     /// first.
-    fn waiting_groups(&self, now_ms: u64) -> Vec<WaitingWork> {
+    fn waiting_groups(&self, now_ms: u64, largest_worker: &Resources) -> Vec<WaitingWork> {
         let mut groups: BTreeMap<Group, f64> = BTreeMap::new();
         for at in self.job_table.unstarted() {
             let Some(job) = self.job_table.job(at.job) else { continue };
             let Some(spec) = self.job_table.spec(at) else { continue };
             // Work that only some workers may run, or that waits for all of its
             // members, does not certainly go before a new job.
-            if !self.is_startable(job) || spec.is_lasting || !self.goes_anywhere(job, spec) {
+            if !self.is_startable(job)
+                || spec.is_lasting
+                || !self.goes_anywhere(job, spec, largest_worker)
+            {
                 continue;
             }
             let core_ms = self.waiting_core_ms(now_ms, job, at, spec);
@@ -131,17 +136,12 @@
         waiting
     }
 
-    /// Returns whether a step's tasks are limited by processors alone.
-    fn goes_anywhere(&self, job: &Job, spec: &StepSpec) -> bool {
-        let largest = self.largest_worker();
-        let need = spec.allocation();
+    /// Returns whether the tasks of a step of a job may run on any worker and are
+    /// limited by processors alone.
+    fn goes_anywhere(&self, job: &Job, spec: &StepSpec, largest_worker: &Resources) -> bool {
         is_plain(spec)
             && self.policy(&job.queue).advice.is_none()
-            && need.accelerators == 0
-            && need.fits_in(&largest)
-            // Compared as products: the share of the processors is the largest.
-            && u128::from(need.cpu_millicores) * u128::from(largest.memory_bytes)
-                >= u128::from(need.memory_bytes) * u128::from(largest.cpu_millicores)
+            && is_limited_by_processors(&spec.allocation(), largest_worker)
     }
 
     fn waiting_core_ms(&self, now_ms: u64, job: &Job, at: TaskRef, spec: &StepSpec) -> f64 {
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -42,7 +42,7 @@
     writer::{PoolWrite, WriteResult},
 };
 
-pub(crate) use self::profile::JobProfile;
+pub(crate) use self::profile::{JobProfile, is_limited_by_processors};
 
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/coordination/pool/profile.rs
+++ b/crates/dispatch/src/coordination/pool/profile.rs
@@ -4,6 +4,8 @@
 //! Load pattern: during a surge each entry host judges tens of new jobs a second
 //! by the same figures as the pool's controller, without asking it.
 
+use tamarackproxy::coordination::jobs::Resources;
+
 use super::{
     durations::QueueAverages,
     order::{LATE_FACTOR, value},
@@ -29,6 +31,16 @@
     pub(crate) task_millicores: (u64, u64),
 }
 
+/// Returns whether a task fits on a worker and needs a larger part of its
+/// processors than of its other resources. The waits of other tasks do not follow
+/// from the work that processors do.
+pub(crate) fn is_limited_by_processors(need: &Resources, worker: &Resources) -> bool {
+    // The parts are compared without division.
+    let of_processors = u128::from(need.cpu_millicores) * u128::from(worker.memory_bytes);
+    let of_memory = u128::from(need.memory_bytes) * u128::from(worker.cpu_millicores);
+    need.fits_in(worker) && need.accelerators == 0 && of_processors >= of_memory
+}
+
 impl JobProfile {
     /// Computes the profile; it agrees with the controller's rank of the job.
     pub(crate) fn new(spec: &JobSpec, queue: &QueueSettings, means: Option<&QueueMeans>) -> Self {
