--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -10,7 +10,7 @@
 use super::{
     advice::Advice,
     crashes::Suspects,
-    durations::{ArrivalRate, Durations},
+    durations::{ArrivalRate, Durations, EndedRate},
     events::{JobKey, PollRequest, PoolAction, WorkerContact, WorkerKey},
     fair_share::FairShare,
     job_table::{Job, JobTable},
@@ -158,6 +158,7 @@
     /// polled yet; none once reconciliation is finished.
     pub(super) unreconciled: Option<Vec<RosterEntry>>,
     pub(super) arrivals: ArrivalRate,
+    pub(super) ended: EndedRate,
     /// End times of ended jobs, in milliseconds since 1970, kept until their
     /// records are removed. Live records of these jobs are ignored: a listing
     /// may have been read before the end was stored.
@@ -199,6 +200,7 @@
             handover_grace_until_ms: 0,
             unreconciled: Some(Vec::new()),
             arrivals: ArrivalRate::default(),
+            ended: EndedRate::default(),
             finished: HashMap::new(),
             placing_due: false,
             copies_due: false,
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -4,7 +4,7 @@
 //! jobs and tasks (`job_table`), the use by client accounts (`accounts`) and
 //! their entitlements (`fair_share`), the state of each worker (`workers`), the
 //! priority order of waiting work (`order`), worker selection (`placement`),
-//! expected durations (`durations`), tasks under which workers crashed
+//! expected durations (`durations`), the published load (`load`, `profile`), tasks under which workers crashed
 //! (`crashes`) and pending writes to the store (`writer`).
 
 mod accounts;
@@ -19,10 +19,12 @@
 mod health;
 mod job_table;
 mod limits;
+mod load;
 mod looks;
 mod order;
 mod pacing;
 mod placement;
+mod profile;
 mod recovery;
 mod registry;
 mod starts;
@@ -44,5 +46,7 @@
     writer::{PoolWrite, WriteResult},
 };
 
+pub(crate) use self::profile::{JobProfile, is_limited_by_processors};
+
 #[cfg(test)]
 mod tests;
--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -8,6 +8,7 @@
 mod fair_share;
 mod interleavings;
 mod limits;
+mod load;
 mod order;
 mod pacing;
 mod placing;
--- a/crates/dispatch/src/node/fake.rs
+++ b/crates/dispatch/src/node/fake.rs
@@ -74,6 +74,8 @@
     pub(super) payloads: Rc<RefCell<Vec<Box<str>>>>,
     /// Transactions, oldest first; none of them has a reply in time.
     pub(super) transactions: Rc<RefCell<Vec<Transaction>>>,
+    /// Listed prefixes, oldest first; none of them has a reply.
+    pub(super) lists: Rc<RefCell<Vec<Box<str>>>>,
     /// Time that workers take to answer an order, in milliseconds.
     pub(super) order_ms: u64,
 }
@@ -125,6 +127,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.lists.borrow_mut().push(prefix.into());
         self.reach_for(StoreError::NotSent).await?;
         let stored = self.stored.borrow();
         let items = stored.values().filter(|item| item.key.starts_with(prefix));
--- a/crates/dispatch/src/node/forward/client.rs
+++ b/crates/dispatch/src/node/forward/client.rs
@@ -308,9 +308,9 @@
         | CallerResponse::Cancelled
         | CallerResponse::NoSuchJob
         | CallerResponse::Waiting(_) => ResponseKind::Settled,
-        CallerResponse::NotAccepted { .. } | CallerResponse::Unavailable { .. } => {
-            ResponseKind::NoEffect
-        }
+        CallerResponse::NotAccepted { .. }
+        | CallerResponse::Overloaded { .. }
+        | CallerResponse::Unavailable { .. } => ResponseKind::NoEffect,
         CallerResponse::Refused(_) => match kind {
             RequestKind::Submit => ResponseKind::NoEffect,
             RequestKind::Cancel | RequestKind::Read => ResponseKind::Settled,
--- a/crates/dispatch/src/replay/mod.rs
+++ b/crates/dispatch/src/replay/mod.rs
@@ -3,6 +3,7 @@
 //! The tests and `tamarack-bench` replay the same load. A simulation panics
 //! when an engine violates an invariant that workers rely on.
 
+pub mod admission;
 pub mod balance;
 pub mod fair_share;
 pub mod placement;
