--- a/crates/dispatch/src/node/forward/peers.rs
+++ b/crates/dispatch/src/node/forward/peers.rs
@@ -25,16 +25,27 @@
 {
     let mut has_list = false;
     loop {
-        match list_members(&shared).await {
-            Ok(members) => {
-                has_list = true;
-                shared.forwarder.set_peers(members);
-            }
-            Err(error) => log::info!(error:display = error, has_list = has_list;
-                "list of peers could not be read"),
-        }
+        has_list |= read_peers(&shared).await;
         let delay_ms = if has_list { INTERVAL_MS } else { FIRST_RETRY_MS };
         let percent = rand::rng().random_range(JITTER_PERCENT);
         sleep(Duration::from_millis(delay_ms * percent / 100)).await;
     }
 }
+
+/// Reads the list once and returns whether that succeeded; a failure keeps the
+/// last list.
+pub(super) async fn read_peers<P>(shared: &Shared<P>) -> bool
+where
+    P: Platform,
+{
+    match list_members(shared).await {
+        Ok(members) => {
+            shared.forwarder.set_peers(members);
+            true
+        }
+        Err(error) => {
+            log::info!(error:display = error; "list of peers could not be read");
+            false
+        }
+    }
+}
--- a/crates/dispatch/src/node/forward/tests.rs
+++ b/crates/dispatch/src/node/forward/tests.rs
@@ -31,6 +31,7 @@
         shared::Shared,
     },
     message::{ForwardMessage, Forwarded, MessageError},
+    peers::read_peers,
 };
 use crate::{
     coordination::{forwarding::IN_FLIGHT_MAX, relay::Member},
@@ -695,10 +696,9 @@
             let write = Transaction { put, ..Transaction::default() };
             process.shared.transact(&write).await.expect("the store answers");
         }
-        let listing = super::follow_peers(Rc::clone(&process.shared));
-        tokio::task::spawn_local(listing);
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(read_peers(&process.shared).await);
         process.reach.set(Reach::Disconnected);
+        assert!(!read_peers(&process.shared).await);
         for number in 0..3 {
             let path = format!("/q/000000000000000{number}");
             let answer = process.answer_within(Method::POST, &path, 3_000).await;
