--- a/crates/dispatch/src/coordination/pool/tests/load.rs
+++ b/crates/dispatch/src/coordination/pool/tests/load.rs
@@ -48,12 +48,12 @@
 #[test]
 fn overloaded_pool_publishes_its_useful_waiting_work() {
     let mut simulation = PoolSimulation::new(2, 16);
-    for _ in 0..10 {
-        simulation.submit(job(vec![step(8, 2_000, 1_000)]));
+    for _ in 0..16 {
+        simulation.submit(job(vec![step(5, 2_000, 1_000)]));
     }
     simulation.run_ms(400);
     let overload = load(&simulation).overload.expect("the pool is overloaded");
-    // 16 of the 80 tasks run.
+    // 16 of the 80 tasks run, one of them beside four that wait in its job.
     let core_ms: u64 = overload.waiting.iter().map(|work| work.core_ms).sum();
     assert_eq!(core_ms, 64 * 2_000);
     assert_eq!(overload.free_millicores, 0);
