--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -12,6 +12,7 @@
     crashes::Suspects,
     durations::{ArrivalRate, Durations},
     events::{JobKey, PollRequest, PoolAction, WorkerContact, WorkerKey},
+    interference::Interference,
     job_table::{Job, JobTable},
     task::TaskRef,
     trail::Trail,
@@ -136,6 +137,7 @@
     pub(super) durations: Durations,
     pub(super) advice: Advice,
     pub(super) suspects: Suspects,
+    pub(super) interference: Interference,
     /// Tasks waited for capacity after the last placement round.
     pub(super) is_short: bool,
     /// Some workers are kept for tasks that run alone.
@@ -184,6 +186,7 @@
             durations: Durations::default(),
             advice: Advice::default(),
             suspects: Suspects::default(),
+            interference: Interference::default(),
             is_short: false,
             suspects_reserved: false,
             vacating: HashSet::new(),
@@ -425,6 +428,7 @@
         self.resend_stops(now.monotonic_ms);
         self.stop_stalled(now.monotonic_ms);
         self.clear_suspects(now.monotonic_ms);
+        self.review_interference(now.monotonic_ms);
         // Suspensions, retry delays and reachability change with time.
         self.placing_due = true;
         let keep_ms = self.timing.status_ms + KEEP_MARGIN_MS;
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -10,6 +10,7 @@
     crashes::LOST_POLLS,
     engine::{POLL_GAP_MS, POLL_RETRY_MAX_MS, POLL_RETRY_MS, PoolEngine, UNSTORED_POLL_GAP_MS},
     events::{EndKind, EndedTask, PollFailure, PollReport, RunningTask, WorkerKey},
+    interference::RunAt,
     job_table::Completion,
     task::{Run, RunPhase, TaskRef},
     workers::{OrphanRun, ProgressSequence, WorkerClock},
@@ -72,8 +73,12 @@
         let was_reachable = worker.is_reachable(now_ms, super::placement::REACHABLE_MS);
         worker.polled_ms = Some(now_ms);
         (worker.heard_ms, worker.lost_ms) = (now_ms, None);
-        let was_lost = std::mem::take(&mut worker.missed_polls) >= LOST_POLLS;
+        let missed_polls = std::mem::take(&mut worker.missed_polls);
+        let was_lost = missed_polls >= LOST_POLLS;
         self.placing_due |= !was_reachable || !report.ended.is_empty();
+        if missed_polls > 0 || !was_reachable {
+            self.interference.on_unanswered(key);
+        }
         if was_lost {
             self.clear_lost_runs(key);
         }
@@ -142,6 +147,9 @@
         end: &EndedTask,
         ends: &mut String,
     ) -> Option<ProgressSequence> {
+        if end.how == EndKind::Done {
+            self.note_done(now_ms, key, task, end.run);
+        }
         let run = self.drop_run(task, key, end.run);
         let ran_ms = run.map(|run| now_ms.saturating_sub(run.since_ms));
         // The job may have been removed together with its last run.
@@ -390,6 +398,7 @@
         self.job_table.add_run(task, run);
         self.jobs_to_review.insert(task.job);
         self.workers.allocate(key, task, running.run, allocation);
+        self.note_begin(now_ms, RunAt { worker: key, task, number: running.run }, false);
         self.placing_due = true;
     }
 }
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -4,7 +4,8 @@
 //! jobs and tasks (`job_table`), the use by client accounts (`accounts`), the state of each worker (`workers`), the
 //! priority order of waiting work (`order`), worker selection (`placement`),
 //! expected durations (`durations`), tasks under which workers crashed
-//! (`crashes`) and pending writes to the store (`writer`).
+//! (`crashes`), kinds of tasks that slow each other down (`interference`) and
+//! pending writes to the store (`writer`).
 
 mod accounts;
 mod advice;
@@ -15,6 +16,7 @@
 mod engine;
 mod events;
 mod health;
+mod interference;
 mod job_table;
 mod looks;
 mod order;
@@ -36,6 +38,7 @@
         PollReport, PollRequest, PoolAction, Refusal, RunningTask, StartOrder, WorkerContact,
         WorkerKey,
     },
+    interference::InterferingPair,
     recovery::{Recovered, StoredJob},
     writer::{PoolWrite, WriteResult},
 };
--- a/crates/dispatch/src/coordination/pool/placement.rs
+++ b/crates/dispatch/src/coordination/pool/placement.rs
@@ -12,6 +12,7 @@
 use super::{
     crashes::Suspects,
     events::WorkerKey,
+    interference::Avoided,
     task::{Step, Task},
     workers::{Presence, Worker, WorkerTable},
 };
@@ -21,6 +22,14 @@
 /// milliseconds: one unanswered poll does not indicate a failure, two do.
 pub(super) const REACHABLE_MS: u64 = 2_600;
 
+/// Workers with a bad neighbour that are passed over for each placement in search
+/// of one without, beginning with the best fit: bounds the cost of a placement in a
+/// pool where nearly every worker has one.
+const PASSED_OVER_MAX: usize = 16;
+/// Emptiest workers that are looked at after those, which are the least likely to
+/// have a bad neighbour.
+const EMPTIEST_MAX: usize = 4;
+
 /// Returns whether a step's tasks may run on any worker that has the capacity.
 pub(super) fn is_plain(spec: &StepSpec) -> bool {
     let has_choice = spec.required_label.is_none() && spec.per_worker_max.is_none();
@@ -66,6 +75,8 @@
     pub(super) is_last_attempt: bool,
     /// Tasks beside which this one should not run.
     pub(super) suspects: Option<&'a Suspects>,
+    /// Kinds of tasks beside which it is placed only if there is no other room.
+    pub(super) avoided: Option<Avoided<'a>>,
 }
 
 /// Returns whether new tasks may be started on a worker.
@@ -103,13 +114,14 @@
         E: Fn(WorkerKey, &Worker) -> bool,
     {
         let need = self.spec.allocation().cpu_millicores;
-        let candidates = workers
-            .with_unallocated(need)
-            .filter(|&(key, worker)| takes_work(worker, now_ms) && !excluded(key, worker));
-        let mut candidates = candidates.filter_map(|(key, worker)| {
+        let candidate = |(key, worker)| {
+            if !takes_work(worker, now_ms) || excluded(key, worker) {
+                return None;
+            }
             let free = free_capacity(key, worker);
             self.accepts(key, worker, &free).then_some((key, worker, free))
-        });
+        };
+        let mut candidates = workers.with_unallocated(need).filter_map(candidate);
         if self.spec.is_lasting {
             let on_racks = self.runs_on_racks(workers);
             let score = |&(key, worker, free): &(WorkerKey, &Worker, Resources)| {
@@ -123,13 +135,22 @@
         // Those with the least unallocated processors come first, so the first
         // one without a drawback is the best fit.
         let mut best: Option<(Drawbacks, WorkerKey)> = None;
-        candidates.find_map(|(key, worker, _)| {
+        let mut passed_over = 0;
+        let is_enough = |(key, worker, _): (WorkerKey, &Worker, Resources)| {
             let drawbacks = self.drawbacks(key, worker);
             if best.is_none_or(|(known, _)| drawbacks < known) {
                 best = Some((drawbacks, key));
             }
-            (drawbacks == Drawbacks::default()).then_some(key)
-        });
+            passed_over += usize::from(drawbacks == Drawbacks::BAD_NEIGHBOUR);
+            drawbacks == Drawbacks::default() || passed_over > PASSED_OVER_MAX
+        };
+        if candidates.any(is_enough) && passed_over > PASSED_OVER_MAX {
+            let emptiest = workers.with_unallocated(need).rev().take(EMPTIEST_MAX);
+            let with_drawbacks = emptiest
+                .filter_map(candidate)
+                .map(|(key, worker, _)| (self.drawbacks(key, worker), key));
+            best = with_drawbacks.chain(best).min_by_key(|&(drawbacks, _)| drawbacks);
+        }
         best.map(|(_, key)| key)
     }
 
@@ -142,7 +163,8 @@
         let suspects = self.suspects.map_or(0, |suspects| {
             worker.runs.keys().filter(|task| suspects.contains(task)).count()
         });
-        Drawbacks { is_suspect, suspects, is_off_rack }
+        let has_bad_neighbour = self.avoided.is_some_and(|avoided| avoided.is_on(key));
+        Drawbacks { is_suspect, suspects, has_bad_neighbour, is_off_rack }
     }
 
     /// Counts the step's runs on each rack.
@@ -157,12 +179,20 @@
     }
 }
 
+impl Drawbacks {
+    /// The only drawback of a worker is a bad neighbour.
+    const BAD_NEIGHBOUR: Self =
+        Self { is_suspect: false, suspects: 0, has_bad_neighbour: true, is_off_rack: false };
+}
+
 /// Reasons to prefer other workers; fewer are better.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct Drawbacks {
     is_suspect: bool,
     /// Runs there of other tasks under which workers crashed.
     suspects: usize,
+    /// A task runs there whose kind and the task's slow each other down.
+    has_bad_neighbour: bool,
     /// The task's data is on another rack.
     is_off_rack: bool,
 }
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -16,6 +16,7 @@
         AdviceQuestion, JobKey, Order, OrderReply, OrderTarget, PoolAction, Refusal, StartOrder,
         WorkerKey,
     },
+    interference::RunAt,
     job_table::Job,
     order::{Rank, RankInputs},
     placement::{PlaceQuery, REACHABLE_MS, Unplaceable, is_plain, takes_work},
@@ -352,7 +353,8 @@
         let is_last_attempt =
             !spec.is_lasting && state.failed_runs.len() as u32 + 1 >= attempts_max;
         let suspects = (state.caution() == Caution::Apart).then_some(&self.suspects);
-        Some(PlaceQuery { spec, step, task: state, is_last_attempt, suspects })
+        let avoided = self.interference.avoided(spec, &job.queue);
+        Some(PlaceQuery { spec, step, task: state, is_last_attempt, suspects, avoided })
     }
 
     /// Starts all members of a gang or none; returns false if there was not
@@ -427,6 +429,7 @@
         (state.waits_alone_since_ms, state.has_waited_alone) = (None, false);
         state.starts = starts + 1;
         let checkpoint = state.checkpoint.clone();
+        let is_comparable = state.runs.is_empty() && checkpoint.is_empty();
         let run = Run {
             worker: key,
             number,
@@ -438,6 +441,7 @@
             pace: None,
         };
         self.job_table.add_run(task, run);
+        self.note_begin(now_ms, RunAt { worker: key, task, number }, is_comparable);
         let ticket = self.advice.ticket(now_ms, task, key).unwrap_or_default().into();
         let Some(job) = self.job_table.job(task.job) else { return };
         let order =
@@ -564,6 +568,7 @@
         number: RunNumber,
     ) -> Option<Run> {
         self.workers.release(worker, task, number);
+        self.interference.on_over(self.stepped_ms, RunAt { worker, task, number });
         let run = self.job_table.take_run(task, worker, number)?;
         self.placing_due = true;
         self.on_run_over(task.job);
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -339,8 +339,7 @@
                 && worker.is_empty()
                 && worker.polled_ms.is_some();
             if is_left {
-                self.workers.remove(key);
-                self.roster_changed();
+                self.remove_worker(key);
                 continue;
             }
             if worker.is_reachable(now_ms, REACHABLE_MS) || !worker.is_lease_over(now_ms) {
@@ -354,8 +353,7 @@
             self.note_given_up(now_ms, key);
             self.drop_all_runs(key);
             if is_gone {
-                self.workers.remove(key);
-                self.roster_changed();
+                self.remove_worker(key);
             }
         }
     }
@@ -367,7 +365,13 @@
             "worker incarnation has ended; its tasks will be rescheduled");
         self.note_crash(key);
         self.drop_all_runs(key);
+        self.remove_worker(key);
+    }
+
+    /// Removes a worker on which nothing runs any more.
+    fn remove_worker(&mut self, key: WorkerKey) {
         self.workers.remove(key);
+        self.interference.on_worker_gone(key);
         self.roster_changed();
     }
 
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -321,7 +321,7 @@
     pub(super) fn with_unallocated(
         &self,
         millicores: u64,
-    ) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+    ) -> impl DoubleEndedIterator<Item = (WorkerKey, &Worker)> {
         let lowest = WorkerKey::from(KeyData::from_ffi(0));
         let found = self.by_unallocated.range((millicores, lowest)..);
         found.filter_map(|&(_, key)| Some((key, self.workers.get(key)?)))
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -1,6 +1,8 @@
 //! Controller of one pool: connects the pool's engine to the store and the
 //! workers.
 
+mod interference;
+
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use hashbrown::{HashMap, HashSet};
@@ -15,6 +17,7 @@
     time::{Instant, sleep_until},
 };
 
+use self::interference::InterferenceGauges;
 use super::{
     clock,
     control::{AbortOnDrop, LeaseState, previous_holder_grace_ms},
@@ -119,6 +122,7 @@
     shared.engines.borrow_mut().insert(pool.clone(), Rc::clone(&engine));
     let _registered = EngineRegistration { shared: Rc::clone(&shared), pool: pool.clone() };
     let fence = Fence::new(&pool_scope(&pool), tenure.key_version);
+    let interference = InterferenceGauges::new(pool.clone());
     let controller = Controller {
         shared: Rc::clone(&shared),
         pool,
@@ -131,6 +135,7 @@
         members_due_ms: 0,
         direct_until_ms: HashMap::new(),
         requests,
+        interference,
     };
     controller.run(receiver, document, registry, vacate, lease).await;
 }
@@ -209,6 +214,7 @@
     direct_until_ms: HashMap<WorkerKey, u64>,
     /// Requests to vacate workers that the engine knows, with their versions.
     requests: HashMap<WorkerId, RecordVersion>,
+    interference: InterferenceGauges,
 }
 
 impl<P> Controller<P>
@@ -248,6 +254,9 @@
             actions.into_iter().for_each(|action| self.carry_out(action));
             while self.calls.try_join_next().is_some() {}
             let now_ms = clock::read().monotonic_ms;
+            if self.interference.is_due(now_ms) {
+                self.interference.publish(self.engine.borrow_mut().interfering_pairs(now_ms));
+            }
             // A step that is due already is not repeated at once: control may have
             // run out.
             let next_ms = self.engine.borrow().next_step_ms().max(now_ms + STEP_MIN_MS);
