--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -208,6 +208,14 @@
         }
     }
 
+    /// Returns the engine without the detection of kinds that slow each other down,
+    /// as the baseline of measurements.
+    #[must_use]
+    pub fn without_interference(mut self) -> Self {
+        self.interference = Interference::disabled();
+        self
+    }
+
     /// Sets the time before which no successor can hold control, in
     /// milliseconds on the local clock.
     pub fn confirm_control(&mut self, until_ms: u64) {
--- a/crates/dispatch/src/coordination/pool/interference/evidence.rs
+++ b/crates/dispatch/src/coordination/pool/interference/evidence.rs
@@ -1,8 +1,8 @@
 //! Sums over observed durations that lose weight with time.
 
 /// Half-life of the evidence, in milliseconds: ten minutes, about a hundred runs
-/// of a kind whose tasks take seconds. A false suspicion without new evidence ends
-/// after two to three half-lives.
+/// of a kind whose tasks take seconds. A belief without new evidence ends after
+/// two to four half-lives.
 pub(super) const HALF_LIFE_MS: u64 = 600_000;
 /// Step in which evidence decays, in milliseconds: a sixtieth of the half-life,
 /// so that an ended run seldom computes a power. The steps are aligned, and sums
@@ -58,7 +58,8 @@
         }
     }
 
-    fn scale(&mut self, factor: f64) {
+    /// Changes the weight of all samples.
+    pub(super) fn scale(&mut self, factor: f64) {
         self.weight *= factor;
         self.sum = self.sum.map(|value| value * factor);
         self.squares = self.squares.map(|value| value * factor);
--- a/crates/dispatch/src/coordination/pool/interference/hooks.rs
+++ b/crates/dispatch/src/coordination/pool/interference/hooks.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Returns the number of runs whose neighbours are watched.
+    #[cfg(test)]
+    pub(in super::super) fn watched_runs(&self) -> usize {
+        self.interference.watched_runs()
+    }
+
     /// Lists the pairs of kinds that are kept apart, those with the largest
     /// slowdown first.
     pub fn interfering_pairs(&mut self, now_ms: u64) -> Vec<InterferingPair> {
--- a/crates/dispatch/src/coordination/pool/interference/mod.rs
+++ b/crates/dispatch/src/coordination/pool/interference/mod.rs
@@ -42,7 +42,7 @@
 const SOME_PERCENT: u64 = 20;
 /// Share of the worker that other runs of the same kind take, in thousandths, from
 /// which a run is no evidence: the kind is then slowed by itself.
-const SIBLINGS_MAX_PERMILLE: u64 = 500;
+const SIBLINGS_MAX_PERMILLE: u64 = 400;
 /// Runs of a kind from which its usual duration is known well enough to judge the
 /// speed of workers.
 const USUAL_RUNS: f64 = 8.0;
@@ -144,6 +144,7 @@
 /// Finds the kinds of tasks that slow each other down.
 #[derive(Debug, Default)]
 pub(super) struct Interference {
+    is_disabled: bool,
     kinds: KindTable,
     workers: SecondaryMap<WorkerKey, WatchedWorker>,
     pairs: PairTable,
@@ -152,8 +153,16 @@
 }
 
 impl Interference {
+    /// Creates a part that watches nothing.
+    pub(super) fn disabled() -> Self {
+        Self { is_disabled: true, ..Self::default() }
+    }
+
     /// Notes a run that begins, or that was adopted.
     pub(super) fn on_begin(&mut self, now_ms: u64, at: RunAt, run: &RunKind<'_>) {
+        if self.is_disabled {
+            return;
+        }
         let Some(kind) = self.kind_of(now_ms, run) else { return };
         let Some(entry) = self.workers.entry(at.worker) else { return };
         let worker = entry.or_default();
@@ -364,6 +373,11 @@
             .then_some(Avoided { workers: &self.workers, kinds: &kind.avoided })
     }
 
+    #[cfg(test)]
+    fn watched_runs(&self) -> usize {
+        self.workers.values().map(|worker| worker.runs.len()).sum()
+    }
+
     /// Lists the confirmed pairs, those with the largest slowdown first.
     pub(super) fn confirmed(&mut self, now_ms: u64) -> Vec<InterferingPair> {
         let mut confirmed = Vec::new();
--- a/crates/dispatch/src/coordination/pool/interference/pairs.rs
+++ b/crates/dispatch/src/coordination/pool/interference/pairs.rs
@@ -14,8 +14,8 @@
 };
 use crate::coordination::pool::events::{JobKey, WorkerKey};
 
-/// Most pairs with an estimate. A pair takes about 300 bytes, so all of them take
-/// about one megabyte of the 160 MB of the smallest entry host. 4,096 pairs are
+/// Most pairs with an estimate. A pair takes about 420 bytes, so all of them take
+/// about 2 MB of the 160 MB of the smallest entry host. 4,096 pairs are
 /// twenty neighbours of each of 200 kinds.
 pub(super) const PAIRS_MAX: usize = 4_096;
 /// Natural logarithm of the slowdown from which a pair is suspected or confirmed:
@@ -29,14 +29,15 @@
 /// Runs from which it may be confirmed.
 pub(super) const CONFIRMED_RUNS: f64 = 12.0;
 /// Runs below which it is cleared: a third of those that confirm it. Without new
-/// runs, twelve decay to four in 1.6 half-lives and thirty-two in three.
+/// runs, twelve decay to four in 1.6 half-lives and [`RUNS_MAX`] in four.
 const CLEARED_RUNS: f64 = 4.0;
 /// Runs without the neighbour that an estimate needs: with fewer, the usual
 /// variation of the kind is not known well enough for the errors below.
 pub(super) const WITHOUT_RUNS: f64 = 24.0;
 /// Most runs that an estimate remembers: a pair that no longer interferes is
-/// cleared after about as many.
-const RUNS_MAX: f64 = 32.0;
+/// cleared after about as many. With 32, a slowdown of 1.6 stayed unconfirmed where
+/// durations vary by 30%.
+const RUNS_MAX: f64 = 64.0;
 /// Standard errors that the estimate of a suspected pair must exceed.
 const SUSPECTED_ERRORS: f64 = 3.0;
 /// The same for a confirmed pair. Tens of thousands of pairs are tested again and
@@ -46,9 +47,10 @@
 /// Least standard deviation that is assumed for a run: ends are noticed up to
 /// 22 ms late, which is a few percent of a short task.
 const DEVIATION_MIN: f64 = 0.05;
-/// Largest share of the runs that one worker may have contributed to a confirmed
-/// pair: a single worker may be slow for another reason.
-const WORKER_SHARE_MAX: f64 = 2.0 / 3.0;
+/// Share of the runs that must remain without those of the worker with the most,
+/// and must show the slowdown as well: a single worker may be slow for another
+/// reason.
+const OTHER_WORKERS_MIN: f64 = 1.0 / 3.0;
 /// Latest jobs of which a run was counted. One run of each counts: the runs of a
 /// job share the error of its declared size.
 const JOBS_KEPT: usize = 8;
@@ -82,6 +84,8 @@
     pub(super) log_slowdown: f64,
     /// Standard error of the logarithm.
     error: f64,
+    /// The other workers than the one with the most runs show it as well.
+    is_on_others: bool,
     /// Runs beside the neighbour, with decay.
     pub(super) runs: f64,
 }
@@ -97,8 +101,8 @@
     beside: Moments,
     jobs: [JobKey; JOBS_KEPT],
     next_job: usize,
-    /// Decaying numbers of these runs by worker.
-    workers: [(WorkerKey, f64); WORKERS_KEPT],
+    /// Those of the workers with the most.
+    workers: [(WorkerKey, Moments); WORKERS_KEPT],
 }
 
 impl Pair {
@@ -113,28 +117,29 @@
     }
 
     fn add(&mut self, now_ms: u64, worker: WorkerKey, sample: &Sample) {
-        let before = self.beside.weight();
-        self.beside.decay(now_ms);
-        let decayed = self.beside.weight() / before.max(f64::MIN_POSITIVE);
         self.beside.add(now_ms, sample);
-        let kept = decayed.min(1.0) * self.beside.limit(RUNS_MAX);
+        let factor = self.beside.limit(RUNS_MAX);
+        let at = self.workers.iter().position(|(known, _)| *known == worker);
+        let at = at.unwrap_or_else(|| {
+            let runs = |at: &usize| self.workers[*at].1.weight();
+            let least = (0..WORKERS_KEPT).min_by(|a, b| runs(a).total_cmp(&runs(b))).unwrap_or(0);
+            self.workers[least] = (worker, Moments::default());
+            least
+        });
+        self.workers[at].1.add(now_ms, sample);
         for (_, runs) in &mut self.workers {
-            *runs *= kept;
+            runs.decay(now_ms);
+            runs.scale(factor);
         }
-        let at = self.workers.iter().position(|(known, _)| *known == worker);
-        let least = || {
-            let by_runs = |&a: &usize, &b: &usize| self.workers[a].1.total_cmp(&self.workers[b].1);
-            (0..WORKERS_KEPT).min_by(by_runs).unwrap_or(0)
-        };
-        let at = at.unwrap_or_else(least);
-        let (known, runs) = &mut self.workers[at];
-        *runs = if *known == worker { *runs + 1.0 } else { 1.0 };
-        *known = worker;
     }
 
-    fn is_of_one_worker(&self) -> bool {
-        let most = self.workers.iter().map(|(_, runs)| *runs).fold(0.0, f64::max);
-        most > self.beside.weight() * WORKER_SHARE_MAX
+    /// Returns the runs beside the neighbour without those of the worker with the
+    /// most.
+    fn on_other_workers(&mut self, now_ms: u64) -> Moments {
+        self.workers.iter_mut().for_each(|(_, runs)| runs.decay(now_ms));
+        let by_runs = |a: &&Moments, b: &&Moments| a.weight().total_cmp(&b.weight());
+        let most = self.workers.iter().map(|(_, runs)| runs).max_by(by_runs);
+        most.map_or_else(Moments::default, |most| self.beside.without(most))
     }
 
     /// Compares the runs beside the neighbour with those without it.
@@ -151,25 +156,30 @@
         let predictor = (0..PREDICTORS).min_by(by_variance)?;
         let usual_variance = usual_variance[predictor].max(DEVIATION_MIN * DEVIATION_MIN);
         let variance = variance[predictor].max(usual_variance);
-        let difference = self.beside.mean().minus(&without.mean());
+        let log_slowdown = |runs: &Moments| runs.mean().minus(&without.mean()).0[predictor];
+        let others = self.on_other_workers(now_ms);
+        let is_on_others =
+            others.weight() >= runs * OTHER_WORKERS_MIN && log_slowdown(&others) >= SLOWDOWN_MIN;
         Some(Estimate {
-            log_slowdown: difference.0[predictor],
+            log_slowdown: log_slowdown(&self.beside),
+            is_on_others,
             error: (variance / runs + usual_variance / without.weight()).sqrt(),
             runs,
         })
     }
 
     fn judge(&self, estimate: Option<&Estimate>) -> Belief {
-        let Some(&Estimate { log_slowdown, error, runs }) = estimate else {
+        let Some(&Estimate { log_slowdown, error, is_on_others, runs }) = estimate else {
             return Belief::Unsuspected;
         };
         let exceeds = |runs_min: f64, errors: f64| {
             // A sum of decayed ones differs from the whole number in its last digits.
-            runs + 0.01 >= runs_min
+            is_on_others
+                && runs + 0.01 >= runs_min
                 && log_slowdown >= SLOWDOWN_MIN
                 && log_slowdown >= error * errors
         };
-        if exceeds(CONFIRMED_RUNS, CONFIRMED_ERRORS) && !self.is_of_one_worker() {
+        if exceeds(CONFIRMED_RUNS, CONFIRMED_ERRORS) {
             return Belief::Confirmed;
         }
         match self.belief {
--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod crashes;
 mod failures;
+mod interference;
 mod interleavings;
 mod order;
 mod pacing;
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -74,6 +74,10 @@
     ends_ms: u64,
     began_ms: u64,
     is_gang: bool,
+    image: Option<Box<str>>,
+    /// Time by which its neighbours have delayed it beyond `ends_ms`, in
+    /// milliseconds; below one step.
+    delay_ms: f64,
     /// Time at which it ends after a stop order.
     stops_ms: Option<u64>,
 }
@@ -190,6 +194,22 @@
         self.ended.push(EndedTask { number, task, run, how, checkpoint: "".into() });
     }
 
+    /// Delays each run by what its neighbours cost it in one step.
+    fn interfere(&mut self, slowdown: fn(&str, &str) -> f64) {
+        let images: Vec<_> =
+            self.running.iter().filter_map(|(&at, run)| Some((at, run.image.clone()?))).collect();
+        for (at, run) in &mut self.running {
+            let Some(own) = &run.image else { continue };
+            let others = images.iter().filter(|(other, _)| other != at);
+            let factors = others.map(|(_, other)| slowdown(own, other));
+            let factor = factors.fold(1.0, f64::max);
+            run.delay_ms += STEP_MS as f64 * (1.0 - 1.0 / factor);
+            let whole_ms = run.delay_ms.floor();
+            run.delay_ms -= whole_ms;
+            run.ends_ms += whole_ms as u64;
+        }
+    }
+
     fn advance(&mut self, now_ms: u64) {
         if !self.running.is_empty() && now_ms > self.lease_until_ms {
             for task in self.runs() {
@@ -271,6 +291,11 @@
     /// Actual duration of a task in milliseconds, if it differs from the
     /// estimate.
     pub duration_ms: Option<fn(TaskAddress) -> u64>,
+    /// Factor by which tasks take longer on another rack than that of their data.
+    pub remote_factor: u64,
+    /// Factor by which a task of the first image is slowed while one of the second
+    /// runs beside it.
+    pub slowdown_beside: Option<fn(&str, &str) -> f64>,
     /// Job whose tasks make no progress on any worker.
     pub stalled_job: Option<JobNumber>,
     /// Tasks that crash each worker that runs them, with the run time before
@@ -311,6 +336,8 @@
             needs_tickets: false,
             vacated: Vec::new(),
             duration_ms: None,
+            remote_factor: 1,
+            slowdown_beside: None,
             stalled_job: None,
             crashing: HashMap::new(),
             crashes: HashMap::new(),
@@ -522,6 +549,9 @@
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
             for worker in &mut self.workers {
+                if let Some(slowdown) = self.slowdown_beside {
+                    worker.interfere(slowdown);
+                }
                 worker.advance(self.now_ms);
             }
             self.advance_crashes();
@@ -694,12 +724,25 @@
                 let declared_ms = u64::from(spec.estimate_ms);
                 let lasts_ms =
                     self.duration_ms.map_or(declared_ms, |duration| duration(target.task));
+                let is_remote =
+                    spec.data_rack.as_ref().is_some_and(|rack| *rack != worker.entry.rack);
+                let lasts_ms = if is_remote { lasts_ms * self.remote_factor } else { lasts_ms };
                 let lasts_ms = if spec.is_lasting { 1 << 40 } else { lasts_ms * worker.slowdown };
                 let allocation = spec.allocation();
                 let (number, ends_ms) = (target.run, now_ms + lasts_ms);
                 let is_gang = spec.is_gang;
                 let (began_ms, stops_ms) = (now_ms, None);
-                let run = FakeRun { number, allocation, ends_ms, began_ms, is_gang, stops_ms };
+                let (image, delay_ms) = (spec.image.clone(), 0.0);
+                let run = FakeRun {
+                    number,
+                    allocation,
+                    ends_ms,
+                    began_ms,
+                    is_gang,
+                    image,
+                    delay_ms,
+                    stops_ms,
+                };
                 worker.running.insert(target.task, run);
                 let (used, shown) = (worker.used(), worker.shown_capacity);
                 assert!(
--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod figure;
 mod flood;
+mod interference;
 pub mod jobs;
 pub mod key_values;
 mod matrix;
@@ -48,6 +49,8 @@
     Slopes,
     /// Job order, moves of hosts and throttling by the dispatcher under surges.
     Dispatch,
+    /// Cost of the detection of kinds of tasks that slow each other down.
+    Interference,
 }
 
 /// Command line of `tamarack-bench`.
@@ -80,6 +83,7 @@
         BenchName::Proxy => proxy::run(options),
         BenchName::Slopes => slopes::run(options),
         BenchName::Dispatch => dispatch::run(options),
+        BenchName::Interference => interference::run(options),
     }
 }
 
