--- a/crates/dispatch/src/coordination/pool/interference/kinds.rs
+++ b/crates/dispatch/src/coordination/pool/interference/kinds.rs
@@ -141,18 +141,19 @@
         kind.live_runs = kind.live_runs.saturating_sub(1);
     }
 
-    /// Tracks a new kind; returns its key and whether that key belonged to
+    /// Tracks a new kind, if need be in place of an idle one that is not `kept`; returns its key and whether that key belonged to
     /// another kind before. Returns none if all tracked kinds are in use.
     pub(super) fn add(
         &mut self,
         now_ms: u64,
         spec: &StepSpec,
         queue: &QueueId,
+        kept: &KindSet,
     ) -> Option<(KindKey, bool)> {
         let (key, is_replaced) = if self.kinds.len() < KINDS_MAX {
             (KindKey(self.kinds.len() as u8), false)
         } else {
-            (self.idle(now_ms)?, true)
+            (self.idle(now_ms, kept)?, true)
         };
         let name = KindName::new(spec, queue);
         match &name {
@@ -181,13 +182,13 @@
     }
 
     /// Returns the kind without runs that was started least recently.
-    fn idle(&mut self, now_ms: u64) -> Option<KindKey> {
+    fn idle(&mut self, now_ms: u64, kept: &KindSet) -> Option<KindKey> {
         if now_ms < self.replace_due_ms {
             return None;
         }
         self.replace_due_ms = now_ms + REPLACE_INTERVAL_MS;
         let is_idle = |kind: &Kind| kind.live_runs == 0 && now_ms >= kind.used_ms + IDLE_MIN_MS;
-        let idle = self.keys().filter(|&key| is_idle(self.get(key)));
+        let idle = self.keys().filter(|&key| is_idle(self.get(key)) && !kept.contains(key));
         idle.min_by_key(|&key| self.get(key).used_ms)
     }
 }
--- a/crates/dispatch/src/coordination/pool/interference/mod.rs
+++ b/crates/dispatch/src/coordination/pool/interference/mod.rs
@@ -183,7 +183,13 @@
         if let Some(kind) = self.kinds.find(run.spec, run.queue) {
             return Some(kind);
         }
-        let (kind, is_replaced) = self.kinds.add(now_ms, run.spec, run.queue)?;
+        // Operators see that a pair is cleared before one of its kinds is replaced.
+        let mut kept = KindSet::default();
+        for pair in self.pairs.believed() {
+            kept.insert(pair.slowed);
+            kept.insert(pair.beside);
+        }
+        let (kind, is_replaced) = self.kinds.add(now_ms, run.spec, run.queue, &kept)?;
         if is_replaced {
             self.pairs.forget(kind);
             self.workers.values_mut().for_each(|worker| worker.watch.forget(kind));
--- a/crates/dispatch/src/coordination/pool/interference/pairs.rs
+++ b/crates/dispatch/src/coordination/pool/interference/pairs.rs
@@ -86,6 +86,8 @@
     error: f64,
     /// The other workers than the one with the most runs show it as well.
     is_on_others: bool,
+    /// There are enough runs without the neighbour to believe more than before.
+    is_usual_known: bool,
     /// Runs beside the neighbour, with decay.
     pub(super) runs: f64,
 }
@@ -148,7 +150,12 @@
         self.beside.decay(now_ms);
         let without = usual.without(&self.among_usual);
         let runs = self.beside.weight();
-        if without.weight() < WITHOUT_RUNS || runs < 1.0 {
+        // Both kinds of evidence of a believed pair may decay by the same factor.
+        let without_min = match self.belief {
+            Belief::Unsuspected => WITHOUT_RUNS,
+            _ => WITHOUT_RUNS * CLEARED_RUNS / CONFIRMED_RUNS,
+        };
+        if without.weight() < without_min || runs < 1.0 {
             return None;
         }
         let (usual_variance, variance) = (without.variance(), self.beside.variance());
@@ -163,18 +170,21 @@
         Some(Estimate {
             log_slowdown: log_slowdown(&self.beside),
             is_on_others,
+            is_usual_known: without.weight() >= WITHOUT_RUNS,
             error: (variance / runs + usual_variance / without.weight()).sqrt(),
             runs,
         })
     }
 
     fn judge(&self, estimate: Option<&Estimate>) -> Belief {
-        let Some(&Estimate { log_slowdown, error, is_on_others, runs }) = estimate else {
+        let Some(&Estimate { log_slowdown, error, is_on_others, is_usual_known, runs }) = estimate
+        else {
             return Belief::Unsuspected;
         };
         let exceeds = |runs_min: f64, errors: f64| {
             // A sum of decayed ones differs from the whole number in its last digits.
             is_on_others
+                && is_usual_known
                 && runs + 0.01 >= runs_min
                 && log_slowdown >= SLOWDOWN_MIN
                 && log_slowdown >= error * errors
