--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -13,6 +13,7 @@
     durations::{ArrivalRate, Durations, EndedRate},
     events::{JobKey, PollRequest, PoolAction, WorkerContact, WorkerKey},
     fair_share::FairShare,
+    interference::Interference,
     job_table::{Job, JobTable},
     task::TaskRef,
     trail::Trail,
@@ -140,6 +141,7 @@
     /// Idle hosts of the pool can be switched off.
     pub(super) switches_off_hosts: bool,
     pub(super) fair_share: FairShare,
+    pub(super) interference: Interference,
     /// Tasks waited for capacity after the last placement round.
     pub(super) is_short: bool,
     /// Some workers are kept for tasks that run alone.
@@ -191,6 +193,7 @@
             suspects: Suspects::default(),
             switches_off_hosts: false,
             fair_share: FairShare::default(),
+            interference: Interference::default(),
             is_short: false,
             suspects_reserved: false,
             vacating: HashSet::new(),
@@ -213,6 +216,14 @@
         }
     }
 
+    /// Returns the engine without the detection of kinds that slow each other down,
+    /// as the baseline of measurements.
+    #[must_use]
+    pub fn without_interference(mut self) -> Self {
+        self.interference = Interference::disabled();
+        self
+    }
+
     /// Sets the time before which no successor can hold control, in
     /// milliseconds on the local clock.
     pub fn confirm_control(&mut self, until_ms: u64) {
@@ -452,6 +463,7 @@
         self.resend_stops(now.monotonic_ms);
         self.stop_stalled(now.monotonic_ms);
         self.clear_suspects(now.monotonic_ms);
+        self.review_interference(now.monotonic_ms);
         // Suspensions, retry delays and reachability change with time.
         self.placing_due = true;
         let keep_ms = self.timing.status_ms + KEEP_MARGIN_MS;
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -4,8 +4,9 @@
 //! jobs and tasks (`job_table`), the use by client accounts (`accounts`) and
 //! their entitlements (`fair_share`), the state of each worker (`workers`), the
 //! priority order of waiting work (`order`), worker selection (`placement`),
-//! expected durations (`durations`), the published load (`load`, `profile`), tasks under which workers crashed
-//! (`crashes`) and pending writes to the store (`writer`).
+//! expected durations (`durations`), the published load (`load`, `profile`),
+//! tasks under which workers crashed (`crashes`), kinds of tasks that slow each
+//! other down (`interference`) and pending writes to the store (`writer`).
 
 mod accounts;
 mod advice;
@@ -17,6 +18,7 @@
 mod events;
 mod fair_share;
 mod health;
+mod interference;
 mod job_table;
 mod limits;
 mod load;
@@ -42,6 +44,7 @@
         WorkerKey,
     },
     fair_share::AccountShare,
+    interference::InterferingPair,
     recovery::{Recovered, StoredJob},
     writer::{PoolWrite, WriteResult},
 };
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -2,6 +2,7 @@
 //! workers.
 
 mod account_metrics;
+mod interference;
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -18,6 +19,7 @@
 };
 
 use self::account_metrics::AccountMetrics;
+use self::interference::InterferenceGauges;
 use super::{
     clock,
     control::{AbortOnDrop, LeaseState, previous_holder_grace_ms},
@@ -126,6 +128,7 @@
     let fence = Fence::new(&pool_scope(&pool), tenure.key_version);
     let fence = Rc::new(fence);
     let shares = Shares::new(Rc::clone(&shared), pool.clone(), Rc::clone(&fence));
+    let interference = InterferenceGauges::new(pool.clone());
     let mut controller = Controller {
         shared: Rc::clone(&shared),
         account_metrics: AccountMetrics::new(pool.clone()),
@@ -140,6 +143,7 @@
         members_due_ms: 0,
         direct_until_ms: HashMap::new(),
         requests,
+        interference,
     };
     controller.set_limits(&document);
     controller.run(receiver, document, registry, vacate, lease).await;
@@ -229,6 +233,7 @@
     direct_until_ms: HashMap<WorkerKey, u64>,
     /// Requests to vacate workers that the engine knows, with their versions.
     requests: HashMap<WorkerId, RecordVersion>,
+    interference: InterferenceGauges,
 }
 
 impl<P> Controller<P>
@@ -275,6 +280,9 @@
             if self.account_metrics.take_due(now_ms) {
                 self.account_metrics.set(&self.engine.borrow().account_shares());
             }
+            if self.interference.is_due(now_ms) {
+                self.interference.publish(self.engine.borrow_mut().interfering_pairs(now_ms));
+            }
             // A step that is due already is not repeated at once: control may have
             // run out.
             let next_ms = self.engine.borrow().next_step_ms();
