--- a/crates/dispatch/src/coordination/shares/tests/faults.rs
+++ b/crates/dispatch/src/coordination/shares/tests/faults.rs
@@ -2,9 +2,64 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tamarackproxy::coordination::jobs::Resources;
+use tamarackproxy::{coordination::jobs::Resources, state::ids::RecordVersion};
 
-use super::world::{APPLY_MS, World, cores, pool};
+use super::{
+    super::{AccountDemand, ListedShares, ShareCall, ShareEngine, ShareWriteResult},
+    world::{APPLY_MS, World, account, cores, pool},
+};
+use crate::state::{AccountShare, ShareRecord};
+
+/// Returns an engine that has listed its pool's share, with the listing.
+fn engine_with_share(held: Resources) -> (ShareEngine, ListedShares) {
+    let mut engine = ShareEngine::new(pool(0), APPLY_MS);
+    engine.set_limits(0, [(account(), cores(10))]);
+    engine.set_current(true);
+    let record =
+        ShareRecord { accounts: [(account(), AccountShare { held, wanted: held })].into() };
+    let pools = [(pool(0), (RecordVersion(1), record))].into();
+    let listed = ListedShares { raise: RecordVersion(1), pools };
+    assert_eq!(engine.step(1_000), Some(ShareCall::List));
+    engine.on_listed(1_010, Some(listed.clone()));
+    (engine, listed)
+}
+
+/// Returns the demand of an account with blocked tasks of one core.
+fn blocked(tasks: u64) -> AccountDemand {
+    AccountDemand { running: cores(0), blocked: cores(tasks), unit: cores(1) }
+}
+
+/// Guards against a lowering without a reply that no longer counts once a listing
+/// does not show it: it may take effect after the listing, and another pool
+/// would use the same part of the limit.
+#[test]
+fn lowering_without_a_reply_counts_until_its_version_is_replaced() {
+    let (mut engine, listed) = engine_with_share(cores(10));
+    engine.set_demand(1_010, &account(), &AccountDemand::default());
+    assert!(matches!(engine.step(1_010), Some(ShareCall::Write(_))));
+    engine.on_written(1_600, ShareWriteResult::Unknown);
+    assert_eq!(engine.step(1_700), Some(ShareCall::List));
+    engine.on_listed(1_710, Some(listed));
+    let allowance = engine.set_demand(1_710, &account(), &blocked(5));
+    assert_eq!(allowance.usable.cpu_millicores, 0);
+    assert!(matches!(engine.step(1_710), Some(ShareCall::Write(_))));
+    engine.on_written(1_720, ShareWriteResult::Written(RecordVersion(2)));
+    let allowance = engine.set_demand(1_720, &account(), &blocked(5));
+    assert!(allowance.usable.cpu_millicores >= 5_000, "{allowance:?}");
+}
+
+/// Guards against a raise that is used before the store has confirmed it.
+#[test]
+fn raise_counts_once_it_is_confirmed() {
+    let (mut engine, _) = engine_with_share(cores(0));
+    engine.set_demand(1_010, &account(), &blocked(5));
+    assert!(matches!(engine.step(1_010), Some(ShareCall::Write(_))));
+    let allowance = engine.set_demand(1_015, &account(), &blocked(5));
+    assert_eq!(allowance.usable.cpu_millicores, 0);
+    engine.on_written(1_020, ShareWriteResult::Written(RecordVersion(2)));
+    let allowance = engine.set_demand(1_020, &account(), &blocked(5));
+    assert!(allowance.usable.cpu_millicores >= 5_000, "{allowance:?}");
+}
 
 /// Guards against two controllers that use the same part of a limit because both
 /// found it free.
@@ -103,7 +158,10 @@
     world.set_limit(cores(10));
     world.run_ms(APPLY_MS - 200);
     world.submit(1, 30, cores(1), 20_000);
-    world.run_ms(300);
+    // The first pool's spare share was listed before this raise. The listing that
+    // shows it is under way when the time has passed.
+    world.run_ms(205);
+    assert!(world.held(0).cpu_millicores >= 6_000 && world.taken().cpu_millicores > 30_000);
     world.submit(0, 6, cores(1), 1_000);
     world.run_ms(3_000);
 }
