--- a/crates/dispatch/src/coordination/pool/placement.rs
+++ b/crates/dispatch/src/coordination/pool/placement.rs
@@ -25,7 +25,7 @@
 /// Workers with a bad neighbour that are passed over for each placement in search
 /// of one without, beginning with the best fit: bounds the cost of a placement in a
 /// pool where nearly every worker has one.
-const PASSED_OVER_MAX: usize = 16;
+const PASSED_OVER_MAX: usize = 8;
 /// Emptiest workers that are looked at after those, which are the least likely to
 /// have a bad neighbour.
 const EMPTIEST_MAX: usize = 4;
