--- a/crates/dispatch/src/coordination/access.rs
+++ b/crates/dispatch/src/coordination/access.rs
@@ -35,8 +35,8 @@
     /// Returns whether the caller may see and cancel a job of `owner`.
     pub fn may_see(&self, owner: Option<&AccountId>) -> bool {
         match self {
-            // The queue was not public when the job was accepted, or callers
-            // could not have found out its number.
+            // Callers of a public queue are not told apart; only who submitted a
+            // job knows its number.
             Self::Public => true,
             Self::Account(account) => owner.is_none_or(|owner| owner == account),
         }
--- a/crates/dispatch/src/coordination/pool/fair_share.rs
+++ b/crates/dispatch/src/coordination/pool/fair_share.rs
@@ -54,7 +54,7 @@
 
 /// State of a client account in a pool, for operators.
 #[derive(Clone, Debug, PartialEq)]
-pub struct AccountShare {
+pub struct AccountStatus {
     /// Name of the account.
     pub account: AccountId,
     /// Runs that may exist.
@@ -69,7 +69,7 @@
     pub is_delayed: bool,
 }
 
-impl AccountShare {
+impl AccountStatus {
     /// Creates the state of an account without work in the pool.
     pub fn idle(account: AccountId) -> Self {
         Self {
@@ -339,7 +339,7 @@
     }
 
     /// Lists the accounts with running or waiting work; none without accounts.
-    pub fn account_shares(&self) -> Vec<AccountShare> {
+    pub fn account_statuses(&self) -> Vec<AccountStatus> {
         if !self.fair_share.is_enabled() {
             return Vec::new();
         }
@@ -357,7 +357,7 @@
         let active = share.positions.iter().filter(|(_, position)| position.is_active);
         let shares = active.map(|(account, position)| {
             let used = self.job_table.accounts().usage(account);
-            AccountShare {
+            AccountStatus {
                 account: account.clone(),
                 running: used.runs,
                 waiting: waiting.get(account).copied().unwrap_or(0),
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -43,7 +43,7 @@
         PollReport, PollRequest, PoolAction, Refusal, RunningTask, StartOrder, WorkerContact,
         WorkerKey,
     },
-    fair_share::AccountShare,
+    fair_share::AccountStatus,
     interference::InterferingPair,
     recovery::{Recovered, StoredJob},
     writer::{PoolWrite, WriteResult},
--- a/crates/dispatch/src/coordination/pool/tests/fair_share.rs
+++ b/crates/dispatch/src/coordination/pool/tests/fair_share.rs
@@ -111,7 +111,7 @@
 fn delay_by_the_entitlement_is_shown_until_it_ends() {
     let mut simulation = shared_pool([1.0, 1.0]);
     let is_delayed = |simulation: &mut PoolSimulation| {
-        let shares = simulation.engine(0).account_shares();
+        let shares = simulation.engine(0).account_statuses();
         shares.iter().any(|share| share.account.as_str() == "first" && share.is_delayed)
     };
     for _ in 0..20 {
@@ -129,7 +129,7 @@
 
 /// Returns the entitlement of each account, in percent, by name.
 fn entitlements(simulation: &mut PoolSimulation) -> Vec<(Box<str>, u64)> {
-    let shares = simulation.engine(0).account_shares();
+    let shares = simulation.engine(0).account_statuses();
     let mut found: Vec<(Box<str>, u64)> = (shares.into_iter())
         .map(|share| (share.account.as_str().into(), (share.entitlement * 100.0).round() as u64))
         .collect();
@@ -195,7 +195,7 @@
     simulation.submit_as("first", job(vec![step(4, 1_000, 1_000)]));
     simulation.run_ms(1_000);
     assert_eq!(simulation.running_of("first"), 4);
-    assert!(simulation.engine(0).account_shares().is_empty());
+    assert!(simulation.engine(0).account_statuses().is_empty());
 }
 
 const FLOODING: AccountLoad = AccountLoad { account: "flooding", weight: 1.0, load: 0.65 };
--- a/crates/dispatch/src/node/callers.rs
+++ b/crates/dispatch/src/node/callers.rs
@@ -215,7 +215,7 @@
     let (sender, receiver) = oneshot::channel();
     shared.submission_replies.borrow_mut().insert(request, sender);
     let key = JobRecord::key(queue.pool.as_str(), job);
-    let deadline_ms = now.monotonic_ms + timeout_ms;
+    let deadline_ms = now.monotonic_ms.saturating_add(timeout_ms);
     shared.submissions.borrow_mut().submit(request, key, value, deadline_ms);
     send_due_writes(shared);
     match receiver.await {
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -278,7 +278,7 @@
             while self.calls.try_join_next().is_some() {}
             let now_ms = clock::read().monotonic_ms;
             if self.account_metrics.take_due(now_ms) {
-                self.account_metrics.set(&self.engine.borrow().account_shares());
+                self.account_metrics.set(&self.engine.borrow().account_statuses());
             }
             if self.interference.is_due(now_ms) {
                 self.interference.publish(self.engine.borrow_mut().interfering_pairs(now_ms));
--- a/crates/dispatch/src/node/pool/account_metrics.rs
+++ b/crates/dispatch/src/node/pool/account_metrics.rs
@@ -4,7 +4,7 @@
 
 use tamarackproxy::state::ids::{AccountId, PoolId};
 
-use crate::coordination::pool::AccountShare;
+use crate::coordination::pool::AccountStatus;
 
 /// Interval at which the metrics are set, in milliseconds: collectors read them
 /// every few seconds.
@@ -34,16 +34,16 @@
         is_due
     }
 
-    pub(super) fn set(&mut self, shares: &[AccountShare]) {
+    pub(super) fn set(&mut self, shares: &[AccountStatus]) {
         let active: HashSet<AccountId> = shares.iter().map(|share| share.account.clone()).collect();
         for account in self.shown.difference(&active) {
-            self.set_account(&AccountShare::idle(account.clone()));
+            self.set_account(&AccountStatus::idle(account.clone()));
         }
         shares.iter().for_each(|share| self.set_account(share));
         self.shown = active;
     }
 
-    fn set_account(&self, share: &AccountShare) {
+    fn set_account(&self, share: &AccountStatus) {
         let set = |name: &'static str, value: f64| {
             let labels = [("pool", self.pool.to_string()), ("account", share.account.to_string())];
             metrics::gauge!(name, &labels).set(value);
