Log which runs an ended worker incarnation has never listed

Change: the line names host, start and age of the last answer of the incarnation, and each run that it never listed with phase and age. Counter worker_incarnations_ended. No decision changes.

--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -293,6 +293,7 @@
             state.checkpoint = running.checkpoint.clone();
         }
         let Some(run) = state.run_mut(key, number) else { return };
+        run.is_listed = true;
         if running.percent != run.percent {
             run.percent = running.percent;
             run.percent_since_ms = now_ms;
@@ -396,6 +397,7 @@
             worker: key,
             number: running.run,
             phase: RunPhase::Running { since_ms: now_ms },
+            is_listed: true,
             since_ms: now_ms,
             start_until_ms: 0,
             percent: running.percent,
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -485,6 +485,7 @@
             worker: key,
             number,
             phase: RunPhase::Ordered,
+            is_listed: false,
             since_ms: now_ms,
             start_until_ms: valid_until_ms,
             percent: 0,
@@ -505,8 +506,10 @@
     pub fn on_start_reply(&mut self, now: ClockReading, target: OrderTarget, reply: OrderReply) {
         let now_ms = now.monotonic_ms;
         if reply != OrderReply::Accepted {
-            log::info!(task:display = target.task, run:display = target.run, reply:? = reply;
-                "start was not confirmed");
+            let worker = self.workers.get(target.worker);
+            let worker = worker.map_or("", |worker| worker.entry.worker.as_str());
+            log::info!(task:display = target.task, run:display = target.run, worker = worker,
+                reply:? = reply; "start was not confirmed");
         }
         let task = self.job_table.resolve(target.task);
         match reply {
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -1,5 +1,7 @@
 //! Stops of runs, and the expiry of workers' incarnations and leases.
 
+use std::fmt::Write;
+
 use tamarackproxy::state::clock::ClockReading;
 
 use super::{
@@ -36,6 +38,8 @@
 const STALL_FACTOR: u64 = 2;
 /// Time that a long-running task may take to come up, in milliseconds.
 const LASTING_START_MS: u64 = 6_000;
+/// Longest list of runs in a log line, in bytes.
+const UNLISTED_MAX_BYTES: usize = 1_000;
 
 impl PoolEngine {
     /// Stops runs that are no longer needed (tasks of ended jobs, copies of
@@ -361,13 +365,42 @@
     /// Removes a worker incarnation that has certainly ended.
     pub(super) fn end_incarnation(&mut self, key: WorkerKey, sign: &str) {
         let Some(worker) = self.workers.get(key) else { return };
-        log::warn!(worker = worker.entry.worker.as_str(), runs = worker.runs.len(), sign = sign;
+        let entry = &worker.entry;
+        log::warn!(worker = entry.worker.as_str(), host = entry.host.as_str(),
+            born_unix_ms = entry.born_unix_ms, runs = worker.runs.len(),
+            unlisted = &*self.describe_unlisted(key),
+            heard_age_ms = self.stepped_ms.saturating_sub(worker.heard_ms), sign = sign;
             "worker incarnation has ended; its tasks will be rescheduled");
+        metrics::counter!("worker_incarnations_ended").increment(1);
         self.note_crash(key);
         self.drop_all_runs(key);
         self.remove_worker(key);
     }
 
+    /// Describes the runs on a worker that it has never listed: task, run, phase
+    /// and age in milliseconds of each.
+    fn describe_unlisted(&self, key: WorkerKey) -> String {
+        let mut text = String::new();
+        let Some(worker) = self.workers.get(key) else { return text };
+        for &task in worker.runs.keys() {
+            let runs = self.job_table.task(task).map_or(&[][..], |task| &task.runs);
+            let unlisted = runs.iter().filter(|run| run.worker == key && !run.is_listed);
+            let Some(address) = self.job_table.address(task) else { continue };
+            for run in unlisted {
+                if text.len() >= UNLISTED_MAX_BYTES {
+                    text.push_str(" ...");
+                    return text;
+                }
+                let separator = if text.is_empty() { "" } else { ", " };
+                let age_ms = self.stepped_ms.saturating_sub(run.since_ms);
+                // Writing to a string cannot fail.
+                let _ =
+                    write!(text, "{separator}{address}:{} {} {age_ms} ms", run.number, run.phase);
+            }
+        }
+        text
+    }
+
     /// Removes a worker on which nothing runs any more.
     fn remove_worker(&mut self, key: WorkerKey) {
         self.workers.remove(key);
--- a/crates/dispatch/src/coordination/pool/task.rs
+++ b/crates/dispatch/src/coordination/pool/task.rs
@@ -1,5 +1,7 @@
 //! Tasks and their runs.
 
+use strum::Display;
+
 use super::{
     crashes::CrashSign,
     events::{JobKey, WorkerKey},
@@ -17,7 +19,8 @@
 }
 
 /// State of a run as far as the engine knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[strum(serialize_all = "lowercase")]
 pub(super) enum RunPhase {
     /// The start was sent.
     Ordered,
@@ -36,6 +39,8 @@
     pub(super) worker: WorkerKey,
     pub(super) number: RunNumber,
     pub(super) phase: RunPhase,
+    /// The worker's current incarnation has listed the run.
+    pub(super) is_listed: bool,
     /// When the start was sent or the run was adopted, on the local clock.
     pub(super) since_ms: u64,
     /// Time limit of the start on the worker's clock.
