Keep a run until its restarted worker is known not to have it

Cause: what was kept for a worker outlived the incarnation that it was true for. Orders name the worker only, so the new incarnation accepts what was meant for the former one. The engine then noticed the restart and dropped all runs of the former incarnation, also those that this had never listed and that the new one had begun or could still begin.

Change: runs that the former incarnation never listed are carried over to the later one of the same name. They go on if it lists them; a confirmed run that it lacks has ended; any other is stopped, and dropped once the stop is confirmed and a later poll lacks it. Starts without a reply whose runs were given up are remembered for 15 s and stopped again in each new incarnation. Replies to orders find the run by its current incarnation. A worker that may receive time limits of a former clock counts as holding the longest lease. Acknowledgements are sent until a poll with them was answered, and not after a poll without reply. A run that was carried over counts as lost in a crash only once the new incarnation lacks it. An incarnation that is known from a poll takes no work before the registry shows it, and an entry of the former one is ignored.

Why it works: a start can begin only where its name answers, and it is refused there after a stop. The task waits for exactly these two proofs.

--- a/crates/dispatch/src/coordination/pool/crashes.rs
+++ b/crates/dispatch/src/coordination/pool/crashes.rs
@@ -120,8 +120,8 @@
 
 /// A run that was lost with its worker.
 #[derive(Clone, Copy, Debug)]
-struct LostRun {
-    task: TaskRef,
+pub(super) struct LostRun {
+    pub(super) task: TaskRef,
     number: RunNumber,
     /// Time between the start of the run and the last answer of its worker.
     survived_ms: u64,
@@ -158,6 +158,11 @@
         self.tasks.is_empty()
     }
 
+    /// Notes the runs that may have caused the crash of one worker.
+    pub(super) fn note_lost(&mut self, lost: Vec<LostRun>) {
+        self.lost.push(lost);
+    }
+
     /// Adds a task whose crashes a previous controller has counted.
     pub(super) fn restore(&mut self, task: TaskRef) {
         self.tasks.insert(task, None);
@@ -178,16 +183,22 @@
 }
 
 impl PoolEngine {
-    /// Notes which runs are lost with a worker incarnation that has ended. A
-    /// worker that announced its end has not crashed.
-    pub(super) fn note_crash(&mut self, key: WorkerKey) {
+    /// Notes which runs are lost with a worker incarnation that has ended; returns
+    /// those of tasks for which `is_uncertain` tells that they may not have begun
+    /// there. A worker that announced its end has not crashed.
+    pub(super) fn note_crash<F>(&mut self, key: WorkerKey, is_uncertain: F) -> Vec<LostRun>
+    where
+        F: Fn(TaskRef) -> bool,
+    {
         let Some(worker) = self.workers.get(key).filter(|worker| !worker.is_leaving) else {
-            return;
+            return Vec::new();
         };
         let lost_ms = worker.lost_ms.unwrap_or(self.stepped_ms);
         let runs = self.runs_on_trial(key, lost_ms);
-        self.suspects.lost.push(runs);
+        let (uncertain, lost) = runs.into_iter().partition(|lost| is_uncertain(lost.task));
+        self.suspects.lost.push(lost);
         self.suspects.losses_ms.push_back(lost_ms);
+        uncertain
     }
 
     /// Remembers the runs that are given up because the lease of their worker is
@@ -254,12 +265,16 @@
     /// answers again.
     pub(super) fn clear_lost_runs(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.get(key) else { return };
-        for &task in worker.runs.keys() {
-            if let Some(state) = self.job_table.task_mut(task) {
-                state.lost_run = None;
-                if state.crashes.crashes == 0 {
-                    self.suspects.tasks.remove(&task);
-                }
+        for task in worker.runs.keys().copied().collect::<Vec<_>>() {
+            self.clear_lost_run(task);
+        }
+    }
+
+    pub(super) fn clear_lost_run(&mut self, task: TaskRef) {
+        if let Some(state) = self.job_table.task_mut(task) {
+            state.lost_run = None;
+            if state.crashes.crashes == 0 {
+                self.suspects.tasks.remove(&task);
             }
         }
     }
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -15,6 +15,7 @@
     fair_share::FairShare,
     interference::Interference,
     job_table::{Job, JobTable},
+    restarts::LateStarts,
     task::TaskRef,
     trail::Trail,
     workers::{ProgressSequence, Worker, WorkerTable},
@@ -62,6 +63,8 @@
 pub struct PoolTiming {
     /// Lease of a worker; it stays valid across a change of control.
     pub worker_lease_ms: u64,
+    /// Longest lease that a worker accepts.
+    pub worker_lease_max_ms: u64,
     /// Time within which a worker must receive a start order.
     pub start_valid_ms: u64,
     /// Time for which callers may query an ended job.
@@ -73,7 +76,8 @@
     /// milliseconds.
     pub fn new(worker_lease_max_ms: u64, status_ms: u64) -> Self {
         let worker_lease_ms = worker_lease_max_ms.min(10_000) * 6 / 10;
-        Self { worker_lease_ms, start_valid_ms: worker_lease_ms / 3, status_ms }
+        let start_valid_ms = worker_lease_ms / 3;
+        Self { worker_lease_ms, worker_lease_max_ms, start_valid_ms, status_ms }
     }
 }
 
@@ -151,6 +155,10 @@
     /// Start of the newest worker incarnation on each registered host of any
     /// pool, in milliseconds since 1970.
     pub(super) newest_starts: HashMap<HostId, u64>,
+    /// Start of the latest incarnation under each name that a later one has
+    /// replaced, in milliseconds since 1970.
+    pub(super) outdated_starts: HashMap<WorkerId, u64>,
+    pub(super) late_starts: LateStarts,
     /// No successor can hold control before this time, on the local clock.
     pub(super) confirmed_until_ms: u64,
     /// Stops for maintenance and moves wait until this time, on the local
@@ -199,6 +207,8 @@
             vacating: HashSet::new(),
             vacated: HashSet::new(),
             newest_starts: HashMap::new(),
+            outdated_starts: HashMap::new(),
+            late_starts: LateStarts::default(),
             confirmed_until_ms: 0,
             handover_grace_until_ms: 0,
             unreconciled: Some(Vec::new()),
@@ -461,6 +471,7 @@
         self.try_finish_reconciliation(now.monotonic_ms);
         self.expire_leases(now.monotonic_ms);
         self.resend_stops(now.monotonic_ms);
+        self.review_late_starts(now.monotonic_ms);
         self.stop_stalled(now.monotonic_ms);
         self.clear_suspects(now.monotonic_ms);
         self.review_interference(now.monotonic_ms);
@@ -487,11 +498,12 @@
             }
             let wait_ms = match (&clock, worker.is_empty()) {
                 (None, _) => 0,
+                _ if !worker.carried_over.is_empty() => 0,
                 (Some(_), true) => IDLE_POLL_WAIT_MS,
                 (Some(_), false) if worker.is_shared => SHARED_POLL_WAIT_MS,
                 (Some(_), false) => POLL_WAIT_MS,
             };
-            let acknowledged = worker.acknowledged;
+            let acknowledged = worker.take_acknowledgement();
             let contact = contact(key, worker, term);
             let request = PollRequest { acknowledged, lease_until_ms, wait_ms };
             self.actions.push(PoolAction::Poll { contact, request });
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -61,18 +61,23 @@
                 return;
             }
         };
-        if report.born_unix_ms != worker.entry.born_unix_ms {
-            return self.end_incarnation(key, "the worker restarted");
-        }
-        if worker.polled_ms.is_none() {
+        let key = if report.born_unix_ms == worker.entry.born_unix_ms {
+            key
+        } else {
+            self.restart_at_poll(key, report.born_unix_ms)
+        };
+        let held_ms = self.workers.get(key).map(|worker| self.lease_held_ms(worker));
+        let (Some(held_ms), Some(worker)) = (held_ms, self.workers.get_mut(key)) else { return };
+        if worker.polled_ms.is_none() || held_ms > self.timing.worker_lease_ms {
             // A previous controller may have granted a lease as long as this
             // engine's.
-            worker.grant(report.clock_ms + self.timing.worker_lease_ms);
+            worker.grant(report.clock_ms + held_ms);
         }
         worker.clock = Some(WorkerClock::new(report.clock_ms, now_ms));
         let was_reachable = worker.is_reachable(now_ms, super::placement::REACHABLE_MS);
         worker.polled_ms = Some(now_ms);
         (worker.heard_ms, worker.lost_ms) = (now_ms, None);
+        worker.on_acknowledged();
         let missed_polls = std::mem::take(&mut worker.missed_polls);
         let was_lost = missed_polls >= LOST_POLLS;
         self.placing_due |= !was_reachable || !report.ended.is_empty();
@@ -105,6 +110,8 @@
             let is_stored = self.workers.get(key).is_none_or(|it| !it.has_unstored_ends());
             let gap_ms = if is_stored { POLL_GAP_MS } else { UNSTORED_POLL_GAP_MS };
             self.workers.schedule_poll(now_ms + gap_ms, key);
+        } else if self.workers.get(key).is_some_and(|worker| !worker.carried_over.is_empty()) {
+            self.workers.schedule_poll(now_ms + POLL_GAP_MS, key);
         }
         self.try_finish_reconciliation(now_ms);
     }
@@ -147,6 +154,7 @@
         end: &EndedTask,
         ends: &mut String,
     ) -> Option<ProgressSequence> {
+        self.settle_listed(key, task);
         if end.how == EndKind::Done {
             self.note_done(now_ms, key, task, end.run);
         }
@@ -293,7 +301,7 @@
             state.checkpoint = running.checkpoint.clone();
         }
         let Some(run) = state.run_mut(key, number) else { return };
-        run.is_listed = true;
+        (run.is_listed, run.has_begun) = (true, true);
         if running.percent != run.percent {
             run.percent = running.percent;
             run.percent_since_ms = now_ms;
@@ -301,6 +309,7 @@
         if let RunPhase::Unanswered { .. } = run.phase {
             run.phase = RunPhase::Running { since_ms: now_ms };
         }
+        self.settle_listed(key, task);
     }
 
     /// Handles a run that the worker does not list.
@@ -321,12 +330,15 @@
             // The poll may have been answered before the run began.
             RunPhase::Running { since_ms } if sent_ms <= since_ms => {}
             RunPhase::Running { .. } => {
-                log::warn!(task:? = self.job_table.address(task), run:display = number;
-                    "worker lost a confirmed run: it is neither running nor reported as ended");
-                self.drop_run(task, key, number);
+                // A run that was carried over was confirmed by the former incarnation.
+                if !self.is_carried_over(key, task) {
+                    log::warn!(task:? = self.job_table.address(task), run:display = number;
+                        "worker lost a confirmed run: it is neither running nor reported as ended");
+                }
+                self.drop_unlisted(now_ms, key, task, number);
             }
             RunPhase::Unanswered { .. } if is_past_limit => {
-                self.drop_run(task, key, number);
+                self.drop_unlisted(now_ms, key, task, number);
             }
             RunPhase::Unanswered { since_ms } => {
                 if sent_ms >= since_ms {
@@ -335,7 +347,7 @@
             }
             RunPhase::Stopping { confirmed_ms, .. } => {
                 if confirmed_ms.is_some_and(|confirmed_ms| sent_ms >= confirmed_ms) {
-                    self.drop_run(task, key, number);
+                    self.drop_unlisted(now_ms, key, task, number);
                 }
             }
         }
@@ -398,6 +410,7 @@
             number: running.run,
             phase: RunPhase::Running { since_ms: now_ms },
             is_listed: true,
+            has_begun: true,
             since_ms: now_ms,
             start_until_ms: 0,
             percent: running.percent,
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -29,6 +29,7 @@
 mod profile;
 mod recovery;
 mod registry;
+mod restarts;
 mod starts;
 mod stops;
 mod task;
--- a/crates/dispatch/src/coordination/pool/registry.rs
+++ b/crates/dispatch/src/coordination/pool/registry.rs
@@ -42,6 +42,9 @@
         I: IntoIterator<Item = &'a WorkerEntry> + Clone,
     {
         for entry in entries.clone() {
+            if self.is_outdated(entry) {
+                continue;
+            }
             match self.newest_starts.get_mut(&entry.host) {
                 Some(born) => *born = (*born).max(entry.born_unix_ms),
                 None => drop(self.newest_starts.insert(entry.host.clone(), entry.born_unix_ms)),
@@ -52,7 +55,10 @@
         let pool = self.control.pool.clone();
         for entry in entries {
             // The registry lists an incarnation for seconds after it has ended.
-            if entry.pool != pool || self.has_newer_incarnation(&entry.host, entry.born_unix_ms) {
+            if entry.pool != pool
+                || self.is_outdated(entry)
+                || self.has_newer_incarnation(&entry.host, entry.born_unix_ms)
+            {
                 continue;
             }
             let known = self.workers.find(&entry.worker);
@@ -65,18 +71,14 @@
             let key = match same_incarnation {
                 Some(key) => key,
                 None => {
-                    if let Some(key) = known {
-                        self.end_incarnation(key, "it registered again");
-                    }
                     changed = true;
                     log::info!(worker = entry.worker.as_str(), host = entry.host.as_str(),
                         pool = self.control.pool.as_str(), born_unix_ms = entry.born_unix_ms;
                         "worker joined the pool");
-                    let key = self.workers.insert(entry.clone());
-                    if let Some(worker) = self.workers.get_mut(key) {
-                        worker.is_vacating = self.vacating.contains(&entry.worker);
+                    match known {
+                        Some(known) => self.restart(known, entry.clone(), "it registered again"),
+                        None => self.insert_worker(entry.clone()),
                     }
-                    key
                 }
             };
             listed.insert(key);
@@ -103,6 +105,8 @@
                 worker.presence = Presence::Gone;
             }
         }
+        let workers = &self.workers;
+        self.outdated_starts.retain(|name, _| workers.find(name).is_some());
         self.end_older_incarnations();
         self.note_late_restarts();
         if changed {
@@ -111,6 +115,16 @@
         self.next_check_ms = 0;
     }
 
+    /// Adds a worker that is not known under its name.
+    pub(super) fn insert_worker(&mut self, entry: WorkerEntry) -> WorkerKey {
+        let is_vacating = self.vacating.contains(&entry.worker);
+        let key = self.workers.insert(entry);
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.is_vacating = is_vacating;
+        }
+        key
+    }
+
     /// Ends incarnations whose hosts run a newer one: a host runs one worker at
     /// a time.
     fn end_older_incarnations(&mut self) {
--- /dev/null
+++ b/crates/dispatch/src/coordination/pool/restarts.rs
@@ -0,0 +1,333 @@
+//! Restarts of workers under their names.
+//!
+//! Orders name the worker, not its incarnation, and a new incarnation knows
+//! nothing of the former one: neither the highest term, nor the runs that were
+//! stopped, nor the clock that time limits refer to. It therefore carries out
+//! starts that were meant for the former incarnation, be it because they were
+//! sent before the restart was noticed, or because they arrive late.
+//!
+//! A run that the former incarnation listed has ended with it. Any other run is
+//! carried over to the new incarnation: it goes on there if the new incarnation
+//! lists it, and otherwise its task waits until the start can no longer be
+//! carried out there.
+
+use hashbrown::HashMap;
+use tamarackproxy::state::ids::WorkerId;
+
+use super::{
+    crashes::LostRun,
+    engine::PoolEngine,
+    events::{OrderTarget, WorkerKey},
+    interference::RunAt,
+    task::{Run, RunPhase, TaskRef},
+    workers::{Presence, Worker},
+};
+use crate::state::{RunNumber, TaskAddress, WorkerEntry};
+
+/// Time after which an order without a reply is no longer carried out, in
+/// milliseconds.
+const LATE_ORDER_MAX_MS: u64 = 15_000;
+/// Delay before a late start is stopped again if the stop had no reply, in
+/// milliseconds.
+const STOP_RETRY_MS: u64 = 400;
+
+/// A start without a reply whose run was given up.
+#[derive(Clone, Debug)]
+struct LateStart {
+    task: TaskAddress,
+    number: RunNumber,
+    /// Start of the incarnation whose clock the order's time limit refers to, in
+    /// milliseconds since 1970; none if that is an earlier one.
+    limit_of: Option<u64>,
+    /// When the order is no longer carried out, on the local clock.
+    until_ms: u64,
+    /// Later incarnation that was last told to stop the run, and when, on the
+    /// local clock.
+    asked: Option<(u64, u64)>,
+    /// Incarnation that will not start the run any more.
+    stopped_in: Option<u64>,
+}
+
+/// Starts without a reply by the worker's name. The incarnation that they were
+/// meant for refuses them, later ones have to be told.
+#[derive(Debug, Default)]
+pub(super) struct LateStarts {
+    by_worker: HashMap<WorkerId, Vec<LateStart>>,
+}
+
+impl LateStarts {
+    /// Adds a start that the current incarnation of a worker refuses.
+    fn add(&mut self, now_ms: u64, worker: &WorkerEntry, task: TaskAddress, run: &Run) {
+        let is_own_limit = run.start_until_ms != u64::MAX;
+        let start = LateStart {
+            task,
+            number: run.number,
+            limit_of: is_own_limit.then_some(worker.born_unix_ms),
+            until_ms: now_ms + LATE_ORDER_MAX_MS,
+            asked: None,
+            stopped_in: Some(worker.born_unix_ms),
+        };
+        self.by_worker.entry(worker.worker.clone()).or_default().push(start);
+    }
+
+    /// Returns whether an incarnation may receive a time limit that refers to the
+    /// clock of a former one.
+    fn may_reach(&self, worker: &WorkerEntry) -> bool {
+        let starts = self.by_worker.get(&worker.worker);
+        starts.is_some_and(|starts| {
+            starts.iter().any(|start| start.limit_of != Some(worker.born_unix_ms))
+        })
+    }
+
+    /// Lists the runs that a worker has to be told to stop now.
+    fn take_due(&mut self, now_ms: u64, worker: &WorkerEntry) -> Vec<(TaskAddress, RunNumber)> {
+        let born_unix_ms = worker.born_unix_ms;
+        let Some(starts) = self.by_worker.get_mut(&worker.worker) else { return Vec::new() };
+        let is_due = |start: &&mut LateStart| {
+            let was_asked = start.asked.is_some_and(|(asked, at_ms)| {
+                asked == born_unix_ms && now_ms < at_ms + STOP_RETRY_MS
+            });
+            start.stopped_in != Some(born_unix_ms) && !was_asked
+        };
+        let due = starts.iter_mut().filter(is_due).map(|start| {
+            start.asked = Some((born_unix_ms, now_ms));
+            (start.task, start.number)
+        });
+        due.collect()
+    }
+
+    /// Records that an incarnation has accepted the stop of a run.
+    fn on_stopped(&mut self, worker: &WorkerEntry, task: TaskAddress, number: RunNumber) {
+        let starts = self.by_worker.get_mut(&worker.worker);
+        let same = |start: &&mut LateStart| start.task == task && start.number == number;
+        for start in starts.into_iter().flatten().filter(same) {
+            start.stopped_in = Some(worker.born_unix_ms);
+        }
+    }
+
+    fn prune(&mut self, now_ms: u64) {
+        self.by_worker.retain(|_, starts| {
+            starts.retain(|start| now_ms < start.until_ms);
+            !starts.is_empty()
+        });
+    }
+}
+
+impl PoolEngine {
+    /// Replaces an incarnation of a worker by a later one of the same name, and
+    /// carries over the runs that the former one never listed; returns the key of
+    /// the later one.
+    pub(super) fn restart(&mut self, key: WorkerKey, entry: WorkerEntry, sign: &str) -> WorkerKey {
+        let now_ms = self.stepped_ms;
+        self.log_ended(key, sign);
+        let former = self.workers.get(key);
+        if let Some(former) = former.filter(|it| it.entry.born_unix_ms != entry.born_unix_ms) {
+            self.outdated_starts.insert(entry.worker.clone(), former.entry.born_unix_ms);
+            self.newest_starts.insert(entry.host.clone(), entry.born_unix_ms);
+        }
+        let carried: Vec<_> = (former.into_iter())
+            .flat_map(|worker| worker.runs.iter().map(|(&task, &(number, _))| (task, number)))
+            .filter(|&(task, number)| self.may_begin_later(key, task, number))
+            .collect();
+        let lost_before = self.workers.get_mut(key).map(|it| std::mem::take(&mut it.lost_before));
+        self.suspects.note_lost(lost_before.unwrap_or_default());
+        let lost = self.note_crash(key, |task| carried.iter().any(|&(other, _)| other == task));
+        let successor = self.insert_worker(entry);
+        for &(task, number) in &carried {
+            let lost = lost.iter().find(|lost| lost.task == task).copied();
+            self.carry_over(now_ms, RunAt { worker: key, task, number }, successor, lost);
+        }
+        self.drop_all_runs(key);
+        self.remove_worker(key);
+        let lease_max_ms = self.timing.worker_lease_max_ms;
+        if let Some(worker) = self.workers.get_mut(successor)
+            && !carried.is_empty()
+        {
+            worker.unread_lease_until_ms = now_ms + LATE_ORDER_MAX_MS + lease_max_ms;
+        }
+        self.stop_late_starts(now_ms, successor);
+        successor
+    }
+
+    /// Replaces an incarnation by the one that answered a poll. It takes work once
+    /// the registry shows it: its capacity may be another one.
+    pub(super) fn restart_at_poll(&mut self, key: WorkerKey, born_unix_ms: u64) -> WorkerKey {
+        let Some(worker) = self.workers.get(key) else { return key };
+        let entry = WorkerEntry { born_unix_ms, ..worker.entry.clone() };
+        let successor = self.restart(key, entry, "the worker restarted");
+        if let Some(worker) = self.workers.get_mut(successor) {
+            worker.presence = Presence::Gone;
+        }
+        successor
+    }
+
+    /// Returns whether a run may begin, or have begun, in a later incarnation of
+    /// its worker.
+    fn may_begin_later(&self, key: WorkerKey, task: TaskRef, number: RunNumber) -> bool {
+        let runs = self.job_table.task(task).map_or(&[][..], |task| &task.runs);
+        runs.iter().any(|run| run.worker == key && run.number == number && !run.is_listed)
+    }
+
+    fn carry_over(&mut self, now_ms: u64, at: RunAt, successor: WorkerKey, lost: Option<LostRun>) {
+        let RunAt { worker: key, task, number } = at;
+        let allocated = self.workers.get(key).and_then(|worker| worker.runs.get(&task)).copied();
+        let Some((_, allocation)) = allocated else { return };
+        self.workers.release(key, task, number);
+        self.workers.allocate(successor, task, number, allocation);
+        self.interference.on_over(now_ms, at);
+        if let Some(worker) = self.workers.get_mut(successor) {
+            worker.carried_over.insert(task, lost);
+        }
+        let run = self.job_table.task_mut(task).and_then(|task| task.run_mut(key, number));
+        let Some(run) = run else { return };
+        run.worker = successor;
+        // The limit is on the clock of the former incarnation.
+        run.start_until_ms = u64::MAX;
+        let must_stop = run.is_stopping();
+        run.phase = match run.phase {
+            RunPhase::Ordered | RunPhase::Unanswered { .. } => {
+                RunPhase::Unanswered { since_ms: now_ms }
+            }
+            RunPhase::Stopping { .. } => {
+                RunPhase::Stopping { asked_ms: now_ms, confirmed_ms: None }
+            }
+            RunPhase::Running { since_ms } => RunPhase::Running { since_ms },
+        };
+        self.note_begin(now_ms, RunAt { worker: successor, task, number }, false);
+        if must_stop && let Some(address) = self.job_table.address(task) {
+            self.order_stop_of(address, successor, number);
+        }
+    }
+
+    /// Notes the crash of a worker's former incarnation once it is known which runs
+    /// were not carried over to this one.
+    pub(super) fn note_former_crash(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key)
+            && worker.carried_over.is_empty()
+            && !worker.lost_before.is_empty()
+        {
+            self.suspects.note_lost(std::mem::take(&mut worker.lost_before));
+        }
+    }
+
+    /// Records that a worker lists a run that may have been carried over.
+    pub(super) fn settle_listed(&mut self, key: WorkerKey, task: TaskRef) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if worker.carried_over.remove(&task).is_some() {
+            self.clear_lost_run(task);
+            self.note_former_crash(key);
+        }
+    }
+
+    /// Removes a run that a worker does not list and will not start any more.
+    pub(super) fn drop_unlisted(
+        &mut self,
+        now_ms: u64,
+        key: WorkerKey,
+        task: TaskRef,
+        number: RunNumber,
+    ) {
+        let mut was_carried = false;
+        if let Some(worker) = self.workers.get_mut(key)
+            && let Some(lost) = worker.carried_over.get(&task)
+        {
+            was_carried = true;
+            worker.lost_before.extend(*lost);
+        }
+        self.note_late_start(now_ms, key, task, number);
+        self.drop_run(task, key, number);
+        if was_carried && self.job_table.spec(task).is_some_and(|spec| spec.is_gang) {
+            // The other members would wait for this one until they time out.
+            self.stop_step(now_ms, task);
+        }
+    }
+
+    /// Remembers the start of a run that is given up, unless it was carried out.
+    pub(super) fn note_late_start(
+        &mut self,
+        now_ms: u64,
+        key: WorkerKey,
+        task: TaskRef,
+        number: RunNumber,
+    ) {
+        let run = self.job_table.task(task).and_then(|task| {
+            task.runs.iter().find(|run| run.worker == key && run.number == number)
+        });
+        if let Some(run) = run
+            && !run.has_begun
+            && let Some(address) = self.job_table.address(task)
+            && let Some(worker) = self.workers.get(key)
+        {
+            self.late_starts.add(now_ms, &worker.entry, address, run);
+        }
+    }
+
+    /// Remembers the starts of all runs on a worker that are given up.
+    pub(super) fn note_late_starts(&mut self, now_ms: u64, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else { return };
+        let runs: Vec<_> = worker.runs.iter().map(|(&task, &(number, _))| (task, number)).collect();
+        for (task, number) in runs {
+            self.note_late_start(now_ms, key, task, number);
+        }
+    }
+
+    pub(super) fn is_carried_over(&self, key: WorkerKey, task: TaskRef) -> bool {
+        self.workers.get(key).is_some_and(|worker| worker.carried_over.contains_key(&task))
+    }
+
+    /// Stops starts that were given up at a worker that restarted since.
+    fn stop_late_starts(&mut self, now_ms: u64, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else { return };
+        for (task, number) in self.late_starts.take_due(now_ms, &worker.entry) {
+            self.order_stop_of(task, key, number);
+        }
+    }
+
+    /// Stops late starts at all workers that have to be told, and forgets those
+    /// that are no longer carried out.
+    pub(super) fn review_late_starts(&mut self, now_ms: u64) {
+        self.late_starts.prune(now_ms);
+        let names: Vec<_> = self.late_starts.by_worker.keys().cloned().collect();
+        for name in names {
+            if let Some(key) = self.workers.find(&name) {
+                self.stop_late_starts(now_ms, key);
+            }
+        }
+    }
+
+    /// Records that a worker has accepted a stop.
+    pub(super) fn on_stop_accepted(&mut self, target: &OrderTarget) {
+        if let Some(worker) = self.workers.get(target.worker) {
+            self.late_starts.on_stopped(&worker.entry, target.task, target.run);
+        }
+    }
+
+    /// Returns the lease that a worker may hold from now on, in milliseconds. A
+    /// time limit that refers to the clock of a former incarnation is far ahead of
+    /// the current one's, so it grants the longest lease.
+    pub(super) fn lease_held_ms(&self, worker: &Worker) -> u64 {
+        let name = &worker.entry.worker;
+        let was_known_otherwise =
+            self.unreconciled.iter().flatten().any(|entry| {
+                entry.worker == *name && entry.born_unix_ms != worker.entry.born_unix_ms
+            });
+        let holds_former = !worker.carried_over.is_empty()
+            || self.late_starts.may_reach(&worker.entry)
+            || was_known_otherwise;
+        if holds_former { self.timing.worker_lease_max_ms } else { self.timing.worker_lease_ms }
+    }
+
+    /// Returns the target of an order with the incarnation that its run belongs to
+    /// now.
+    pub(super) fn current_target(&self, target: OrderTarget) -> OrderTarget {
+        let task = self.job_table.resolve(target.task).and_then(|task| self.job_table.task(task));
+        let run = task.and_then(|task| task.runs.iter().find(|run| run.number == target.run));
+        run.map_or(target, |run| OrderTarget { worker: run.worker, ..target })
+    }
+
+    /// Returns whether a registry entry is that of an incarnation that a later one
+    /// of the same name has replaced.
+    pub(super) fn is_outdated(&self, entry: &WorkerEntry) -> bool {
+        self.outdated_starts.get(&entry.worker) == Some(&entry.born_unix_ms)
+    }
+}
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -486,6 +486,7 @@
             number,
             phase: RunPhase::Ordered,
             is_listed: false,
+            has_begun: false,
             since_ms: now_ms,
             start_until_ms: valid_until_ms,
             percent: 0,
@@ -512,21 +513,23 @@
                 reply:? = reply; "start was not confirmed");
         }
         let task = self.job_table.resolve(target.task);
+        let current = self.current_target(target);
         match reply {
             OrderReply::Accepted => {
                 if let Some(worker) = self.workers.get_mut(target.worker) {
                     worker.heard_ms = now_ms;
                 }
-                if let Some(run) = task.and_then(|task| self.run_mut(task, &target))
-                    && matches!(run.phase, RunPhase::Ordered | RunPhase::Unanswered { .. })
-                {
-                    run.phase = RunPhase::Running { since_ms: now_ms };
+                if let Some(run) = task.and_then(|task| self.run_mut(task, &current)) {
+                    run.has_begun = true;
+                    if matches!(run.phase, RunPhase::Ordered | RunPhase::Unanswered { .. }) {
+                        run.phase = RunPhase::Running { since_ms: now_ms };
+                    }
                 }
             }
             OrderReply::Refused(refusal) => self.on_start_refused(now, target, task, refusal),
             OrderReply::NotSent => {
                 self.mark_lost(now_ms, target.worker);
-                self.drop_unstarted(now_ms + REFUSAL_DELAY_MS, target, task);
+                self.drop_unstarted(now_ms + REFUSAL_DELAY_MS, current, task);
             }
             OrderReply::Unknown => {
                 self.mark_lost(now_ms, target.worker);
@@ -548,12 +551,14 @@
         refusal: Refusal,
     ) {
         let now_ms = now.monotonic_ms;
+        let current = self.current_target(target);
         let delay_ms = match refusal {
             Refusal::OldTerm => return self.fence("a worker has seen a higher term"),
-            Refusal::OtherLife => {
+            Refusal::OtherLife if current == target => {
                 return self
                     .end_incarnation(target.worker, "another incarnation answers at its address");
             }
+            Refusal::OtherLife => REFUSAL_DELAY_MS,
             Refusal::NoRoom => {
                 self.mark_unreachable(now_ms, target.worker);
                 NO_ROOM_DELAY_MS
@@ -573,7 +578,7 @@
             }
             Refusal::OldRun | Refusal::Late => REFUSAL_DELAY_MS,
         };
-        self.drop_unstarted(now_ms + delay_ms, target, task);
+        self.drop_unstarted(now_ms + delay_ms, current, task);
     }
 
     /// Records that an order to a worker had no reply.
@@ -622,6 +627,7 @@
         number: RunNumber,
     ) -> Option<Run> {
         self.workers.release(worker, task, number);
+        self.note_former_crash(worker);
         self.interference.on_over(self.stepped_ms, RunAt { worker, task, number });
         let run = self.job_table.take_run(task, worker, number)?;
         self.placing_due = true;
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -213,12 +213,16 @@
                 self.end_incarnation(target.worker, "another incarnation answers at its address");
             }
             OrderReply::Accepted => {
+                self.on_stop_accepted(&target);
                 let task = self.job_table.resolve(target.task);
                 if let Some(run) = task.and_then(|task| self.run_mut(task, &target))
                     && let RunPhase::Stopping { confirmed_ms, .. } = &mut run.phase
                 {
                     *confirmed_ms = Some(now.monotonic_ms);
                 }
+                if task.is_some_and(|task| self.is_carried_over(target.worker, task)) {
+                    self.workers.poll_by(now.monotonic_ms, target.worker);
+                }
             }
             OrderReply::Refused(_) | OrderReply::NotSent | OrderReply::Unknown => {
                 log::info!(task:display = target.task, run:display = target.run, reply:? = reply;
@@ -355,6 +359,7 @@
             }
             let is_gone = worker.presence == Presence::Gone;
             self.note_given_up(now_ms, key);
+            self.note_late_starts(now_ms, key);
             self.drop_all_runs(key);
             if is_gone {
                 self.remove_worker(key);
@@ -364,6 +369,16 @@
 
     /// Removes a worker incarnation that has certainly ended.
     pub(super) fn end_incarnation(&mut self, key: WorkerKey, sign: &str) {
+        if self.workers.get(key).is_none() {
+            return;
+        }
+        self.log_ended(key, sign);
+        self.note_crash(key, |_| false);
+        self.drop_all_runs(key);
+        self.remove_worker(key);
+    }
+
+    pub(super) fn log_ended(&self, key: WorkerKey, sign: &str) {
         let Some(worker) = self.workers.get(key) else { return };
         let entry = &worker.entry;
         log::warn!(worker = entry.worker.as_str(), host = entry.host.as_str(),
@@ -372,9 +387,6 @@
             heard_age_ms = self.stepped_ms.saturating_sub(worker.heard_ms), sign = sign;
             "worker incarnation has ended; its tasks will be rescheduled");
         metrics::counter!("worker_incarnations_ended").increment(1);
-        self.note_crash(key);
-        self.drop_all_runs(key);
-        self.remove_worker(key);
     }
 
     /// Describes the runs on a worker that it has never listed: task, run, phase
@@ -402,13 +414,13 @@
     }
 
     /// Removes a worker on which nothing runs any more.
-    fn remove_worker(&mut self, key: WorkerKey) {
+    pub(super) fn remove_worker(&mut self, key: WorkerKey) {
         self.workers.remove(key);
         self.interference.on_worker_gone(key);
         self.roster_changed();
     }
 
-    fn drop_all_runs(&mut self, key: WorkerKey) {
+    pub(super) fn drop_all_runs(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.orphan_runs.clear();
         let runs: Vec<_> = worker.runs.iter().map(|(&task, &(run, _))| (task, run)).collect();
--- a/crates/dispatch/src/coordination/pool/task.rs
+++ b/crates/dispatch/src/coordination/pool/task.rs
@@ -41,9 +41,13 @@
     pub(super) phase: RunPhase,
     /// The worker's current incarnation has listed the run.
     pub(super) is_listed: bool,
+    /// A worker has confirmed or listed the run, so its start is not carried out
+    /// again.
+    pub(super) has_begun: bool,
     /// When the start was sent or the run was adopted, on the local clock.
     pub(super) since_ms: u64,
-    /// Time limit of the start on the worker's clock.
+    /// Time limit of the start on the worker's clock, in milliseconds; the maximum
+    /// if it refers to the clock of a former incarnation.
     pub(super) start_until_ms: u64,
     pub(super) percent: u8,
     /// When `percent` last rose, on the local clock.
--- /dev/null
+++ b/crates/dispatch/src/coordination/pool/tests/incarnations.rs
@@ -0,0 +1,365 @@
+//! Workers that restart under their former name: what was true for the former
+//! incarnation only. The engine is driven directly, event by event.
+
+use rstest::rstest;
+use tamarackproxy::{
+    coordination::jobs::Resources,
+    state::{
+        clock::ClockReading,
+        ids::{DataCentreId, HostId, RecordVersion, Term, WorkerId},
+    },
+};
+
+use crate::coordination::pool::{
+    AdviceQuestion, EndKind, EndedTask, Order, OrderReply, OrderTarget, PollFailure, PollReport,
+    PollRequest, PoolAction, PoolControl, PoolEngine, PoolTiming, PoolWrite, QueuePolicy,
+    Recovered, RunningTask, WorkerContact, WorkerKey, WriteResult,
+};
+use crate::replay::pool::{job, pool, queue, step, task};
+use crate::state::{
+    JobNumber, JobRecord, JobSpec, JobState, Registration, TaskAddress, WorkerEntry,
+};
+
+const UNIX_ORIGIN_MS: u64 = 1_700_000_000_000;
+const BORN: u64 = UNIX_ORIGIN_MS;
+const JOB: JobNumber = JobNumber(1);
+
+fn entry(index: u8, born_unix_ms: u64) -> WorkerEntry {
+    WorkerEntry {
+        worker: WorkerId::new(format!("w{index}")),
+        host: HostId::new(format!("h{index}")),
+        pool: pool(),
+        address: format!("10.0.0.{}:1", index + 1).parse().expect("an address"),
+        data_centre: DataCentreId::new("d"),
+        registration: Registration::Ready,
+        born_unix_ms,
+        capacity: Resources::new(8_000, 64 << 30, 0),
+        labels: vec!["a".into(), "r0".into()],
+        rack: "r0".into(),
+    }
+}
+
+/// An engine with all actions that it has requested.
+struct Driver {
+    engine: PoolEngine,
+    now_ms: u64,
+    version: u64,
+    polls: Vec<(WorkerContact, PollRequest)>,
+    starts: Vec<(WorkerContact, OrderTarget)>,
+    stops: Vec<OrderTarget>,
+    questions: Vec<AdviceQuestion>,
+    /// Writes stay without a result.
+    holds_writes: bool,
+    held: Vec<PoolWrite>,
+}
+
+impl Driver {
+    fn new(entries: &[WorkerEntry]) -> Self {
+        let control = PoolControl {
+            pool: pool(),
+            term: Term(1),
+            since: RecordVersion(1),
+            predecessor_until_ms: 12_000,
+        };
+        let mut engine = PoolEngine::new(control, PoolTiming::new(10_000, 120_000));
+        engine.set_queues([(queue(), QueuePolicy::default())]);
+        engine.confirm_control(u64::MAX);
+        let mut driver = Self {
+            engine,
+            now_ms: 1_000,
+            version: 10,
+            polls: Vec::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            questions: Vec::new(),
+            holds_writes: false,
+            held: Vec::new(),
+        };
+        driver.engine.on_registry(entries.iter());
+        driver.engine.recover(driver.now(), Recovered::default());
+        driver.step();
+        driver
+    }
+
+    fn now(&self) -> ClockReading {
+        ClockReading::new(self.now_ms, UNIX_ORIGIN_MS + self.now_ms)
+    }
+
+    fn step(&mut self) {
+        let now = self.now();
+        for action in self.engine.step(now) {
+            match action {
+                PoolAction::Order { contact, target, order: Order::Start(_) } => {
+                    self.starts.push((contact, target));
+                }
+                PoolAction::Order { target, order: Order::Stop, .. } => self.stops.push(target),
+                PoolAction::Poll { contact, request } => self.polls.push((contact, request)),
+                PoolAction::Write(write) => {
+                    self.held.push(write);
+                    if !self.holds_writes {
+                        self.written();
+                    }
+                }
+                PoolAction::Advise(question) => self.questions.push(question),
+                _ => {}
+            }
+        }
+    }
+
+    /// Reports the write in flight as successful.
+    fn written(&mut self) {
+        self.version += 1;
+        let now = self.now();
+        if self.held.pop().is_some() {
+            self.engine.on_write(now, WriteResult::Written(RecordVersion(self.version)));
+        }
+    }
+
+    fn run_ms(&mut self, duration_ms: u64) {
+        for _ in 0..duration_ms / 10 {
+            self.now_ms += 10;
+            self.step();
+        }
+    }
+
+    fn submit(&mut self, spec: JobSpec) {
+        let record = JobRecord {
+            queue: queue(),
+            account: None,
+            accepted_unix_ms: self.now().unix_ms,
+            state: JobState::Live(spec),
+        };
+        self.version += 1;
+        self.engine.on_job(self.now(), JOB, RecordVersion(self.version), record);
+    }
+
+    fn register(&mut self, entries: &[WorkerEntry]) {
+        self.engine.on_registry(entries.iter());
+        self.step();
+    }
+
+    /// Answers the poll of a worker that is in flight, if there is one.
+    fn answer(&mut self, name: &str, result: Result<PollReport, PollFailure>) {
+        let Some(at) = self.polls.iter().position(|(to, _)| to.worker.as_str() == name) else {
+            return;
+        };
+        let (contact, _) = self.polls.remove(at);
+        let now = self.now();
+        self.engine.on_poll(now, contact.key, result);
+        self.step();
+    }
+
+    fn accept_starts(&mut self) {
+        for (_, target) in std::mem::take(&mut self.starts) {
+            self.engine.on_start_reply(self.now(), target, OrderReply::Accepted);
+        }
+    }
+
+    fn key(&self, name: &str) -> Option<WorkerKey> {
+        self.engine.workers.find(&WorkerId::new(name))
+    }
+}
+
+/// A report whose clock began at the worker's start.
+fn report(born_unix_ms: u64, clock_ms: u64, running: Vec<RunningTask>) -> PollReport {
+    PollReport { born_unix_ms, clock_ms, running, ended: Vec::new() }
+}
+
+fn running(address: TaskAddress, target: &OrderTarget) -> RunningTask {
+    RunningTask { task: address, run: target.run, checkpoint: "".into(), percent: 5, gauge: 0 }
+}
+
+/// Guards against a crash that counts against a task which the new incarnation
+/// started: the task would be given up after two of them.
+#[test]
+fn start_in_the_new_incarnation_counts_as_no_crash() {
+    let mut driver = Driver::new(&[entry(0, BORN)]);
+    driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
+    driver.run_ms(60);
+    // The worker restarts before the order; the new incarnation lists the run.
+    let born = BORN + driver.now_ms;
+    driver.submit(job(vec![step(1, 1_000, 2_000)]));
+    driver.run_ms(50);
+    let (_, target) = driver.starts[0].clone();
+    driver.accept_starts();
+    driver.run_ms(50);
+    driver.register(&[entry(0, born)]);
+    driver.run_ms(20);
+    let listed = vec![running(task(JOB, 0, 0), &target)];
+    let key = driver.key("w0");
+    driver.polls.retain(|(contact, _)| Some(contact.key) == key);
+    driver.answer("w0", Ok(report(born, 200, listed)));
+    driver.run_ms(100);
+    let engine = &driver.engine;
+    let at = engine.job_table.resolve(task(JOB, 0, 0)).expect("the task exists");
+    assert_eq!(engine.job_table.task(at).expect("the task exists").crashes.crashes, 0);
+}
+
+/// Guards against a former incarnation that joins again, and ends again, with
+/// each change of the registry until this lists the new one.
+#[test]
+fn incarnation_that_has_ended_does_not_join_again() {
+    let mut driver = Driver::new(&[entry(0, BORN)]);
+    driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
+    driver.run_ms(50);
+    driver.answer("w0", Ok(report(BORN + 1_040, 100, Vec::new())));
+    // Another worker joins; the entry of the restarted one is still the old one.
+    driver.register(&[entry(0, BORN), entry(1, BORN)]);
+    let found = driver.key("w0").and_then(|key| driver.engine.workers.get(key));
+    assert_ne!(found.map(|worker| worker.entry.born_unix_ms), Some(BORN));
+}
+
+/// Guards against a run that is dropped because its worker's address changed while
+/// the incarnation is the same.
+#[test]
+fn change_of_the_address_alone_ends_no_run() {
+    let mut driver = Driver::new(&[entry(0, BORN)]);
+    driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
+    driver.submit(job(vec![step(1, 1_000, 2_000)]));
+    driver.run_ms(50);
+    driver.accept_starts();
+    let moved =
+        WorkerEntry { address: "10.0.9.9:1".parse().expect("an address"), ..entry(0, BORN) };
+    driver.register(&[moved]);
+    let at = driver.engine.job_table.resolve(task(JOB, 0, 0)).expect("the task exists");
+    let task = driver.engine.job_table.task(at).expect("the task exists");
+    assert_eq!(task.runs.len(), 1, "the incarnation is the same");
+}
+
+/// Has a task started on the first of two workers, which restarts under its name;
+/// the engine notices it by a poll or by the registry. Returns the order and the
+/// start of the new incarnation, in milliseconds since 1970.
+fn restart_after_a_start(driver: &mut Driver, sign: Sign, reply: OrderReply) -> (OrderTarget, u64) {
+    driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
+    driver.run_ms(60);
+    driver.submit(job(vec![step(1, 1_000, 2_000)]));
+    driver.run_ms(20);
+    driver.answer("w1", Ok(report(BORN, 500_000, Vec::new())));
+    let (_, target) = driver.starts.remove(0);
+    let born = BORN + driver.now_ms;
+    driver.engine.on_start_reply(driver.now(), target, reply);
+    driver.run_ms(40);
+    match sign {
+        Sign::Poll => driver.answer("w0", Ok(report(born, 100, Vec::new()))),
+        Sign::Registry => {
+            driver.register(&[entry(0, born), entry(1, BORN)]);
+            let key = driver.key("w0");
+            driver.polls.retain(|(to, _)| to.worker.as_str() != "w0" || Some(to.key) == key);
+        }
+    }
+    driver.run_ms(40);
+    (target, born)
+}
+
+/// What a restart is noticed by.
+#[derive(Clone, Copy, Debug)]
+enum Sign {
+    Poll,
+    Registry,
+}
+
+/// Guards against a second run of a task whose start was carried out by a worker
+/// that had restarted under its name.
+#[rstest]
+fn start_accepted_by_a_restarted_worker_is_not_repeated(
+    #[values(Sign::Poll, Sign::Registry)] sign: Sign,
+    #[values(OrderReply::Accepted, OrderReply::Unknown)] reply: OrderReply,
+) {
+    let mut driver = Driver::new(&[entry(0, BORN), entry(1, BORN)]);
+    let (target, born) = restart_after_a_start(&mut driver, sign, reply);
+    assert!(driver.starts.is_empty(), "the task is started again: {:?}", driver.starts);
+    let listed = vec![running(task(JOB, 0, 0), &target)];
+    driver.answer("w0", Ok(report(born, 200, listed.clone())));
+    driver.run_ms(1_000);
+    driver.answer("w0", Ok(report(born, 1_200, listed)));
+    driver.run_ms(1_000);
+    assert!(driver.starts.is_empty(), "the task is started again: {:?}", driver.starts);
+    assert!(driver.stops.is_empty(), "the run is stopped");
+}
+
+/// Guards against a task that waits although its run ended with the former
+/// incarnation of its worker.
+#[rstest]
+fn run_that_a_restarted_worker_lacks_is_started_again(
+    #[values(Sign::Poll, Sign::Registry)] sign: Sign,
+) {
+    let mut driver = Driver::new(&[entry(0, BORN), entry(1, BORN)]);
+    let (_, born) = restart_after_a_start(&mut driver, sign, OrderReply::Accepted);
+    driver.answer("w0", Ok(report(born, 200, Vec::new())));
+    driver.run_ms(50);
+    driver.answer("w0", Ok(report(born, 250, Vec::new())));
+    driver.run_ms(50);
+    assert_eq!(driver.starts.len(), 1, "the task is not started again");
+}
+
+/// Guards against a start without a reply that a restarted worker carries out after
+/// the task was started elsewhere.
+#[rstest]
+fn start_without_a_reply_is_stopped_at_a_restarted_worker_first(
+    #[values(Sign::Poll, Sign::Registry)] sign: Sign,
+) {
+    let mut driver = Driver::new(&[entry(0, BORN), entry(1, BORN)]);
+    let (target, born) = restart_after_a_start(&mut driver, sign, OrderReply::Unknown);
+    for clock_ms in [200, 230, 260] {
+        driver.answer("w0", Ok(report(born, clock_ms, Vec::new())));
+        driver.run_ms(30);
+    }
+    assert!(driver.starts.is_empty(), "the late start can still be carried out");
+    let stop = driver.stops.remove(0);
+    assert_eq!((stop.task, stop.run), (target.task, target.run));
+    driver.engine.on_stop_reply(driver.now(), stop, OrderReply::Accepted);
+    for clock_ms in [300, 330, 360] {
+        driver.run_ms(30);
+        driver.answer("w0", Ok(report(born, clock_ms, Vec::new())));
+    }
+    driver.run_ms(50);
+    assert_eq!(driver.starts.len(), 1, "the task is not started again");
+}
+
+/// Guards against runs that are given up because a restarted worker has not
+/// answered a poll yet.
+#[test]
+fn carried_over_run_outlasts_unanswered_polls() {
+    let mut driver = Driver::new(&[entry(0, BORN), entry(1, BORN)]);
+    restart_after_a_start(&mut driver, Sign::Registry, OrderReply::Accepted);
+    for _ in 0..60 {
+        driver.run_ms(100);
+        driver.answer("w0", Err(PollFailure::Unreachable));
+        driver.answer("w1", Ok(report(BORN, 500_000 + driver.now_ms, Vec::new())));
+    }
+    assert!(driver.starts.is_empty(), "the new incarnation may still run the task");
+}
+
+/// Guards against an acknowledgement that makes a restarted worker forget an end
+/// which nobody has seen.
+#[test]
+fn ends_are_not_acknowledged_after_an_unanswered_poll() {
+    let mut driver = Driver::new(&[entry(0, BORN)]);
+    driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
+    driver.run_ms(60);
+    driver.submit(job(vec![step(2, 1_000, 2_000)]));
+    driver.run_ms(20);
+    let (_, target) = driver.starts[0].clone();
+    driver.accept_starts();
+    let end = EndedTask {
+        number: 1,
+        task: target.task,
+        run: target.run,
+        how: EndKind::Done,
+        checkpoint: "".into(),
+    };
+    let ended = vec![end];
+    driver.answer("w0", Ok(PollReport { ended, ..report(BORN, 500_100, Vec::new()) }));
+    driver.run_ms(200);
+    let acknowledged = |driver: &Driver| driver.polls.last().map(|(_, it)| it.acknowledged);
+    assert_eq!(acknowledged(&driver), Some(1));
+    driver.answer("w0", Err(PollFailure::Unreachable));
+    driver.run_ms(400);
+    assert_eq!(acknowledged(&driver), Some(0), "the worker may have restarted");
+    driver.answer("w0", Ok(report(BORN, 500_700, Vec::new())));
+    driver.run_ms(50);
+    assert_eq!(acknowledged(&driver), Some(1), "the end stays unacknowledged");
+    driver.answer("w0", Ok(report(BORN, 500_800, Vec::new())));
+    driver.run_ms(50);
+    assert_eq!(acknowledged(&driver), Some(0), "the acknowledgement is repeated");
+}
--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod failures;
 mod fair_share;
+mod incarnations;
 mod interference;
 mod interleavings;
 mod limits;
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -11,6 +11,7 @@
 };
 
 use super::{
+    crashes::LostRun,
     events::{EndedTask, WorkerKey},
     health::Health,
     task::TaskRef,
@@ -100,6 +101,20 @@
     /// that must be stored first.
     unacknowledged: VecDeque<(u64, Option<ProgressSequence>)>,
     pub(super) acknowledged: u64,
+    /// The acknowledgement in the poll in flight.
+    acknowledgement_sent: u64,
+    /// Highest acknowledgement in a poll that was answered.
+    acknowledgement_confirmed: u64,
+    /// Runs that a former incarnation under the worker's name never listed and
+    /// this one has not listed yet, with what is to be counted if the former
+    /// incarnation crashed under them.
+    pub(super) carried_over: HashMap<TaskRef, Option<LostRun>>,
+    /// Runs that were carried over and are not here: the former incarnation may
+    /// have crashed under them.
+    pub(super) lost_before: Vec<LostRun>,
+    /// End of every lease that may be held here before the clock was read, on the
+    /// local clock.
+    pub(super) unread_lease_until_ms: u64,
     pub(super) health: Health,
     /// The stored roster contains the worker.
     pub(super) is_rostered: bool,
@@ -144,6 +159,11 @@
             seen_end: 0,
             unacknowledged: VecDeque::new(),
             acknowledged: 0,
+            acknowledgement_sent: 0,
+            acknowledgement_confirmed: 0,
+            carried_over: HashMap::new(),
+            lost_before: Vec::new(),
+            unread_lease_until_ms: 0,
             health: Health::default(),
             is_rostered: false,
             is_shared: false,
@@ -196,6 +216,7 @@
         {
             self.used = self.used.minus(&allocation);
             self.alone = self.alone.filter(|&(alone, _)| alone != task);
+            self.carried_over.remove(&task);
         }
     }
 
@@ -212,7 +233,10 @@
     /// Returns whether every lease and start that was granted has certainly
     /// expired.
     pub(super) fn is_lease_over(&self, now_ms: u64) -> bool {
-        self.clock.is_none_or(|clock| now_ms >= clock.passes_at_ms(self.granted_until_ms))
+        let until_ms = self
+            .clock
+            .map_or(self.unread_lease_until_ms, |clock| clock.passes_at_ms(self.granted_until_ms));
+        now_ms >= until_ms
     }
 
     /// Returns whether the worker answered a poll within the last `within_ms`.
@@ -249,6 +273,21 @@
         }
     }
 
+    /// Returns the number up to which the next poll acknowledges ends; 0 if it need
+    /// not acknowledge any, or if the worker may have restarted: numbers start anew
+    /// then, and ends that were never listed would be forgotten.
+    pub(super) fn take_acknowledgement(&mut self) -> u64 {
+        let is_due = self.acknowledged > self.acknowledgement_confirmed && self.missed_polls == 0;
+        self.acknowledgement_sent = if is_due { self.acknowledged } else { 0 };
+        self.acknowledgement_sent
+    }
+
+    /// Records that the poll in flight was answered.
+    pub(super) fn on_acknowledged(&mut self) {
+        self.acknowledgement_confirmed =
+            self.acknowledgement_confirmed.max(self.acknowledgement_sent);
+    }
+
     /// Returns whether some processed ends are not stored yet.
     pub(super) fn has_unstored_ends(&self) -> bool {
         !self.unacknowledged.is_empty()
