Show restarts of workers under their name in the pool replay

Orders that are carried out late now reach whichever incarnation has the worker's name, and each incarnation has a clock and ends of its own. A worker can restart before the registry shows it, and orders and polls can take time to arrive. The replay also checks that no task was started after the end of a run as done that is acknowledged later, and that a run does not replace another one of its task on the same worker.

--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -13,4 +13,5 @@
 mod order;
 mod pacing;
 mod placing;
+mod restarts;
 mod vacating;
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -1,35 +1,41 @@
 //! Simulation of one or more pool engines with fake workers and a fake store.
 //!
 //! The workers follow the platform's rules for runs, leases and terms. The
-//! simulation panics when a task runs twice at once, when it starts again after
-//! its end was acknowledged or after several workers crashed under it, when a
-//! worker exceeds its capacity, or when a start leaves a worker over the capacity
-//! that the registry has shown. Only a worker whose capacity shrank may be over
-//! it, and only with runs that began before.
+//! simulation panics when a task runs twice at once, when it starts again after a
+//! run was done whose end is acknowledged then or later, when it starts again after
+//! several workers crashed under it, when a worker exceeds its capacity, or when a
+//! start leaves a worker over the capacity that the registry has shown. Only a
+//! worker whose capacity shrank may be over it, and only with runs that began
+//! before.
+
+mod worker;
 
 use std::collections::{BTreeMap, HashSet as StdHashSet};
 
-use hashbrown::{HashMap, HashSet};
+use hashbrown::HashMap;
 use tamarackproxy::{
     coordination::jobs::Resources,
     state::{
         clock::ClockReading,
-        ids::{AccountId, HostId, PoolId, QueueId, RecordVersion, Term, WorkerId},
+        ids::{AccountId, PoolId, QueueId, RecordVersion, Term, WorkerId},
     },
 };
 
 use crate::{
     coordination::pool::{
-        EndKind, EndedTask, Order, OrderReply, OrderTarget, PollFailure, PollReport, PollRequest,
-        PoolAction, PoolControl, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered,
-        Refusal, RunningTask, StoredJob, WorkerContact, WorkerKey, WriteResult,
+        EndKind, EndedTask, Order, OrderReply, OrderTarget, PollFailure, PollRequest, PoolAction,
+        PoolControl, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered, Refusal, StoredJob,
+        WorkerContact, WorkerKey, WriteResult,
     },
     state::{
-        JobNumber, JobOutcome, JobRecord, JobSpec, JobState, ProgressRecord, Registration, Roster,
-        RunNumber, StepSpec, Summary, TaskAddress, WorkerEntry,
+        JobNumber, JobOutcome, JobRecord, JobSpec, JobState, ProgressRecord, Roster, StepSpec,
+        Summary, TaskAddress, WorkerEntry,
     },
 };
 
+pub use self::worker::FakeWorker;
+use self::worker::{FakeRun, report};
+
 /// Step of virtual time, in milliseconds.
 const STEP_MS: u64 = 10;
 /// Time after which the result of an order without reply is unknown, in
@@ -38,9 +44,9 @@
 /// Workers that may crash under one task, and starts of it after that.
 const CRASHES_MAX: u32 = 3;
 const STARTS_AFTER_CRASHES_MAX: u32 = 2;
-/// Ends that a worker lists in one report; the others follow once these are
-/// acknowledged.
-const ENDS_LISTED_MAX: usize = 500;
+/// Time after which a poll on a connection that died without a reset counts as
+/// unanswered, in milliseconds after the longest time that it may take.
+const POLL_TIMEOUT_MS: u64 = 700;
 /// Start of virtual wall-clock time, in milliseconds since 1970.
 const UNIX_ORIGIN_MS: u64 = 1_700_000_000_000;
 
@@ -67,182 +73,33 @@
     StepSpec { is_lasting: true, unavailable_max: 1, ..step(tasks, 1_000, 0) }
 }
 
-#[derive(Clone, Debug)]
-struct FakeRun {
-    number: RunNumber,
-    allocation: Resources,
-    ends_ms: u64,
-    began_ms: u64,
-    is_gang: bool,
-    image: Option<Box<str>>,
-    /// Time by which its neighbours have delayed it beyond `ends_ms`, in
-    /// milliseconds; below one step.
-    delay_ms: f64,
-    /// Time at which it ends after a stop order.
-    stops_ms: Option<u64>,
-}
-
-/// One incarnation of a simulated worker.
-#[derive(Debug)]
-pub struct FakeWorker {
-    pub entry: WorkerEntry,
-    /// Indexes of the controllers that cannot reach it.
-    pub partitioned_from: HashSet<usize>,
-    /// Orders are carried out, but their replies are lost.
-    pub loses_replies: bool,
-    /// Delay after which orders are carried out, in milliseconds; their replies
-    /// are lost. None if they are carried out at once.
-    pub order_delay_ms: Option<u64>,
-    /// Every task fails at its end.
-    pub fails_all: bool,
-    /// Tail latency that it reports for long-running tasks, in milliseconds.
-    pub tail_ms: u32,
-    /// Ordered paces, oldest first.
-    pub paces: Vec<(TaskAddress, u8)>,
-    /// Runs make no progress and do not end.
-    pub is_stalled: bool,
-    /// Factor by which tasks take longer.
-    pub slowdown: u64,
-    /// When a crashed worker is back, in milliseconds of virtual time; it
-    /// refuses connections until then.
-    back_ms: Option<u64>,
-    /// Time from a stop order to the end of the run, in milliseconds.
-    pub stop_ms: u64,
-    /// The registry has no usable entry of the worker.
-    pub is_unlisted: bool,
-    /// Capacity that the registry showed last.
-    shown_capacity: Resources,
-    /// The capacity was smaller than before at some time.
-    has_shrunk: bool,
-    term: Term,
-    running: BTreeMap<TaskAddress, FakeRun>,
-    ended: Vec<EndedTask>,
-    next_end: u64,
-    lease_until_ms: u64,
-    highest: HashMap<TaskAddress, RunNumber>,
-}
-
-impl FakeWorker {
-    fn new(index: usize, cores: u64) -> Self {
-        let entry = WorkerEntry {
-            worker: WorkerId::new(format!("w{index}")),
-            host: HostId::new(format!("h{index}")),
-            pool: pool(),
-            address: format!("10.0.0.{}:1", index + 1).parse().expect("an address"),
-            data_centre: tamarackproxy::state::ids::DataCentreId::new("d"),
-            registration: Registration::Ready,
-            born_unix_ms: UNIX_ORIGIN_MS,
-            capacity: Resources::new(cores * 1_000, 128 << 30, 0),
-            labels: vec!["a".into(), format!("r{}", index / 2).into()],
-            rack: format!("r{}", index / 2).into(),
-        };
-        Self {
-            shown_capacity: entry.capacity,
-            has_shrunk: false,
-            stop_ms: 0,
-            is_unlisted: false,
-            entry,
-            partitioned_from: HashSet::new(),
-            loses_replies: false,
-            order_delay_ms: None,
-            fails_all: false,
-            tail_ms: 0,
-            paces: Vec::new(),
-            is_stalled: false,
-            slowdown: 1,
-            back_ms: None,
-            term: Term(0),
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            next_end: 1,
-            lease_until_ms: 0,
-            highest: HashMap::new(),
-        }
-    }
-
-    /// Returns whether the worker has crashed and is not back.
-    pub fn is_away(&self) -> bool {
-        self.back_ms.is_some()
-    }
-
-    pub fn runs(&self) -> Vec<TaskAddress> {
-        self.running.keys().copied().collect()
-    }
-
-    /// Returns the resources that its runs take.
-    fn used(&self) -> Resources {
-        let allocations = self.running.values().map(|run| run.allocation);
-        allocations.fold(Resources::default(), |sum, allocation| sum.plus(&allocation))
-    }
-
-    fn on_shown(&mut self) {
-        if !self.is_unlisted {
-            self.shown_capacity = self.entry.capacity;
-        }
-    }
-
-    /// Changes the capacity; the registry shows it once it is registered.
-    pub fn set_capacity(&mut self, capacity: Resources) {
-        self.has_shrunk |= !self.entry.capacity.fits_in(&capacity);
-        self.entry.capacity = capacity;
-    }
-
-    fn end(&mut self, task: TaskAddress, how: EndKind) {
-        let Some(run) = self.running.remove(&task) else { return };
-        let (number, run) = (self.next_end, run.number);
-        self.next_end += 1;
-        self.ended.push(EndedTask { number, task, run, how, checkpoint: "".into() });
-    }
-
-    /// Delays each run by what its neighbours cost it in one step.
-    fn interfere(&mut self, slowdown: fn(&str, &str) -> f64) {
-        let images: Vec<_> =
-            self.running.iter().filter_map(|(&at, run)| Some((at, run.image.clone()?))).collect();
-        for (at, run) in &mut self.running {
-            let Some(own) = &run.image else { continue };
-            let others = images.iter().filter(|(other, _)| other != at);
-            let factors = others.map(|(_, other)| slowdown(own, other));
-            let factor = factors.fold(1.0, f64::max);
-            run.delay_ms += STEP_MS as f64 * (1.0 - 1.0 / factor);
-            let whole_ms = run.delay_ms.floor();
-            run.delay_ms -= whole_ms;
-            run.ends_ms += whole_ms as u64;
-        }
-    }
-
-    fn advance(&mut self, now_ms: u64) {
-        if !self.running.is_empty() && now_ms > self.lease_until_ms {
-            for task in self.runs() {
-                self.end(task, EndKind::Lapsed);
-            }
-        }
-        let stopped: Vec<_> = (self.running.iter())
-            .filter(|(_, run)| run.stops_ms.is_some_and(|at_ms| now_ms >= at_ms))
-            .map(|(&task, _)| task)
-            .collect();
-        for task in stopped {
-            self.end(task, EndKind::Stopped);
-        }
-        let due: Vec<_> = (self.running.iter())
-            .filter(|(_, run)| !self.is_stalled && now_ms >= run.ends_ms)
-            .map(|(&task, _)| task)
-            .collect();
-        for task in due {
-            self.end(task, if self.fails_all { EndKind::Failed } else { EndKind::Done });
-        }
-    }
-}
-
-/// Order that a worker carries out later.
+/// Order that is carried out later, by whichever incarnation then has the
+/// worker's name.
 struct DelayedOrder {
     at_ms: u64,
     /// Index of the worker.
     at: usize,
-    /// Incarnation that the order is for.
-    born_unix_ms: u64,
     term: Term,
     target: OrderTarget,
     order: Order,
+    /// Index of the controller that gets the reply; none if the reply is lost.
+    reply_to: Option<usize>,
+}
+
+/// Poll in flight.
+struct Poll {
+    /// Index of the worker.
+    at: usize,
+    key: WorkerKey,
+    /// Its contents until it arrives.
+    request: Option<PollRequest>,
+    /// When it arrives, in milliseconds of virtual time.
+    arrives_ms: u64,
+    /// Incarnation at which it arrived.
+    born_unix_ms: u64,
+    /// Latest time of the answer, in milliseconds of virtual time.
+    until_ms: u64,
+    term: Term,
 }
 
 struct Controller {
@@ -250,9 +107,7 @@
     is_alive: bool,
     is_paused: bool,
     is_fenced: bool,
-    /// Polls in flight: index and key of the worker, the latest time of the
-    /// answer, the request and its term.
-    polls: Vec<(usize, WorkerKey, u64, PollRequest, Term)>,
+    polls: Vec<Poll>,
     replies: Vec<(u64, OrderTarget, bool, OrderReply)>,
 }
 
@@ -273,7 +128,7 @@
     /// Delay after which the store carries out a write whose reply is lost, in
     /// milliseconds; none if replies arrive.
     pub write_delay_ms: Option<u64>,
-    /// Orders without a reply.
+    /// Orders in flight.
     delayed_orders: Vec<DelayedOrder>,
     /// Writes without a reply: time, index of the controller and write.
     delayed_writes: Vec<(u64, usize, PoolWrite)>,
@@ -285,6 +140,8 @@
     accepted_ms: BTreeMap<JobNumber, u64>,
     /// When a task of each job was first started.
     first_started_ms: BTreeMap<JobNumber, u64>,
+    /// When each task was last started.
+    last_started_ms: HashMap<TaskAddress, u64>,
     /// Starts that workers carried out.
     pub starts: u64,
     /// Queries to the policy service.
@@ -312,6 +169,14 @@
     pub crash_count: u32,
     /// Time for which a crashed worker is away, in milliseconds.
     pub away_ms: u64,
+    /// Time from the return of a crashed worker to its registration, in
+    /// milliseconds. None if it registers at once, and returns with its settings
+    /// reset.
+    pub heartbeat_ms: Option<u64>,
+    /// Time that orders and polls take to arrive, in milliseconds.
+    pub latency_ms: u64,
+    /// Polls in flight at a restart fail once they time out, not at once.
+    pub loses_resets: bool,
     copies_allowed: bool,
     /// Client accounts with their weights.
     accounts: Vec<(AccountId, f64)>,
@@ -339,6 +204,7 @@
             ended: BTreeMap::new(),
             accepted_ms: BTreeMap::new(),
             first_started_ms: BTreeMap::new(),
+            last_started_ms: HashMap::new(),
             starts: 0,
             questions: 0,
             needs_tickets: false,
@@ -351,6 +217,9 @@
             crashes: HashMap::new(),
             crash_count: 0,
             away_ms: 3_300,
+            heartbeat_ms: None,
+            latency_ms: 0,
+            loses_resets: false,
             copies_allowed: false,
             accounts: Vec::new(),
             next_job: 1,
@@ -524,6 +393,29 @@
         self.workers.iter_mut().for_each(FakeWorker::on_shown);
     }
 
+    /// Restarts a worker at once under its name and without any runs; the registry
+    /// shows its former incarnation until `heartbeat_ms` have passed.
+    pub fn restart_unregistered(&mut self, index: usize, heartbeat_ms: u64) {
+        self.crash_worker(index);
+        let now_ms = self.now_ms;
+        self.workers[index].restart(index, now_ms, now_ms + heartbeat_ms);
+    }
+
+    /// Registers the restarted workers whose heartbeat is due.
+    fn advance_heartbeats(&mut self) {
+        let now_ms = self.now_ms;
+        let mut is_due = false;
+        for worker in &mut self.workers {
+            if worker.back_ms.is_none() && worker.shown_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+                (worker.shown_ms, worker.former_entry) = (None, None);
+                is_due = true;
+            }
+        }
+        if is_due {
+            self.register();
+        }
+    }
+
     /// Crashes a worker; it is back without any runs after
     /// [`away_ms`](Self::away_ms).
     pub fn crash_worker(&mut self, index: usize) {
@@ -569,7 +461,12 @@
                 }
                 self.crash_worker(index);
             } else if worker.back_ms.is_some_and(|back_ms| now_ms >= back_ms) {
-                self.restart_worker(index);
+                match self.heartbeat_ms {
+                    Some(heartbeat_ms) => {
+                        self.workers[index].restart(index, now_ms, now_ms + heartbeat_ms);
+                    }
+                    None => self.restart_worker(index),
+                }
             }
         }
     }
@@ -603,6 +500,7 @@
                 worker.advance(self.now_ms);
             }
             self.advance_crashes();
+            self.advance_heartbeats();
             let now_ms = self.now_ms;
             let due: Vec<_> =
                 self.delayed_writes.extract_if(.., |(at_ms, ..)| now_ms >= *at_ms).collect();
@@ -613,11 +511,18 @@
             }
             let due: Vec<_> =
                 self.delayed_orders.extract_if(.., |late| now_ms >= late.at_ms).collect();
-            for DelayedOrder { at, born_unix_ms, term, target, order, .. } in due {
-                if self.workers[at].entry.born_unix_ms == born_unix_ms {
-                    self.execute(at, term, target, &order);
+            for DelayedOrder { at, term, target, order, reply_to, .. } in due {
+                let reply = if self.workers[at].is_away() {
+                    OrderReply::Unknown
+                } else {
+                    self.execute(at, term, target, &order)
+                };
+                if let Some(index) = reply_to {
+                    let is_start = matches!(order, Order::Start(_));
+                    self.controllers[index].replies.push((now_ms, target, is_start, reply));
                 }
             }
+            self.deliver_polls();
             for index in 0..self.controllers.len() {
                 self.run_controller(index);
             }
@@ -650,25 +555,32 @@
     fn answer_polls(&mut self, index: usize) {
         let now = self.now();
         let polls = std::mem::take(&mut self.controllers[index].polls);
-        for (at, key, until_ms, request, term) in polls {
-            let worker = &mut self.workers[at];
-            let result = if worker.back_ms.is_some() {
+        for poll in polls {
+            if poll.request.is_some() {
+                self.controllers[index].polls.push(poll);
+                continue;
+            }
+            let worker = &mut self.workers[poll.at];
+            let is_reset = worker.entry.born_unix_ms != poll.born_unix_ms && !self.loses_resets;
+            let is_silent = worker.partitioned_from.contains(&index)
+                || worker.entry.born_unix_ms != poll.born_unix_ms;
+            let result = if worker.back_ms.is_some() || is_reset {
                 Err(PollFailure::Unreachable)
-            } else if worker.partitioned_from.contains(&index) {
-                if self.now_ms < until_ms + 700 {
-                    self.controllers[index].polls.push((at, key, until_ms, request, term));
+            } else if is_silent {
+                if self.now_ms < poll.until_ms + POLL_TIMEOUT_MS {
+                    self.controllers[index].polls.push(poll);
                     continue;
                 }
                 Err(PollFailure::Unreachable)
-            } else if term < worker.term {
+            } else if poll.term < worker.term {
                 Err(PollFailure::OldTerm)
-            } else if worker.ended.is_empty() && self.now_ms < until_ms {
-                self.controllers[index].polls.push((at, key, until_ms, request, term));
+            } else if worker.ended.is_empty() && self.now_ms < poll.until_ms {
+                self.controllers[index].polls.push(poll);
                 continue;
             } else {
                 Ok(report(worker, self.now_ms, self.stalled_job))
             };
-            self.controllers[index].engine.on_poll(now, key, result);
+            self.controllers[index].engine.on_poll(now, poll.key, result);
         }
     }
 
@@ -699,21 +611,57 @@
 
     fn poll(&mut self, index: usize, contact: &WorkerContact, request: PollRequest) {
         let at = self.worker_of(contact);
+        let arrives_ms = self.now_ms + self.latency_ms;
+        self.controllers[index].polls.push(Poll {
+            at,
+            key: contact.key,
+            request: Some(request),
+            arrives_ms,
+            born_unix_ms: self.workers[at].entry.born_unix_ms,
+            until_ms: arrives_ms + request.wait_ms,
+            term: contact.term,
+        });
+        self.deliver_polls();
+    }
+
+    /// Applies the polls that have arrived.
+    fn deliver_polls(&mut self) {
+        let now_ms = self.now_ms;
+        for index in 0..self.controllers.len() {
+            let mut polls = std::mem::take(&mut self.controllers[index].polls);
+            for poll in polls.iter_mut().filter(|poll| now_ms >= poll.arrives_ms) {
+                if let Some(request) = poll.request.take() {
+                    poll.born_unix_ms = self.workers[poll.at].entry.born_unix_ms;
+                    self.deliver_poll(index, poll.at, poll.term, request);
+                }
+            }
+            self.controllers[index].polls = polls;
+        }
+    }
+
+    fn deliver_poll(&mut self, index: usize, at: usize, term: Term, request: PollRequest) {
         let worker = &mut self.workers[at];
         let is_reached = worker.back_ms.is_none() && !worker.partitioned_from.contains(&index);
-        if is_reached && contact.term >= worker.term {
-            worker.term = contact.term;
-            worker.lease_until_ms = worker.lease_until_ms.max(request.lease_until_ms.unwrap_or(0));
-            let acknowledged = |end: &EndedTask| end.number <= request.acknowledged;
-            for end in worker.ended.iter().filter(|end| acknowledged(end)) {
-                if end.how == EndKind::Done {
-                    self.acknowledged_tasks.insert(end.task);
-                }
+        if !is_reached || term < worker.term {
+            return;
+        }
+        worker.term = term;
+        worker.extend_lease(self.now_ms, request.lease_until_ms.unwrap_or(0));
+        let is_acknowledged = |end: &EndedTask| end.number <= request.acknowledged;
+        for end in worker.ended.iter().filter(|end| is_acknowledged(end)) {
+            if end.how == EndKind::Done {
+                self.acknowledged_tasks.insert(end.task);
+            }
+            let last_start_ms = self.last_started_ms.get(&end.task).copied().unwrap_or(0);
+            if let Some(done_ms) = worker.done_ms.remove(&end.number) {
+                assert!(
+                    last_start_ms <= done_ms || self.copies_allowed,
+                    "{} was started again after it was done",
+                    end.task
+                );
             }
-            worker.ended.retain(|end| !acknowledged(end));
         }
-        let until_ms = self.now_ms + request.wait_ms;
-        self.controllers[index].polls.push((at, contact.key, until_ms, request, contact.term));
+        worker.ended.retain(|end| !is_acknowledged(end));
     }
 
     fn order(&mut self, index: usize, contact: &WorkerContact, target: OrderTarget, order: Order) {
@@ -726,11 +674,13 @@
             OrderReply::Unknown
         } else if self.workers[at].back_ms.is_some() {
             OrderReply::NotSent
-        } else if let Some(delay_ms) = delay_ms {
-            let (at_ms, term) = (self.now_ms + delay_ms, contact.term);
-            let born_unix_ms = self.workers[at].entry.born_unix_ms;
-            let delayed = DelayedOrder { at_ms, at, born_unix_ms, term, target, order };
-            self.delayed_orders.push(delayed);
+        } else if delay_ms.is_some() || self.latency_ms > 0 {
+            let (at_ms, term) = (self.now_ms + delay_ms.unwrap_or(self.latency_ms), contact.term);
+            let reply_to = (!is_lost).then_some(index);
+            self.delayed_orders.push(DelayedOrder { at_ms, at, term, target, order, reply_to });
+            if !is_lost {
+                return;
+            }
             OrderReply::Unknown
         } else {
             self.execute(at, contact.term, target, &order)
@@ -755,11 +705,12 @@
                 if self.needs_tickets && start.ticket.is_empty() {
                     return OrderReply::Refused(Refusal::NoTicket);
                 }
-                if now_ms > start.valid_until_ms {
+                if worker.clock_ms(now_ms) > start.valid_until_ms {
                     return OrderReply::Refused(Refusal::Late);
                 }
                 let highest = worker.highest.get(&target.task).copied().unwrap_or_default();
                 if target.run <= highest {
+                    worker.extend_lease(now_ms, start.valid_until_ms);
                     return OrderReply::Refused(Refusal::OldRun);
                 }
                 assert!(
@@ -767,7 +718,7 @@
                     "{} starts after its end was acknowledged",
                     target.task
                 );
-                worker.lease_until_ms = worker.lease_until_ms.max(start.valid_until_ms);
+                worker.extend_lease(now_ms, start.valid_until_ms);
                 let spec = &start.job.steps[usize::from(target.task.step)];
                 let declared_ms = u64::from(spec.estimate_ms);
                 let lasts_ms =
@@ -791,7 +742,8 @@
                     delay_ms,
                     stops_ms,
                 };
-                worker.running.insert(target.task, run);
+                let earlier = worker.running.insert(target.task, run);
+                assert!(earlier.is_none() || self.copies_allowed, "{} runs twice", target.task);
                 let (used, shown) = (worker.used(), worker.shown_capacity);
                 assert!(
                     used.fits_in(&shown),
@@ -802,6 +754,7 @@
                 worker.highest.insert(target.task, target.run);
                 self.starts += 1;
                 self.first_started_ms.entry(target.task.job).or_insert(now_ms);
+                self.last_started_ms.insert(target.task, now_ms);
                 if let Some((crashes, starts)) = self.crashes.get_mut(&target.task)
                     && *crashes >= CRASHES_MAX
                 {
@@ -934,29 +887,7 @@
 
 /// Lists the entries that the registry shows.
 fn registry(workers: &[FakeWorker]) -> impl Iterator<Item = &WorkerEntry> + Clone {
-    workers.iter().filter(|worker| !worker.is_unlisted).map(|worker| &worker.entry)
-}
-
-fn report(worker: &FakeWorker, now_ms: u64, stalled_job: Option<JobNumber>) -> PollReport {
-    let running = worker.running.iter().map(|(&task, run)| {
-        let total_ms = run.ends_ms - run.began_ms;
-        let is_lasting = total_ms >= 1 << 40;
-        let percent = if worker.is_stalled || stalled_job == Some(task.job) {
-            7
-        } else if is_lasting {
-            100
-        } else {
-            ((now_ms - run.began_ms) * 100 / total_ms.max(1)).min(99) as u8
-        };
-        let gauge = if is_lasting { worker.tail_ms } else { 0 };
-        RunningTask { task, run: run.number, checkpoint: "".into(), percent, gauge }
-    });
-    PollReport {
-        born_unix_ms: worker.entry.born_unix_ms,
-        clock_ms: now_ms,
-        running: running.collect(),
-        ended: worker.ended.iter().take(ENDS_LISTED_MAX).cloned().collect(),
-    }
+    workers.iter().filter(|worker| !worker.is_unlisted).map(FakeWorker::shown_entry)
 }
 
 /// Returns the address of a task of an unscheduled job.
