--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -14,4 +14,5 @@
 mod order;
 mod pacing;
 mod placing;
+mod restarts;
 mod vacating;
