End a host's maintenance also if its worker keeps its name

Cause: a wave counted a host as back only if the list showed a worker under another name. The platform allows a worker to start again under its name; the host then stayed down in the wave's count and its worker stayed vacated.

Change: under the former name the host is back once the list was sent 3 s after the maintenance, since only time tells the two workers apart.

--- a/crates/dispatch/src/coordination/upkeep/engine.rs
+++ b/crates/dispatch/src/coordination/upkeep/engine.rs
@@ -18,6 +18,9 @@
 const ORDER_RETRY_MS: u64 = 700;
 /// Time by which the host list may be out of date, in milliseconds.
 const LIST_LAG_MS: u64 = 400;
+/// The same if the list shows a worker under the name that it had before the
+/// maintenance, in milliseconds: only time tells it from the former one.
+const KEPT_NAME_LAG_MS: u64 = 3_000;
 /// Time for which a host must be missing from the list to count as gone, in
 /// milliseconds: several times the list's lag.
 const MISSING_MS: u64 = 6_000;
@@ -380,12 +383,13 @@
                         self.changed_records.insert(number);
                     }
                     Stage::Down { since_ms, worker } => {
-                        let earliest_ms = *since_ms + self.timing.maintenance_ms + LIST_LAG_MS;
+                        let view = self.hosts.get(host);
+                        let is_back = view.is_none_or(|view| view.state == HostState::Up);
+                        let keeps_name =
+                            worker.is_some() && view.is_some_and(|view| view.worker == *worker);
+                        let lag_ms = if keeps_name { KEPT_NAME_LAG_MS } else { LIST_LAG_MS };
+                        let earliest_ms = *since_ms + self.timing.maintenance_ms + lag_ms;
                         let is_fresh = self.list_sent_ms.is_some_and(|sent| sent >= earliest_ms);
-                        let is_back = self.hosts.get(host).is_none_or(|view| {
-                            view.state == HostState::Up
-                                && (view.worker.is_none() || view.worker != *worker)
-                        });
                         if is_fresh && is_back {
                             self.pending.release.extend(worker.take());
                             *stage = Stage::Over;
--- a/crates/dispatch/src/coordination/upkeep/tests.rs
+++ b/crates/dispatch/src/coordination/upkeep/tests.rs
@@ -29,6 +29,8 @@
     answers_vacate: bool,
     /// Whether orders may be sent.
     may_order: bool,
+    /// Whether a worker has its former name after the maintenance.
+    keeps_names: bool,
 }
 
 fn host(index: usize) -> HostId {
@@ -55,6 +57,7 @@
             loses_replies: false,
             answers_vacate: true,
             may_order: true,
+            keeps_names: false,
         }
     }
 
@@ -103,7 +106,7 @@
                 let index: usize = name.as_str()[1..].parse().expect("an index");
                 if self.maintained[index] == 0 {
                     self.maintained[index] = 1;
-                    self.generation[index] += 1;
+                    self.generation[index] += u64::from(!self.keeps_names);
                     self.down_until_ms[index] = Some(self.now_ms + MAINTENANCE_MS);
                 }
                 let reply = if self.loses_replies {
@@ -224,3 +227,15 @@
     fleet.run_ms(12_000);
     assert_eq!(fleet.states.last(), Some(&WaveState::Done));
 }
+
+/// Guards against a wave that waits forever for a host whose worker has its former
+/// name after the maintenance: the worker would stay vacated as well.
+#[test]
+fn worker_that_keeps_its_name_does_not_block_the_wave() {
+    let mut fleet = Fleet::new(12);
+    fleet.keeps_names = true;
+    fleet.engine.on_wave(fleet.now(), request(12, 3), None);
+    fleet.run_ms(25_000);
+    assert_eq!(fleet.maintained, [1; 12]);
+    assert!(fleet.vacated.is_empty(), "{:?} stay vacated", fleet.vacated);
+}
