Count a worker as stored in the roster only with its own start

Cause: a roster that was being written when a worker restarted under its name covered the new incarnation by the name. A successor would find only the former one in the roster and not wait for the worker.

Change: the stored roster is compared by name and start of the incarnation.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -396,9 +396,10 @@
             self.remove_if_over(key);
         }
         self.placing_due |= !self.suspects.is_empty();
-        if let Some(names) = roster {
+        if let Some(stored) = roster {
             for (_, worker) in self.workers.iter_mut() {
-                worker.is_rostered |= names.contains(&worker.entry.worker);
+                let incarnation = (worker.entry.worker.clone(), worker.entry.born_unix_ms);
+                worker.is_rostered |= stored.contains(&incarnation);
             }
             self.placing_due = true;
         }
--- a/crates/dispatch/src/coordination/pool/tests/incarnations.rs
+++ b/crates/dispatch/src/coordination/pool/tests/incarnations.rs
@@ -363,3 +363,24 @@
     driver.run_ms(50);
     assert_eq!(acknowledged(&driver), Some(0), "the acknowledgement is repeated");
 }
+
+/// Guards against a new incarnation that counts as stored in the roster because
+/// the write in flight names its predecessor: a successor would not wait for it.
+#[test]
+fn roster_of_the_former_incarnation_does_not_cover_the_new_one() {
+    let mut driver = Driver::new(&[entry(0, BORN)]);
+    driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
+    driver.run_ms(50);
+    driver.holds_writes = true;
+    // A second worker joins, so the roster is written again.
+    driver.register(&[entry(0, BORN), entry(1, BORN)]);
+    driver.run_ms(10);
+    let stored = driver.held[0].roster.clone().expect("the roster is written");
+    let born = BORN + 5_000;
+    driver.register(&[entry(0, born), entry(1, BORN)]);
+    driver.written();
+    assert!(stored.workers.iter().any(|it| it.worker.as_str() == "w0" && it.born_unix_ms == BORN));
+    let key = driver.key("w0").expect("the new incarnation is known");
+    let is_rostered = driver.engine.workers.get(key).is_some_and(|worker| worker.is_rostered);
+    assert!(!is_rostered, "the stored roster names the former incarnation only");
+}
--- a/crates/dispatch/src/coordination/pool/writer.rs
+++ b/crates/dispatch/src/coordination/pool/writer.rs
@@ -61,6 +61,9 @@
     Failed,
 }
 
+/// Incarnations of workers that the stored roster names.
+pub(super) type StoredRoster = HashSet<(WorkerId, u64)>;
+
 /// Contents of a write in flight.
 #[derive(Debug)]
 pub(super) struct InFlight {
@@ -69,7 +72,9 @@
     /// Jobs whose progress is written, with the sequence number of the latest
     /// change.
     progress: Vec<(JobKey, u64)>,
-    roster: Option<HashSet<WorkerId>>,
+    /// Workers of the roster, each with the start of its incarnation in
+    /// milliseconds since 1970.
+    roster: Option<StoredRoster>,
     summary: Option<Summary>,
     expired: Vec<JobNumber>,
 }
@@ -193,8 +198,9 @@
         };
         if self.roster_changed {
             entries += 1;
-            let names = self.roster.workers.iter().map(|entry| entry.worker.clone());
-            in_flight.roster = Some(names.collect());
+            let workers = self.roster.workers.iter();
+            let stored = workers.map(|entry| (entry.worker.clone(), entry.born_unix_ms));
+            in_flight.roster = Some(stored.collect());
             write.roster = Some(self.roster.clone());
             self.roster_changed = false;
         }
@@ -245,7 +251,7 @@
     pub(super) fn on_written(
         &mut self,
         version: RecordVersion,
-    ) -> (Vec<JobKey>, Option<HashSet<WorkerId>>) {
+    ) -> (Vec<JobKey>, Option<StoredRoster>) {
         self.previous = version;
         let Some(in_flight) = self.in_flight.take() else { return (Vec::new(), None) };
         for (job, sequence) in in_flight.progress {
