Use a worker that restarts after the time of day was set back

Cause: an entry with an earlier start than the known one counted as that of a former incarnation, so a worker that restarted under its name after its time of day was set back was never used again by this controller.

Change: entries under one name follow each other in the registry whatever their starts, unless a later incarnation is known to have replaced them.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -155,9 +155,9 @@
     /// Start of the newest worker incarnation on each registered host of any
     /// pool, in milliseconds since 1970.
     pub(super) newest_starts: HashMap<HostId, u64>,
-    /// Start of the latest incarnation under each name that a later one has
-    /// replaced, in milliseconds since 1970.
-    pub(super) outdated_starts: HashMap<WorkerId, u64>,
+    /// Starts of the incarnations under each name that later ones have replaced, in
+    /// milliseconds since 1970.
+    pub(super) outdated_starts: HashMap<WorkerId, Vec<u64>>,
     pub(super) late_starts: LateStarts,
     /// No successor can hold control before this time, on the local clock.
     pub(super) confirmed_until_ms: u64,
--- a/crates/dispatch/src/coordination/pool/registry.rs
+++ b/crates/dispatch/src/coordination/pool/registry.rs
@@ -45,6 +45,11 @@
             if self.is_outdated(entry) {
                 continue;
             }
+            // Entries under one name follow each other, whatever the time of day.
+            if self.is_replaced_in_registry(entry) {
+                self.newest_starts.insert(entry.host.clone(), entry.born_unix_ms);
+                continue;
+            }
             match self.newest_starts.get_mut(&entry.host) {
                 Some(born) => *born = (*born).max(entry.born_unix_ms),
                 None => drop(self.newest_starts.insert(entry.host.clone(), entry.born_unix_ms)),
--- a/crates/dispatch/src/coordination/pool/restarts.rs
+++ b/crates/dispatch/src/coordination/pool/restarts.rs
@@ -122,7 +122,8 @@
         self.log_ended(key, sign);
         let former = self.workers.get(key);
         if let Some(former) = former.filter(|it| it.entry.born_unix_ms != entry.born_unix_ms) {
-            self.outdated_starts.insert(entry.worker.clone(), former.entry.born_unix_ms);
+            let outdated = self.outdated_starts.entry(entry.worker.clone()).or_default();
+            outdated.push(former.entry.born_unix_ms);
             self.newest_starts.insert(entry.host.clone(), entry.born_unix_ms);
         }
         let carried: Vec<_> = (former.into_iter())
@@ -325,9 +326,22 @@
         run.map_or(target, |run| OrderTarget { worker: run.worker, ..target })
     }
 
+    /// Returns whether a registry entry has replaced the one of a known worker of
+    /// the same name and pool.
+    pub(super) fn is_replaced_in_registry(&self, entry: &WorkerEntry) -> bool {
+        let known = self.workers.find(&entry.worker).and_then(|key| self.workers.get(key));
+        known.is_some_and(|known| {
+            known.presence != Presence::Gone
+                && entry.pool == self.control.pool
+                && known.entry.host == entry.host
+                && known.entry.born_unix_ms != entry.born_unix_ms
+        })
+    }
+
     /// Returns whether a registry entry is that of an incarnation that a later one
     /// of the same name has replaced.
     pub(super) fn is_outdated(&self, entry: &WorkerEntry) -> bool {
-        self.outdated_starts.get(&entry.worker) == Some(&entry.born_unix_ms)
+        let outdated = self.outdated_starts.get(&entry.worker);
+        outdated.is_some_and(|outdated| outdated.contains(&entry.born_unix_ms))
     }
 }
--- a/crates/dispatch/src/coordination/pool/tests/incarnations.rs
+++ b/crates/dispatch/src/coordination/pool/tests/incarnations.rs
@@ -384,3 +384,24 @@
     let is_rostered = driver.engine.workers.get(key).is_some_and(|worker| worker.is_rostered);
     assert!(!is_rostered, "the stored roster names the former incarnation only");
 }
+/// Guards against a worker that is never used again because the time of day was
+/// set back before its restart.
+#[test]
+fn worker_that_restarts_after_the_time_was_set_back_is_used() {
+    let mut driver = Driver::new(&[entry(0, BORN)]);
+    driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
+    driver.run_ms(50);
+    let born = BORN - 3_000;
+    driver.register(&[entry(0, born)]);
+    for _ in 0..50 {
+        driver.run_ms(100);
+        driver.answer("w0", Ok(report(born, driver.now_ms, Vec::new())));
+    }
+    driver.register(&[entry(0, born)]);
+    driver.submit(job(vec![step(1, 1_000, 2_000)]));
+    for _ in 0..50 {
+        driver.run_ms(100);
+        driver.answer("w0", Ok(report(born, driver.now_ms, Vec::new())));
+    }
+    assert_eq!(driver.starts.len(), 1, "the only worker of the pool gets no task");
+}
