--- a/crates/dispatch/src/coordination/pool/tests/incarnations.rs
+++ b/crates/dispatch/src/coordination/pool/tests/incarnations.rs
@@ -384,6 +384,7 @@
     let is_rostered = driver.engine.workers.get(key).is_some_and(|worker| worker.is_rostered);
     assert!(!is_rostered, "the stored roster names the former incarnation only");
 }
+
 /// Guards against a worker that is never used again because the time of day was
 /// set back before its restart.
 #[test]
