Poll a worker again after 30 ms if its connection broke

Change: a poll that fails before the worker's time to reply is over is repeated after 30 ms, six times in a row at most. The delays after a silent worker are the same as before.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -36,6 +36,10 @@
 /// serve users, in milliseconds: the reported tail latency covers half a
 /// second.
 const SHARED_POLL_WAIT_MS: u64 = 400;
+/// Delay before a worker is polled again whose connection broke, in milliseconds:
+/// if it restarts under its name, it carries out late orders until it is told
+/// otherwise.
+pub(super) const POLL_QUICK_RETRY_MS: u64 = 30;
 /// First delay before a worker that did not reply is polled again, in
 /// milliseconds; it doubles with each further failure.
 pub(super) const POLL_RETRY_MS: u64 = 150;
@@ -505,6 +509,7 @@
                 (Some(_), false) => POLL_WAIT_MS,
             };
             let acknowledged = worker.take_acknowledgement();
+            worker.poll_wait_ms = wait_ms;
             let contact = contact(key, worker, term);
             let request = PollRequest { acknowledged, lease_until_ms, wait_ms };
             self.actions.push(PoolAction::Poll { contact, request });
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -8,7 +8,10 @@
 
 use super::{
     crashes::LOST_POLLS,
-    engine::{POLL_GAP_MS, POLL_RETRY_MAX_MS, POLL_RETRY_MS, PoolEngine, UNSTORED_POLL_GAP_MS},
+    engine::{
+        POLL_GAP_MS, POLL_QUICK_RETRY_MS, POLL_RETRY_MAX_MS, POLL_RETRY_MS, PoolEngine,
+        UNSTORED_POLL_GAP_MS,
+    },
     events::{EndKind, EndedTask, PollFailure, PollReport, RunningTask, WorkerKey},
     interference::RunAt,
     job_table::Completion,
@@ -51,6 +54,11 @@
                     log::info!(worker = worker.entry.worker.as_str(), failure:display = failure,
                         age_ms = age_ms.unwrap_or(0); "worker poll failed");
                 }
+                if worker.takes_quick_retry(now_ms.saturating_sub(sent_ms)) {
+                    worker.missed_polls = worker.missed_polls.max(1);
+                    self.workers.schedule_poll(now_ms + POLL_QUICK_RETRY_MS, key);
+                    return;
+                }
                 let delay_ms = POLL_RETRY_MS << worker.missed_polls.min(4);
                 worker.missed_polls += 1;
                 let is_lost = worker.missed_polls == LOST_POLLS;
@@ -77,7 +85,7 @@
         let was_reachable = worker.is_reachable(now_ms, super::placement::REACHABLE_MS);
         worker.polled_ms = Some(now_ms);
         (worker.heard_ms, worker.lost_ms) = (now_ms, None);
-        worker.on_acknowledged();
+        worker.on_poll_answered();
         let missed_polls = std::mem::take(&mut worker.missed_polls);
         let was_lost = missed_polls >= LOST_POLLS;
         self.placing_due |= !was_reachable || !report.ended.is_empty();
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -25,6 +25,12 @@
 /// milliseconds: covers the worker's own scheduling delay in ending them.
 const LEASE_MARGIN_MS: u64 = 150;
 
+/// Time within which a poll fails if its connection is refused or reset, in
+/// milliseconds.
+const QUICK_FAILURE_MS: u64 = 100;
+/// Most polls in a row that are repeated at once.
+const QUICK_RETRIES_MAX: u32 = 6;
+
 /// Latest reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WorkerClock {
@@ -101,6 +107,10 @@
     /// that must be stored first.
     unacknowledged: VecDeque<(u64, Option<ProgressSequence>)>,
     pub(super) acknowledged: u64,
+    /// Time for which the worker may hold the latest poll, in milliseconds.
+    pub(super) poll_wait_ms: u64,
+    /// Consecutive polls that were repeated at once.
+    quick_retries: u32,
     /// The acknowledgement in the poll in flight.
     acknowledgement_sent: u64,
     /// Highest acknowledgement in a poll that was answered.
@@ -159,6 +169,8 @@
             seen_end: 0,
             unacknowledged: VecDeque::new(),
             acknowledged: 0,
+            poll_wait_ms: 0,
+            quick_retries: 0,
             acknowledgement_sent: 0,
             acknowledgement_confirmed: 0,
             carried_over: HashMap::new(),
@@ -282,8 +294,19 @@
         self.acknowledgement_sent
     }
 
+    /// Returns whether a poll that failed after `took_ms` is repeated at once: the
+    /// connection broke before the worker's time to reply was over, and not too
+    /// often in a row.
+    pub(super) fn takes_quick_retry(&mut self, took_ms: u64) -> bool {
+        let is_broken = took_ms < self.poll_wait_ms.max(QUICK_FAILURE_MS);
+        let is_quick = is_broken && self.quick_retries < QUICK_RETRIES_MAX;
+        self.quick_retries += u32::from(is_quick);
+        is_quick
+    }
+
     /// Records that the poll in flight was answered.
-    pub(super) fn on_acknowledged(&mut self) {
+    pub(super) fn on_poll_answered(&mut self) {
+        self.quick_retries = 0;
         self.acknowledgement_confirmed =
             self.acknowledgement_confirmed.max(self.acknowledgement_sent);
     }
