Reject no submission while a pool has no capacity

Callers saw a broken connection, or a Retry-After that had wrapped around: with no capacity in the pool's summary the forecast was without end, and rounding its delay up overflowed.

Cause: all workers of a pool may be away for a moment; the rate of the pool is then unknown, not zero.

Change: such a summary forecasts nothing, and the submission is accepted.

Measured: pool_without_capacity_rejects_nothing panics before with an overflow and passes now.

--- a/crates/dispatch/src/coordination/admission/engine.rs
+++ b/crates/dispatch/src/coordination/admission/engine.rs
@@ -209,6 +209,10 @@
             return None;
         }
         let rate_millicores = self.rate_millicores(known, overload, surroundings);
+        if rate_millicores == 0 {
+            // All workers are away: nothing tells when work will end.
+            return None;
+        }
         let contest = Contest {
             cores: rate_millicores as f64 / 1_000.0,
             priority: job.queue.priority,
--- a/crates/dispatch/src/coordination/admission/tests/verdict.rs
+++ b/crates/dispatch/src/coordination/admission/tests/verdict.rs
@@ -226,6 +226,14 @@
     assert!(matches!(decide(&engine, READ_MS + 910, &spec), Verdict::Admit { .. }));
 }
 
+/// Guards against a delay without end, and rejections, while all workers of a pool
+/// are away for a moment.
+#[test]
+fn pool_without_capacity_rejects_nothing() {
+    let busy = load(vec![waiting(None, 5_000)]);
+    assert!(!is_rejected(PoolLoad { capacity_millicores: 0, ..busy }, &spec()));
+}
+
 /// Guards against a second wave of callers who all return in the same second.
 #[test]
 fn delays_are_spread() {
