--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -82,6 +82,8 @@
     term: Term,
     target: OrderTarget,
     order: Order,
+    /// It takes longer than the latency.
+    is_held_up: bool,
     /// Index of the controller that gets the reply; none if the reply is lost.
     reply_to: Option<usize>,
 }
@@ -177,6 +179,8 @@
     pub latency_ms: u64,
     /// Polls in flight at a restart fail once they time out, not at once.
     pub loses_resets: bool,
+    /// Delayed orders are lost when their worker restarts.
+    pub restarts_drop_orders: bool,
     copies_allowed: bool,
     /// Client accounts with their weights.
     accounts: Vec<(AccountId, f64)>,
@@ -220,6 +224,7 @@
             heartbeat_ms: None,
             latency_ms: 0,
             loses_resets: false,
+            restarts_drop_orders: false,
             copies_allowed: false,
             accounts: Vec::new(),
             next_job: 1,
@@ -420,6 +425,7 @@
     /// [`away_ms`](Self::away_ms).
     pub fn crash_worker(&mut self, index: usize) {
         let back_ms = self.now_ms + self.away_ms;
+        self.drop_delayed_orders(index);
         let worker = &mut self.workers[index];
         worker.back_ms = Some(back_ms);
         worker.ended.clear();
@@ -429,6 +435,12 @@
         }
     }
 
+    fn drop_delayed_orders(&mut self, index: usize) {
+        if self.restarts_drop_orders {
+            self.delayed_orders.retain(|late| late.at != index || !late.is_held_up);
+        }
+    }
+
     /// Ends the runs of the other members of a task's gang.
     fn break_gang(&mut self, task: TaskAddress) {
         for worker in &mut self.workers {
@@ -473,6 +485,7 @@
 
     /// Restarts a worker after a crash, without any runs.
     pub fn restart_worker(&mut self, index: usize) {
+        self.drop_delayed_orders(index);
         let cores = self.workers[index].entry.capacity.cpu_millicores / 1_000;
         let mut worker = FakeWorker::new(index, cores);
         worker.entry.born_unix_ms = UNIX_ORIGIN_MS + self.now_ms;
@@ -667,7 +680,7 @@
     fn order(&mut self, index: usize, contact: &WorkerContact, target: OrderTarget, order: Order) {
         let at = self.worker_of(contact);
         let is_partitioned = self.workers[at].partitioned_from.contains(&index);
-        let delay_ms = self.workers[at].order_delay_ms;
+        let delay_ms = self.workers[at].next_delay_ms();
         let is_lost = is_partitioned || self.workers[at].loses_replies || delay_ms.is_some();
         let is_start = matches!(order, Order::Start(_));
         let reply = if is_partitioned {
@@ -677,7 +690,16 @@
         } else if delay_ms.is_some() || self.latency_ms > 0 {
             let (at_ms, term) = (self.now_ms + delay_ms.unwrap_or(self.latency_ms), contact.term);
             let reply_to = (!is_lost).then_some(index);
-            self.delayed_orders.push(DelayedOrder { at_ms, at, term, target, order, reply_to });
+            let is_held_up = delay_ms.is_some();
+            self.delayed_orders.push(DelayedOrder {
+                at_ms,
+                at,
+                term,
+                target,
+                order,
+                is_held_up,
+                reply_to,
+            });
             if !is_lost {
                 return;
             }
--- a/crates/dispatch/src/replay/pool/worker.rs
+++ b/crates/dispatch/src/replay/pool/worker.rs
@@ -49,6 +49,10 @@
     /// Delay after which orders are carried out, in milliseconds; their replies
     /// are lost. None if they are carried out at once.
     pub order_delay_ms: Option<u64>,
+    /// One in so many orders is delayed, the others are carried out at once.
+    pub delays_one_in: u64,
+    /// Orders that were sent to it.
+    pub(super) orders: u64,
     /// Every task fails at its end.
     pub fails_all: bool,
     /// Tail latency that it reports for long-running tasks, in milliseconds.
@@ -111,6 +115,8 @@
             partitioned_from: HashSet::new(),
             loses_replies: false,
             order_delay_ms: None,
+            delays_one_in: 1,
+            orders: 0,
             fails_all: false,
             tail_ms: 0,
             paces: Vec::new(),
@@ -142,6 +148,8 @@
             partitioned_from: std::mem::take(&mut self.partitioned_from),
             loses_replies: self.loses_replies,
             order_delay_ms: self.order_delay_ms,
+            delays_one_in: self.delays_one_in,
+            orders: self.orders,
             fails_all: self.fails_all,
             tail_ms: self.tail_ms,
             slowdown: self.slowdown,
@@ -169,6 +177,12 @@
         self.lease_until_ms = self.lease_until_ms.max(until_ms.min(latest_ms));
     }
 
+    /// Returns the delay of the next order that is sent to the worker.
+    pub(super) fn next_delay_ms(&mut self) -> Option<u64> {
+        self.orders += 1;
+        self.order_delay_ms.filter(|_| self.orders.is_multiple_of(self.delays_one_in))
+    }
+
     /// Returns whether the worker has crashed and is not back.
     pub fn is_away(&self) -> bool {
         self.back_ms.is_some()
