Keep a restarted worker that the registry does not show yet

Cause: an incarnation known from a poll counted as gone, so the next check removed it as soon as it had no runs. It was not polled until the registry showed it, and its ends, listed again under a new key, were taken for others. A worker that is gone was also removed while its ends were not stored.

Change: such an incarnation has a state of its own, Unlisted, and a worker that is gone is kept until its ends are stored.

--- a/crates/dispatch/src/coordination/pool/registry.rs
+++ b/crates/dispatch/src/coordination/pool/registry.rs
@@ -104,7 +104,8 @@
             }
         }
         for (key, worker) in self.workers.iter_mut() {
-            if !listed.contains(&key) && worker.presence != Presence::Gone {
+            let was_listed = matches!(worker.presence, Presence::Registered(_));
+            if !listed.contains(&key) && was_listed {
                 log::info!(worker = worker.entry.worker.as_str(), runs = worker.runs.len();
                     "worker is no longer registered");
                 worker.presence = Presence::Gone;
--- a/crates/dispatch/src/coordination/pool/restarts.rs
+++ b/crates/dispatch/src/coordination/pool/restarts.rs
@@ -157,7 +157,7 @@
         let entry = WorkerEntry { born_unix_ms, ..worker.entry.clone() };
         let successor = self.restart(key, entry, "the worker restarted");
         if let Some(worker) = self.workers.get_mut(successor) {
-            worker.presence = Presence::Gone;
+            worker.presence = Presence::Unlisted;
         }
         successor
     }
@@ -331,7 +331,7 @@
     pub(super) fn is_replaced_in_registry(&self, entry: &WorkerEntry) -> bool {
         let known = self.workers.find(&entry.worker).and_then(|key| self.workers.get(key));
         known.is_some_and(|known| {
-            known.presence != Presence::Gone
+            matches!(known.presence, Presence::Registered(_))
                 && entry.pool == self.control.pool
                 && known.entry.host == entry.host
                 && known.entry.born_unix_ms != entry.born_unix_ms
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -345,6 +345,7 @@
             let Some(worker) = self.workers.get(key) else { continue };
             let is_left = worker.presence == Presence::Gone
                 && worker.is_empty()
+                && !worker.has_unstored_ends()
                 && worker.polled_ms.is_some();
             if is_left {
                 self.remove_worker(key);
@@ -357,7 +358,7 @@
                 log::warn!(worker = worker.entry.worker.as_str(), runs = worker.runs.len();
                     "worker is unreachable and its lease expired; its tasks will be rescheduled");
             }
-            let is_gone = worker.presence == Presence::Gone;
+            let is_gone = !matches!(worker.presence, Presence::Registered(_));
             self.note_given_up(now_ms, key);
             self.note_late_starts(now_ms, key);
             self.drop_all_runs(key);
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -60,6 +60,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Presence {
     Registered(Registration),
+    /// The incarnation has answered a poll, and the registry has not listed it yet.
+    Unlisted,
     /// The registry no longer lists the worker.
     Gone,
 }
