Acknowledge no end of a job before the job's outcome is stored

Cause: ends of a job that had ended in memory needed nothing stored. If the controller died before the outcome was stored, its successor found the job live, started tasks again whose ends the workers had forgotten, and had nothing to tell it otherwise.

Change: such ends wait for the outcome.

Measured: end_of_a_job_is_not_acknowledged_before_its_outcome_is_stored fails before with acknowledgement 1 while the write is under way, and passes now.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -411,7 +411,7 @@
         let mut stored = Vec::new();
         for (key, worker) in self.workers.iter_mut().filter(|(_, it)| it.has_unstored_ends()) {
             worker.acknowledge(|sequence| {
-                writer.is_stored(sequence, job_table.job(sequence.job).is_some())
+                writer.is_stored(sequence, job_table.is_live(sequence.job))
             });
             if !worker.has_unstored_ends() {
                 stored.push(key);
--- a/crates/dispatch/src/coordination/pool/job_table.rs
+++ b/crates/dispatch/src/coordination/pool/job_table.rs
@@ -203,6 +203,11 @@
         self.jobs.get(key)
     }
 
+    /// Returns whether a job's outcome has yet to be stored.
+    pub(super) fn is_live(&self, key: JobKey) -> bool {
+        self.job(key).is_some_and(|job| !job.is_outcome_stored)
+    }
+
     pub(super) fn job_mut(&mut self, key: JobKey) -> Option<&mut Job> {
         self.jobs.get_mut(key)
     }
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -130,7 +130,7 @@
         let (job_table, writer) = (&self.job_table, &self.writer);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.acknowledge(|sequence| {
-                writer.is_stored(sequence, job_table.job(sequence.job).is_some())
+                writer.is_stored(sequence, job_table.is_live(sequence.job))
             });
         }
     }
@@ -178,7 +178,9 @@
             let _ = write!(ends, " {ran_ms} ms");
         }
         if job.outcome.is_some() {
-            return None;
+            // Until the outcome is stored, a successor would start the task again.
+            let is_stored = job.is_outcome_stored;
+            return (!is_stored).then_some(ProgressSequence::of_outcome(task.job));
         }
         let queue = job.queue.clone();
         if !end.checkpoint.is_empty()
--- a/crates/dispatch/src/coordination/pool/tests/incarnations.rs
+++ b/crates/dispatch/src/coordination/pool/tests/incarnations.rs
@@ -406,3 +406,41 @@
     }
     assert_eq!(driver.starts.len(), 1, "the only worker of the pool gets no task");
 }
+
+/// Guards against an end that a worker forgets before the outcome of its job is
+/// stored: a successor would start the task again.
+#[test]
+fn end_of_a_job_is_not_acknowledged_before_its_outcome_is_stored() {
+    let mut driver = Driver::new(&[entry(0, BORN), entry(1, BORN)]);
+    let policy = QueuePolicy { attempts_max: 1, ..QueuePolicy::default() };
+    driver.engine.set_queues([(queue(), policy)]);
+    for name in ["w0", "w1"] {
+        driver.answer(name, Ok(report(BORN, 500_000, Vec::new())));
+    }
+    driver.run_ms(60);
+    // Each task takes a whole worker.
+    driver.submit(job(vec![step(2, 8_000, 2_000)]));
+    driver.run_ms(20);
+    let starts = driver.starts.clone();
+    driver.accept_starts();
+    driver.holds_writes = true;
+    for ((contact, target), how) in starts.iter().zip([EndKind::Failed, EndKind::Done]) {
+        let OrderTarget { task, run, .. } = *target;
+        let end = EndedTask { number: 1, task, run, how, checkpoint: "".into() };
+        let ended = PollReport { ended: vec![end], ..report(BORN, 500_100, Vec::new()) };
+        driver.answer(contact.worker.as_str(), Ok(ended));
+        driver.run_ms(200);
+    }
+    let done_on = starts[1].0.worker.as_str();
+    let acknowledged = |driver: &Driver| {
+        let polls = driver.polls.iter().filter(|(to, _)| to.worker.as_str() == done_on);
+        polls.map(|(_, it)| it.acknowledged).next_back()
+    };
+    assert_eq!(acknowledged(&driver), Some(0), "the outcome is not stored");
+    driver.holds_writes = false;
+    driver.written();
+    driver.run_ms(400);
+    driver.answer(done_on, Ok(report(BORN, 500_800, Vec::new())));
+    driver.run_ms(200);
+    assert_eq!(acknowledged(&driver), Some(1));
+}
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -152,6 +152,13 @@
     pub(super) sequence: u64,
 }
 
+impl ProgressSequence {
+    /// Returns a sequence that is stored once the job's outcome is.
+    pub(super) fn of_outcome(job: super::events::JobKey) -> Self {
+        Self { job, sequence: u64::MAX }
+    }
+}
+
 impl Worker {
     pub(super) fn new(entry: WorkerEntry) -> Self {
         Self {
