Add tests of restarts under a name that fail

An end is acknowledged before it is stored: a restarted worker without runs is removed until the registry shows it, and joins again. A task that crashes workers which register a second after their return takes four of them.

--- a/crates/dispatch/src/coordination/pool/tests/restarts.rs
+++ b/crates/dispatch/src/coordination/pool/tests/restarts.rs
@@ -4,11 +4,13 @@
 //! The simulation panics when a task runs twice at once, or again after an end that is
 //! acknowledged.
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use super::interleavings::EXPIRY_MS;
-use crate::replay::pool::{PoolSimulation, job, step, task};
-use crate::state::{JobOutcome, StepSpec};
+use super::interleavings::{EXPIRY_MS, inject_fault};
+use crate::replay::pool::{PoolSimulation, job, lasting, step, task};
+use crate::state::{JobNumber, JobOutcome, JobSpec, Registration, StepSpec};
 
 /// Time within which a task that was lost is started again if there is room for
 /// it, in milliseconds; the platform's limit.
@@ -65,6 +67,107 @@
     assert_eq!(simulation.running(), 0);
 }
 
+/// Restarts a worker under its name after an outage, or changes which orders to it
+/// are delayed.
+fn inject_restart(simulation: &mut PoolSimulation, random: &mut ChaCha8Rng) {
+    match random.random_range(0..10) {
+        0..5 => {
+            let count = if random.random_bool(0.3) { simulation.workers.len() } else { 1 };
+            for _ in 0..count {
+                let at = random.random_range(0..simulation.workers.len());
+                let heartbeat_ms = random.random_range(0..=2_000);
+                simulation.heartbeat_ms = Some(heartbeat_ms);
+                simulation.away_ms = random.random_range(0..=300);
+                if random.random_bool(0.4) {
+                    simulation.restart_unregistered(at, heartbeat_ms);
+                } else {
+                    simulation.crash_worker(at);
+                }
+            }
+        }
+        5..9 => {
+            let delay_ms = match random.random_range(0..3) {
+                0 => Some(random.random_range(100..=1_000)),
+                1 => Some(random.random_range(1_000..=12_000)),
+                _ => None,
+            };
+            let at = random.random_range(0..simulation.workers.len());
+            simulation.workers[at].order_delay_ms = delay_ms;
+            simulation.workers[at].delays_one_in = random.random_range(1..=4);
+        }
+        _ => simulation.latency_ms = 10 * random.random_range(0..=2),
+    }
+}
+
+fn random_job(random: &mut ChaCha8Rng) -> JobSpec {
+    let duration_ms = random.random_range(100..1_500);
+    let first = step(random.random_range(1..6), 2_000, duration_ms);
+    let is_gang = random.random_bool(0.25);
+    let second = StepSpec { after: vec![0], ..step(2, 1_000, 200) };
+    job(vec![StepSpec { is_gang, ..first }, second])
+}
+
+/// Runs jobs while faults occur in random order, and checks that each job that was
+/// not cancelled is done in the end.
+fn run_random_restarts(seed: u64, restarts_drop_orders: bool) {
+    println!("seed {seed}");
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut simulation = PoolSimulation::new(4, 16);
+    simulation.restarts_drop_orders = restarts_drop_orders;
+    simulation.latency_ms = 10 * random.random_range(0..=2);
+    simulation.loses_resets = random.random_bool(0.5);
+    let mut controller = 0;
+    let mut jobs: Vec<JobNumber> = Vec::new();
+    for _ in 0..25 {
+        if random.random_bool(0.6) {
+            jobs.push(simulation.submit(random_job(&mut random)));
+        }
+        if jobs.len() == 3 {
+            simulation.submit(job(vec![lasting(2)]));
+        }
+        if random.random_bool(0.7) {
+            inject_restart(&mut simulation, &mut random);
+        } else {
+            inject_fault(&mut simulation, &mut random, &jobs, &mut controller);
+        }
+        simulation.run_ms(random.random_range(10..900));
+    }
+    simulation.store_is_up = true;
+    for worker in &mut simulation.workers {
+        worker.partitioned_from.clear();
+        worker.loses_replies = false;
+        worker.order_delay_ms = None;
+        worker.entry.registration = Registration::Ready;
+    }
+    simulation.register();
+    simulation.run_ms(EXPIRY_MS);
+    for &job in &jobs {
+        let ended =
+            simulation.outcome(job) == Some(JobOutcome::Done) || simulation.is_cancelled(job);
+        assert!(ended, "job {job} did not end with seed {seed}: {:?}", simulation.outcome(job));
+    }
+}
+
+/// Guards against a task that runs twice or gets lost while workers restart under
+/// their names.
+#[rstest]
+fn restarts_under_the_same_name_run_no_task_twice_and_lose_none(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] round: u64,
+) {
+    for seed in round * 1_000..round * 1_000 + 40 {
+        run_random_restarts(seed, true);
+    }
+}
+
+/// Guards against a second run that a restarted worker begins because an order to
+/// its former incarnation arrives late.
+#[rstest]
+fn orders_that_outlast_a_restart_run_no_task_twice(#[values(1, 2, 3, 4, 5, 6, 7, 8)] round: u64) {
+    for seed in round * 1_000..round * 1_000 + 40 {
+        run_random_restarts(seed, false);
+    }
+}
+
 /// Guards against a second run of a task whose start had no reply and was stopped at
 /// the former incarnation: the late start reaches one that knows nothing of the stop.
 #[rstest]
@@ -152,3 +255,60 @@
     simulation
         .run_until(EXPIRY_MS, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
 }
+
+/// Guards against a crashing task that goes on because its workers return under their
+/// names at once.
+#[rstest]
+fn task_that_crashes_workers_which_return_at_once_is_given_up(
+    #[values(30, 100, 300)] outage_ms: u64,
+    #[values(0, 10, 400)] after_ms: u64,
+    #[values(Some(0), Some(1_000))] heartbeat_ms: Option<u64>,
+) {
+    let mut simulation = PoolSimulation::new(6, 32);
+    (simulation.away_ms, simulation.heartbeat_ms) = (outage_ms, heartbeat_ms);
+    let number = simulation.submit(job(vec![step(6, 1_800, 640)]));
+    simulation.crashing.insert(task(number, 0, 0), after_ms);
+    simulation
+        .run_until(30_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Failed));
+    assert!(simulation.crash_count <= 3, "{} workers crashed", simulation.crash_count);
+}
+
+/// Guards against innocent tasks that are given up with a crashing one whose workers
+/// return under their names at once.
+#[rstest]
+fn tasks_beside_a_crashing_task_end_if_its_workers_return_at_once(
+    #[values(30, 100, 300)] outage_ms: u64,
+    #[values(10, 400)] after_ms: u64,
+    #[values(Some(0), Some(1_000))] heartbeat_ms: Option<u64>,
+) {
+    let mut simulation = PoolSimulation::new(6, 32);
+    (simulation.away_ms, simulation.heartbeat_ms) = (outage_ms, heartbeat_ms);
+    let innocent = simulation.submit(job(vec![step(6, 1_800, 640)]));
+    let number = simulation.submit(job(vec![step(6, 1_800, 640)]));
+    simulation.crashing.insert(task(number, 0, 0), after_ms);
+    simulation
+        .run_until(30_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Failed));
+    // The platform allows five starts.
+    assert!(simulation.crash_count <= 5, "{} workers crashed", simulation.crash_count);
+    simulation
+        .run_until(10_000, |simulation| simulation.outcome(innocent) == Some(JobOutcome::Done));
+}
+
+/// Guards against an end that is acknowledged before it is stored, because the worker
+/// restarted, was dropped from the pool while it had no runs, and registers later.
+#[test]
+fn ends_at_a_restarted_worker_are_not_acknowledged_before_they_are_stored() {
+    let mut simulation = PoolSimulation::new(3, 4);
+    simulation.run_ms(2_000);
+    simulation.restart_unregistered(0, 1_500);
+    simulation.store_is_up = false;
+    let number = simulation.submit(job(vec![step(9, 1_000, 300)]));
+    simulation.run_ms(10);
+    assert!(!simulation.workers[0].runs().is_empty(), "the new incarnation got no tasks");
+    simulation.run_ms(3_000);
+    simulation.kill(0);
+    simulation.store_is_up = true;
+    simulation.add_controller();
+    simulation
+        .run_until(EXPIRY_MS, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
+}
