Accept a failed job after two lost workers in the random restarts

A job may be given up once two workers crashed under one of its tasks (docs/decisions/crashing-tasks.md; AcceptedIsKept of the soak). The tests demanded that every job that is not cancelled is done. They now count on how many incarnations each task was running when these ended, until the end of its job is stored, and accept a failed job only if one of its tasks lost two. Any other job still has to be done or cancelled.

--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -167,6 +167,9 @@
     /// Workers that crashed under each of these tasks, and the task's starts
     /// after as many as may.
     crashes: HashMap<TaskAddress, (u32, u32)>,
+    /// Incarnations that ended while they ran each of these tasks, until the end of
+    /// its job was stored.
+    lost_runs: HashMap<TaskAddress, u32>,
     /// Crashes of workers that tasks caused.
     pub crash_count: u32,
     /// Time for which a crashed worker is away, in milliseconds.
@@ -219,6 +222,7 @@
             stalled_job: None,
             crashing: HashMap::new(),
             crashes: HashMap::new(),
+            lost_runs: HashMap::new(),
             crash_count: 0,
             away_ms: 3_300,
             heartbeat_ms: None,
@@ -426,6 +430,7 @@
     pub fn crash_worker(&mut self, index: usize) {
         let back_ms = self.now_ms + self.away_ms;
         self.drop_delayed_orders(index);
+        self.count_lost_runs(index);
         let worker = &mut self.workers[index];
         worker.back_ms = Some(back_ms);
         worker.ended.clear();
@@ -435,6 +440,14 @@
         }
     }
 
+    /// Counts the runs that end with a worker's incarnation.
+    fn count_lost_runs(&mut self, index: usize) {
+        let tasks = self.workers[index].running.keys();
+        for &task in tasks.filter(|task| !self.ended.contains_key(&task.job)) {
+            *self.lost_runs.entry(task).or_default() += 1;
+        }
+    }
+
     fn drop_delayed_orders(&mut self, index: usize) {
         if self.restarts_drop_orders {
             self.delayed_orders.retain(|late| late.at != index || !late.is_held_up);
@@ -486,6 +499,7 @@
     /// Restarts a worker after a crash, without any runs.
     pub fn restart_worker(&mut self, index: usize) {
         self.drop_delayed_orders(index);
+        self.count_lost_runs(index);
         let cores = self.workers[index].entry.capacity.cpu_millicores / 1_000;
         let mut worker = FakeWorker::new(index, cores);
         worker.entry.born_unix_ms = UNIX_ORIGIN_MS + self.now_ms;
@@ -885,6 +899,13 @@
         self.ended.get(&job).map(|&(_, outcome)| outcome)
     }
 
+    /// Returns the highest number of incarnations that ended while they ran one and
+    /// the same task of a job, before the job's end was stored.
+    pub fn lost_runs_max(&self, job: JobNumber) -> u32 {
+        let lost = self.lost_runs.iter().filter(|(task, _)| task.job == job);
+        lost.map(|(_, &count)| count).max().unwrap_or(0)
+    }
+
     pub fn has_progress(&self, job: JobNumber) -> bool {
         self.progress.get(&job).is_some_and(|progress| !progress.steps.is_empty())
     }
