Close the gaps that a review of restarts under the same name found

Found by a reviewer who had not seen the work, by reading; not seen in a play: - A start that was given up with a lease counted as refused by a restarted worker that had confirmed no stop of it. - A registry view that goes back in time replaced the live incarnation, ended its runs and kept the worker out of use. Such an entry now only causes a poll, which tells whether the time of day was set back. - An incarnation known from a poll that registers in another pool stayed. - Each further restart prolonged the wait for a run that was carried over; the bound now counts from its start. - A late run was adopted beside a carried one of the same task, and its end settled the other. - The lease of a carried run counted from the latest reply only.

Measured: outdated_registry_entry_ends_no_run_of_the_live_incarnation and late_start_is_stopped_at_a_worker_that_was_given_up are new; all library tests of the dispatcher pass.

--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -162,7 +162,7 @@
         end: &EndedTask,
         ends: &mut String,
     ) -> Option<ProgressSequence> {
-        self.settle_listed(key, task);
+        self.settle_listed(key, task, end.run);
         if end.how == EndKind::Done {
             self.note_done(now_ms, key, task, end.run);
         }
@@ -319,7 +319,7 @@
         if let RunPhase::Unanswered { .. } = run.phase {
             run.phase = RunPhase::Running { since_ms: now_ms };
         }
-        self.settle_listed(key, task);
+        self.settle_listed(key, task, number);
     }
 
     /// Handles a run that the worker does not list.
@@ -374,7 +374,9 @@
         running: &RunningTask,
     ) {
         let task = self.job_table.resolve(address);
-        let is_wanted = task.is_some_and(|task| self.may_adopt(task));
+        let worker = self.workers.get(key);
+        let has_other_run = |task| worker.is_some_and(|worker| worker.runs.contains_key(&task));
+        let is_wanted = task.is_some_and(|task| self.may_adopt(task) && !has_other_run(task));
         if let Some(task) = task.filter(|_| is_wanted) {
             self.adopt(now_ms, key, task, running);
             return;
@@ -411,6 +413,9 @@
         let Some(allocation) = self.job_table.spec(task).map(StepSpec::allocation) else { return };
         log::info!(task:display = running.task, run:display = running.run,
             percent = running.percent; "adopted a run that an earlier order started");
+        if let Some(worker) = self.workers.get(key) {
+            self.late_starts.forget(&worker.entry.worker, running.task, running.run);
+        }
         let Some(state) = self.job_table.task_mut(task) else { return };
         if !running.checkpoint.is_empty() {
             state.checkpoint = running.checkpoint.clone();
--- a/crates/dispatch/src/coordination/pool/registry.rs
+++ b/crates/dispatch/src/coordination/pool/registry.rs
@@ -45,11 +45,6 @@
             if self.is_outdated(entry) {
                 continue;
             }
-            // Entries under one name follow each other, whatever the time of day.
-            if self.is_replaced_in_registry(entry) {
-                self.newest_starts.insert(entry.host.clone(), entry.born_unix_ms);
-                continue;
-            }
             match self.newest_starts.get_mut(&entry.host) {
                 Some(born) => *born = (*born).max(entry.born_unix_ms),
                 None => drop(self.newest_starts.insert(entry.host.clone(), entry.born_unix_ms)),
@@ -64,6 +59,15 @@
                 || self.is_outdated(entry)
                 || self.has_newer_incarnation(&entry.host, entry.born_unix_ms)
             {
+                // An entry with an earlier start is out of date, or the time of day was
+                // set back. A poll tells.
+                if let Some(key) = self.other_incarnation(entry) {
+                    listed.insert(key);
+                    self.workers.poll_by(self.stepped_ms, key);
+                }
+                if entry.pool != pool {
+                    self.note_elsewhere(entry);
+                }
                 continue;
             }
             let known = self.workers.find(&entry.worker);
--- a/crates/dispatch/src/coordination/pool/restarts.rs
+++ b/crates/dispatch/src/coordination/pool/restarts.rs
@@ -56,8 +56,16 @@
 }
 
 impl LateStarts {
-    /// Adds a start that the current incarnation of a worker refuses.
-    fn add(&mut self, now_ms: u64, worker: &WorkerEntry, task: TaskAddress, run: &Run) {
+    /// Adds a start; `is_stopped` tells that the current incarnation of the worker
+    /// has accepted a stop of the run.
+    fn add(
+        &mut self,
+        now_ms: u64,
+        worker: &WorkerEntry,
+        task: TaskAddress,
+        run: &Run,
+        is_stopped: bool,
+    ) {
         let is_own_limit = run.start_until_ms != u64::MAX;
         let start = LateStart {
             task,
@@ -65,7 +73,7 @@
             limit_of: is_own_limit.then_some(worker.born_unix_ms),
             until_ms: now_ms + LATE_ORDER_MAX_MS,
             asked: None,
-            stopped_in: Some(worker.born_unix_ms),
+            stopped_in: (is_stopped || is_own_limit).then_some(worker.born_unix_ms),
         };
         self.by_worker.entry(worker.worker.clone()).or_default().push(start);
     }
@@ -105,6 +113,13 @@
         }
     }
 
+    /// Forgets the start of a run that goes on.
+    pub(super) fn forget(&mut self, worker: &WorkerId, task: TaskAddress, number: RunNumber) {
+        if let Some(starts) = self.by_worker.get_mut(worker) {
+            starts.retain(|start| start.task != task || start.number != number);
+        }
+    }
+
     fn prune(&mut self, now_ms: u64) {
         self.by_worker.retain(|_, starts| {
             starts.retain(|start| now_ms < start.until_ms);
@@ -124,27 +139,30 @@
         if let Some(former) = former.filter(|it| it.entry.born_unix_ms != entry.born_unix_ms) {
             let outdated = self.outdated_starts.entry(entry.worker.clone()).or_default();
             outdated.push(former.entry.born_unix_ms);
+            outdated.retain(|&born_unix_ms| born_unix_ms != entry.born_unix_ms);
             self.newest_starts.insert(entry.host.clone(), entry.born_unix_ms);
         }
         let carried: Vec<_> = (former.into_iter())
             .flat_map(|worker| worker.runs.iter().map(|(&task, &(number, _))| (task, number)))
-            .filter(|&(task, number)| self.may_begin_later(key, task, number))
+            .filter_map(|(task, number)| {
+                let until_ms = self.may_begin_until_ms(key, task, number)?;
+                (now_ms < until_ms).then_some((task, number, until_ms))
+            })
             .collect();
         let lost_before = self.workers.get_mut(key).map(|it| std::mem::take(&mut it.lost_before));
         self.suspects.note_lost(lost_before.unwrap_or_default());
-        let lost = self.note_crash(key, |task| carried.iter().any(|&(other, _)| other == task));
+        let lost = self.note_crash(key, |task| carried.iter().any(|&(other, ..)| other == task));
         let successor = self.insert_worker(entry);
-        for &(task, number) in &carried {
+        for &(task, number, _) in &carried {
             let lost = lost.iter().find(|lost| lost.task == task).copied();
             self.carry_over(now_ms, RunAt { worker: key, task, number }, successor, lost);
         }
         self.drop_all_runs(key);
         self.remove_worker(key);
+        let late_until_ms = carried.iter().map(|&(.., until_ms)| until_ms).max();
         let lease_max_ms = self.timing.worker_lease_max_ms;
-        if let Some(worker) = self.workers.get_mut(successor)
-            && !carried.is_empty()
-        {
-            worker.unread_lease_until_ms = now_ms + LATE_ORDER_MAX_MS + lease_max_ms;
+        if let (Some(until_ms), Some(worker)) = (late_until_ms, self.workers.get_mut(successor)) {
+            worker.former_lease_until_ms = until_ms + lease_max_ms;
         }
         self.stop_late_starts(now_ms, successor);
         successor
@@ -162,11 +180,12 @@
         successor
     }
 
-    /// Returns whether a run may begin, or have begun, in a later incarnation of
-    /// its worker.
-    fn may_begin_later(&self, key: WorkerKey, task: TaskRef, number: RunNumber) -> bool {
-        let runs = self.job_table.task(task).map_or(&[][..], |task| &task.runs);
-        runs.iter().any(|run| run.worker == key && run.number == number && !run.is_listed)
+    /// Returns until when a run may begin in a later incarnation of its worker, in
+    /// milliseconds on the local clock; none if it has ended with this one.
+    fn may_begin_until_ms(&self, key: WorkerKey, task: TaskRef, number: RunNumber) -> Option<u64> {
+        let runs = &self.job_table.task(task)?.runs;
+        let run = runs.iter().find(|run| run.worker == key && run.number == number)?;
+        (!run.is_listed).then_some(run.since_ms + LATE_ORDER_MAX_MS)
     }
 
     fn carry_over(&mut self, now_ms: u64, at: RunAt, successor: WorkerKey, lost: Option<LostRun>) {
@@ -211,10 +230,11 @@
         }
     }
 
-    /// Records that a worker lists a run that may have been carried over.
-    pub(super) fn settle_listed(&mut self, key: WorkerKey, task: TaskRef) {
+    /// Records that a worker lists a run, or its end, that may have been carried over.
+    pub(super) fn settle_listed(&mut self, key: WorkerKey, task: TaskRef, number: RunNumber) {
         let Some(worker) = self.workers.get_mut(key) else { return };
-        if worker.carried_over.remove(&task).is_some() {
+        let is_same = worker.runs.get(&task).is_some_and(|&(known, _)| known == number);
+        if is_same && worker.carried_over.remove(&task).is_some() {
             self.clear_lost_run(task);
             self.note_former_crash(key);
         }
@@ -228,12 +248,15 @@
         task: TaskRef,
         number: RunNumber,
     ) {
+        let run = self.job_table.task_mut(task).and_then(|task| task.run_mut(key, number));
+        let has_begun = run.is_some_and(|run| run.has_begun);
         let mut was_carried = false;
         if let Some(worker) = self.workers.get_mut(key)
             && let Some(lost) = worker.carried_over.get(&task)
         {
             was_carried = true;
-            worker.lost_before.extend(*lost);
+            // A start that nobody confirmed was hardly the cause of the crash.
+            worker.lost_before.extend(lost.filter(|_| has_begun));
         }
         self.note_late_start(now_ms, key, task, number);
         self.drop_run(task, key, number);
@@ -259,7 +282,8 @@
             && let Some(address) = self.job_table.address(task)
             && let Some(worker) = self.workers.get(key)
         {
-            self.late_starts.add(now_ms, &worker.entry, address, run);
+            let is_stopped = matches!(run.phase, RunPhase::Stopping { confirmed_ms: Some(_), .. });
+            self.late_starts.add(now_ms, &worker.entry, address, run, is_stopped);
         }
     }
 
@@ -326,16 +350,27 @@
         run.map_or(target, |run| OrderTarget { worker: run.worker, ..target })
     }
 
-    /// Returns whether a registry entry has replaced the one of a known worker of
-    /// the same name and pool.
-    pub(super) fn is_replaced_in_registry(&self, entry: &WorkerEntry) -> bool {
-        let known = self.workers.find(&entry.worker).and_then(|key| self.workers.get(key));
-        known.is_some_and(|known| {
-            matches!(known.presence, Presence::Registered(_))
-                && entry.pool == self.control.pool
-                && known.entry.host == entry.host
-                && known.entry.born_unix_ms != entry.born_unix_ms
-        })
+    /// Treats an incarnation that the registry has not listed in this pool as gone
+    /// once it lists it in another one.
+    pub(super) fn note_elsewhere(&mut self, entry: &WorkerEntry) {
+        let key = self.workers.find(&entry.worker);
+        if let Some(worker) = key.and_then(|key| self.workers.get_mut(key))
+            && worker.presence == Presence::Unlisted
+            && worker.entry.born_unix_ms == entry.born_unix_ms
+        {
+            worker.presence = Presence::Gone;
+        }
+    }
+
+    /// Returns the worker of the same name and pool as a registry entry that names
+    /// another incarnation of it.
+    pub(super) fn other_incarnation(&self, entry: &WorkerEntry) -> Option<WorkerKey> {
+        let key = self.workers.find(&entry.worker)?;
+        let known = &self.workers.get(key)?.entry;
+        let is_other = entry.pool == self.control.pool
+            && known.host == entry.host
+            && known.born_unix_ms != entry.born_unix_ms;
+        is_other.then_some(key)
     }
 
     /// Returns whether a registry entry is that of an incarnation that a later one
--- a/crates/dispatch/src/coordination/pool/tests/incarnations.rs
+++ b/crates/dispatch/src/coordination/pool/tests/incarnations.rs
@@ -444,3 +444,51 @@
     driver.run_ms(200);
     assert_eq!(acknowledged(&driver), Some(1));
 }
+
+/// Guards against a view of the registry that goes back in time and ends the runs of
+/// the live incarnation, or keeps its worker out of use.
+#[test]
+fn outdated_registry_entry_ends_no_run_of_the_live_incarnation() {
+    let mut driver = Driver::new(&[entry(0, BORN)]);
+    driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
+    driver.run_ms(60);
+    driver.submit(job(vec![step(1, 1_000, 2_000)]));
+    driver.run_ms(20);
+    let (_, target) = driver.starts[0].clone();
+    driver.accept_starts();
+    let listed = vec![running(task(JOB, 0, 0), &target)];
+    driver.answer("w0", Ok(report(BORN, 500_100, listed.clone())));
+    driver.register(&[entry(0, BORN - 5_000)]);
+    for clock_ms in [500_200, 500_300, 500_400] {
+        driver.run_ms(100);
+        driver.answer("w0", Ok(report(BORN, clock_ms, listed.clone())));
+    }
+    assert_eq!(driver.starts.len(), 0, "the task is started again: {:?}", driver.starts);
+    let key = driver.key("w0").expect("the worker is known");
+    let worker = driver.engine.workers.get(key).expect("the worker is known");
+    assert_eq!((worker.entry.born_unix_ms, worker.runs.len()), (BORN, 1));
+}
+
+/// Guards against a late start that a restarted worker carries out once it can be
+/// reached again, because it counts as refused there.
+#[test]
+fn late_start_is_stopped_at_a_worker_that_was_given_up() {
+    let mut driver = Driver::new(&[entry(0, BORN), entry(1, BORN)]);
+    let (target, born) = restart_after_a_start(&mut driver, Sign::Poll, OrderReply::Unknown);
+    driver.starts.clear();
+    while driver.starts.is_empty() {
+        driver.run_ms(100);
+        driver.answer("w0", Err(PollFailure::Unreachable));
+        driver.answer("w1", Ok(report(BORN, 500_000 + driver.now_ms, Vec::new())));
+        assert!(driver.now_ms < 40_000, "the task is not started again");
+    }
+    driver.stops.clear();
+    driver.register(&[entry(0, born), entry(1, BORN)]);
+    for clock_ms in [26_000, 26_100] {
+        driver.run_ms(200);
+        driver.answer("w0", Ok(report(born, clock_ms, Vec::new())));
+    }
+    driver.run_ms(500);
+    let stops = driver.stops.iter().map(|stop| (stop.task, stop.run));
+    assert!(stops.into_iter().any(|stop| stop == (target.task, target.run)));
+}
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -124,9 +124,9 @@
     /// Runs that were carried over and are not here: the former incarnation may
     /// have crashed under them.
     pub(super) lost_before: Vec<LostRun>,
-    /// End of every lease that may be held here before the clock was read, on the
-    /// local clock.
-    pub(super) unread_lease_until_ms: u64,
+    /// End of every lease that a run which was carried over may hold, on the local
+    /// clock.
+    pub(super) former_lease_until_ms: u64,
     pub(super) health: Health,
     /// The stored roster contains the worker.
     pub(super) is_rostered: bool,
@@ -184,7 +184,7 @@
             acknowledgement_confirmed: 0,
             carried_over: HashMap::new(),
             lost_before: Vec::new(),
-            unread_lease_until_ms: 0,
+            former_lease_until_ms: 0,
             health: Health::default(),
             is_rostered: false,
             is_shared: false,
@@ -254,10 +254,9 @@
     /// Returns whether every lease and start that was granted has certainly
     /// expired.
     pub(super) fn is_lease_over(&self, now_ms: u64) -> bool {
-        let until_ms = self
-            .clock
-            .map_or(self.unread_lease_until_ms, |clock| clock.passes_at_ms(self.granted_until_ms));
-        now_ms >= until_ms
+        let granted = self.clock.map(|clock| clock.passes_at_ms(self.granted_until_ms));
+        let former = (!self.carried_over.is_empty()).then_some(self.former_lease_until_ms);
+        [granted, former].into_iter().flatten().all(|until_ms| now_ms >= until_ms)
     }
 
     /// Returns whether the worker answered a poll within the last `within_ms`.
