--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -5,8 +5,9 @@
 //! their entitlements (`fair_share`), the state of each worker (`workers`), the
 //! priority order of waiting work (`order`), worker selection (`placement`),
 //! expected durations (`durations`), the published load (`load`, `profile`),
-//! tasks under which workers crashed (`crashes`), kinds of tasks that slow each
-//! other down (`interference`) and pending writes to the store (`writer`).
+//! tasks under which workers crashed (`crashes`), workers that restart under their
+//! names (`restarts`), kinds of tasks that slow each other down (`interference`)
+//! and pending writes to the store (`writer`).
 
 mod accounts;
 mod advice;
--- a/crates/dispatch/src/coordination/pool/restarts.rs
+++ b/crates/dispatch/src/coordination/pool/restarts.rs
@@ -19,6 +19,7 @@
     engine::PoolEngine,
     events::{OrderTarget, WorkerKey},
     interference::RunAt,
+    stops::STOP_RETRY_MS,
     task::{Run, RunPhase, TaskRef},
     workers::{Presence, Worker},
 };
@@ -27,9 +28,6 @@
 /// Time after which an order without a reply is no longer carried out, in
 /// milliseconds.
 const LATE_ORDER_MAX_MS: u64 = 15_000;
-/// Delay before a late start is stopped again if the stop had no reply, in
-/// milliseconds.
-const STOP_RETRY_MS: u64 = 400;
 
 /// A start without a reply whose run was given up.
 #[derive(Clone, Debug)]
@@ -149,6 +147,7 @@
                 (now_ms < until_ms).then_some((task, number, until_ms))
             })
             .collect();
+        // Crashes are counted by the former key, so before the runs change theirs.
         let lost_before = self.workers.get_mut(key).map(|it| std::mem::take(&mut it.lost_before));
         self.suspects.note_lost(lost_before.unwrap_or_default());
         let lost = self.note_crash(key, |task| carried.iter().any(|&(other, ..)| other == task));
@@ -175,7 +174,7 @@
         let entry = WorkerEntry { born_unix_ms, ..worker.entry.clone() };
         let successor = self.restart(key, entry, "the worker restarted");
         if let Some(worker) = self.workers.get_mut(successor) {
-            worker.presence = Presence::Unlisted;
+            worker.presence = Presence::Unregistered;
         }
         successor
     }
@@ -355,7 +354,7 @@
     pub(super) fn note_elsewhere(&mut self, entry: &WorkerEntry) {
         let key = self.workers.find(&entry.worker);
         if let Some(worker) = key.and_then(|key| self.workers.get_mut(key))
-            && worker.presence == Presence::Unlisted
+            && worker.presence == Presence::Unregistered
             && worker.entry.born_unix_ms == entry.born_unix_ms
         {
             worker.presence = Presence::Gone;
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -14,7 +14,7 @@
 use crate::state::{Registration, RunNumber, TaskAddress};
 
 /// Delay before a stop without reply is sent again, in milliseconds.
-const STOP_RETRY_MS: u64 = 400;
+pub(super) const STOP_RETRY_MS: u64 = 400;
 /// Delay before a confirmed stop is sent again if the end of the run is not
 /// reported, in milliseconds: above the longest time that the platform allows
 /// for a stop.
--- a/crates/dispatch/src/coordination/pool/task.rs
+++ b/crates/dispatch/src/coordination/pool/task.rs
@@ -39,7 +39,7 @@
     pub(super) worker: WorkerKey,
     pub(super) number: RunNumber,
     pub(super) phase: RunPhase,
-    /// The worker's current incarnation has listed the run.
+    /// A poll has listed the run, so it ends with the worker's incarnation.
     pub(super) is_listed: bool,
     /// A worker has confirmed or listed the run, so its start is not carried out
     /// again.
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -61,7 +61,7 @@
 pub(super) enum Presence {
     Registered(Registration),
     /// The incarnation has answered a poll, and the registry has not listed it yet.
-    Unlisted,
+    Unregistered,
     /// The registry no longer lists the worker.
     Gone,
 }
