--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -18,14 +18,15 @@
 
 
 class Deployment:
-    def __init__(self, case, plan, workers=6, entries=3, service="svc-a", per_rack=2):
+    def __init__(self, case, plan, workers=6, entries=3, services=("svc-a",), per_rack=2):
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         self.record = Record(os.path.join(case, "record.txt"))
         self.store = Store(self.record)
-        self.service = service
+        self.services = services
         self.workers = [
-            Worker(self.record, self.store, f"i-{index:02}", f"m-{index:02}", service,
-                   f"r1-{index // per_rack}", plan) for index in range(workers)]
+            Worker(self.record, self.store, f"i-{index:02}", f"m-{index:02}",
+                   services[index * len(services) // workers], f"r1-{index // per_rack}", plan)
+            for index in range(workers)]
         self.hosts = Hosts(self.record, self.workers)
         self.dispatchers = Dispatchers(self.record, ROOT, self.folder.name)
         self.names = [f"edge-{index + 1}" for index in range(entries)]
@@ -59,13 +60,22 @@
 
     async def configure(self, version, routes, tenants=None):
         document = {"version": version, "routes": routes,
-                    "services": [{"name": self.service, "enforces_capacity": False}],
+                    "services": [{"name": name, "enforces_capacity": False}
+                                 for name in self.services],
                     "limits": {}}
         if tenants is not None:
             document["tenants"] = tenants
         await self.store.put("op/config", document)
         self.record.add("configuration", version=version,
-                        routes=[route["name"] for route in routes])
+                        routes={route["name"]: route["service"] for route in routes})
+
+    def overlap(self):
+        """Returns a task with two runs at the same time on workers that are up."""
+        held = {}
+        for worker in self.workers:
+            for task, started in worker.running.items():
+                held.setdefault(task, []).append((worker.name, worker.service, started["run"]))
+        return next(((task, runs) for task, runs in held.items() if len(runs) > 1), None)
 
     async def client(self, name, method, path, body=None):
         sent = self.record.now()
