--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import time
 import urllib.parse
@@ -295,6 +296,13 @@
         self.running = {}
         await self.server.stop()
         self.record.add("worker crashed", worker=self.name)
+        asyncio.create_task(self.expire_entry(self.life))
+
+    async def expire_entry(self, life):
+        """Removes the entry of a life that has ended, after three heartbeats."""
+        await asyncio.sleep(3 * self.heartbeat_ms / 1000)
+        if self.life == life:
+            await self.store.remove(f"servers/{self.name}")
 
     def entry(self):
         return {"service": self.service, "address": f"{HOST}:{self.server.port}", "zone": "z1",
@@ -304,6 +312,8 @@
                 "labels": ["a", self.rack]}
 
     async def heartbeat(self):
+        # The beats of the workers are not in step.
+        await asyncio.sleep(random.random() * self.heartbeat_ms / 1000)
         while True:
             if self.registers:
                 self.seq += 1
