--- a/review/1/case.py
+++ b/review/1/case.py
@@ -31,9 +31,6 @@
         await site.configure(2, [route("queue-a", service), route("queue-b", "svc-b")])
         await asyncio.sleep(CONFIG_APPLY_S + VISIBLE_S + 1)
         states = [await site.client(name, "GET", path) for name in site.names]
-        if trouble:
-            # Without the change a cancellation would end the job.
-            await site.client("edge-3", "DELETE", path)
         # The same request again, as it occasionally arrives after its 2xx.
         await site.client("edge-2", "POST", path, body)
         twice = None
@@ -43,6 +40,11 @@
             await asyncio.sleep(0.02)
         if twice:
             site.record.add("TWICE", task=twice[0], runs=twice[1])
+        # After both checks: a cancellation, and what still runs a second later.
+        await site.client("edge-3", "DELETE", path)
+        await asyncio.sleep(1)
+        site.record.add("still running", runs=[
+            (it.name, it.service, task) for it in site.workers for task in it.running])
         gone = [name for name, reply in zip(site.names, states) if reply and reply[0] == 410]
         if gone:
             site.record.add("LOST", job=JOB, processes=gone)
