End no incarnation because of a registry entry alone

Cause: the engine took the start times of all decoded entries as those of the incarnations that the hosts run, and ended earlier ones without asking them.

An incarnation now counts from its first answered poll on. An earlier one on its host has ended if it does not answer. An entry under the name of a known worker is polled beside it, and the answer decides. Only workers that have answered are on the roster, in the pool's load and in the capacity that a new controller assumes to be in use, so a new controller does not wait for entries without a worker.

Two relied on the registry alone: roster_of_the_former_incarnation_does_not_cover_the_new_one now has both incarnations answer and also asserts which one is known; restarted_controller_does_not_use_a_worker_that_has_left lets the worker that has left be polled, which it never answers, and still fails if it is told to run a task. The driver of the incarnation tests moved to a file of its own.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -156,13 +156,15 @@
     pub(super) suspects_reserved: bool,
     pub(super) vacating: HashSet<WorkerId>,
     pub(super) vacated: HashSet<WorkerId>,
-    /// Start of the newest worker incarnation on each registered host of any
-    /// pool, in milliseconds since 1970.
+    /// Start of the newest worker incarnation on each host that has answered a
+    /// poll, in milliseconds since 1970.
     pub(super) newest_starts: HashMap<HostId, u64>,
     /// Starts of the incarnations under each name that later ones have replaced, in
     /// milliseconds since 1970.
     pub(super) outdated_starts: HashMap<WorkerId, Vec<u64>>,
     pub(super) late_starts: LateStarts,
+    /// The roster has to be stored again.
+    pub(super) roster_due: bool,
     /// No successor can hold control before this time, on the local clock.
     pub(super) confirmed_until_ms: u64,
     /// Stops for maintenance and moves wait until this time, on the local
@@ -213,6 +215,7 @@
             newest_starts: HashMap::new(),
             outdated_starts: HashMap::new(),
             late_starts: LateStarts::default(),
+            roster_due: false,
             confirmed_until_ms: 0,
             handover_grace_until_ms: 0,
             unreconciled: Some(Vec::new()),
@@ -517,6 +520,10 @@
     }
 
     fn next_write(&mut self, now: ClockReading) -> Option<PoolWrite> {
+        if std::mem::take(&mut self.roster_due) {
+            let roster = self.roster();
+            self.writer.set_roster(roster);
+        }
         let records = JobTableRecords { job_table: &self.job_table, unix_ms: now.unix_ms };
         self.writer.next_write(now.monotonic_ms, &records)
     }
--- a/crates/dispatch/src/coordination/pool/limits.rs
+++ b/crates/dispatch/src/coordination/pool/limits.rs
@@ -66,7 +66,8 @@
     fn unseen_capacity(&self) -> Resources {
         let is_hidden = |worker: &Worker| {
             (self.unreconciled.is_some()
-                && worker.polled_ms.is_none()
+                && !worker.is_confirmed()
+                && self.is_unreconciled(&worker.entry.worker)
                 && !self.vacated.contains(&worker.entry.worker))
                 || worker.orphan_runs.values().any(|orphan| orphan.allocation.is_none())
         };
--- a/crates/dispatch/src/coordination/pool/load.rs
+++ b/crates/dispatch/src/coordination/pool/load.rs
@@ -49,7 +49,9 @@
             let own = worker.entry.capacity.cpu_millicores;
             if takes_work(worker, now_ms) {
                 capacity += own.saturating_sub(self.lasting_millicores_on(worker));
-            } else if worker.presence == Presence::Registered(Registration::Ready) {
+            } else if worker.is_confirmed()
+                && worker.presence == Presence::Registered(Registration::Ready)
+            {
                 joining += own;
             }
         }
@@ -95,7 +97,8 @@
 
     /// Returns the largest amount of each resource on any worker.
     fn largest_worker(&self) -> Resources {
-        self.workers.iter().map(|(_, worker)| worker.entry.capacity).fold(
+        let confirmed = self.workers.iter().filter(|(_, worker)| worker.is_confirmed());
+        confirmed.map(|(_, worker)| worker.entry.capacity).fold(
             Resources::default(),
             |largest, own| Resources {
                 cpu_millicores: largest.cpu_millicores.max(own.cpu_millicores),
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -15,6 +15,7 @@
     events::{EndKind, EndedTask, PollFailure, PollReport, RunningTask, WorkerKey},
     interference::RunAt,
     job_table::Completion,
+    registry::SUPERSEDED,
     task::{Run, RunPhase, TaskRef},
     workers::{OrphanRun, ProgressSequence, WorkerClock},
 };
@@ -40,6 +41,14 @@
     ) {
         let now_ms = now.monotonic_ms;
         let Some(sent_ms) = self.workers.end_poll(now_ms, key) else { return };
+        let key = match (&result, self.workers.claimed_from(key)) {
+            (Ok(report), Some(known)) => {
+                let Some(key) = self.settle_claim(key, known, report.born_unix_ms) else { return };
+                key
+            }
+            (Err(PollFailure::OtherLife), Some(_)) => return self.drop_claimant(key),
+            _ => key,
+        };
         let Some(worker) = self.workers.get_mut(key) else { return };
         let report = match result {
             Ok(report) => report,
@@ -49,6 +58,11 @@
             }
             Err(failure @ (PollFailure::Refused | PollFailure::Unreachable)) => {
                 worker.lost_ms.get_or_insert(now_ms);
+                worker.is_unreachable = failure == PollFailure::Unreachable;
+                if self.is_superseded(key) {
+                    return self.end_incarnation(key, SUPERSEDED);
+                }
+                let Some(worker) = self.workers.get_mut(key) else { return };
                 if worker.missed_polls == 0 {
                     let age_ms = worker.polled_ms.map(|polled_ms| now_ms.saturating_sub(polled_ms));
                     log::info!(worker = worker.entry.worker.as_str(), failure:display = failure,
@@ -83,10 +97,15 @@
         }
         worker.clock = Some(WorkerClock::new(report.clock_ms, now_ms));
         let was_reachable = worker.is_reachable(now_ms, super::placement::REACHABLE_MS);
+        let was_confirmed = worker.is_confirmed();
+        worker.is_unreachable = false;
         worker.polled_ms = Some(now_ms);
         (worker.heard_ms, worker.lost_ms) = (now_ms, None);
         worker.on_poll_answered();
         let missed_polls = std::mem::take(&mut worker.missed_polls);
+        if !was_confirmed {
+            self.on_confirmed(key);
+        }
         let was_lost = missed_polls >= LOST_POLLS;
         self.placing_due |= !was_reachable || !report.ended.is_empty();
         if missed_polls > 0 || !was_reachable {
--- a/crates/dispatch/src/coordination/pool/placement.rs
+++ b/crates/dispatch/src/coordination/pool/placement.rs
@@ -89,6 +89,7 @@
 pub(super) fn takes_work(worker: &Worker, now_ms: u64) -> bool {
     worker.presence == Presence::Registered(Registration::Ready)
         && worker.is_rostered
+        && !worker.is_claimed
         && !worker.is_vacated
         && worker.is_reachable(now_ms, REACHABLE_MS)
         && !worker.health.is_suspended(now_ms)
--- a/crates/dispatch/src/coordination/pool/recovery.rs
+++ b/crates/dispatch/src/coordination/pool/recovery.rs
@@ -1,9 +1,12 @@
 //! Recovery after a change of control: state from the store, then
 //! reconciliation with the previous controller's runs.
 
-use tamarackproxy::state::{clock::ClockReading, ids::RecordVersion};
+use tamarackproxy::state::{
+    clock::ClockReading,
+    ids::{RecordVersion, WorkerId},
+};
 
-use super::{engine::PoolEngine, stops::HANDOVER_GRACE_MS, task::TaskRef};
+use super::{engine::PoolEngine, stops::HANDOVER_GRACE_MS, task::TaskRef, workers::Worker};
 use crate::state::{JobNumber, JobOutcome, JobRecord, ProgressRecord, Roster};
 
 /// A job's record with its version.
@@ -74,26 +77,29 @@
         }
     }
 
+    /// Returns whether a worker is on the previous controller's roster and was not
+    /// polled yet.
+    pub(super) fn is_unreconciled(&self, worker: &WorkerId) -> bool {
+        self.unreconciled.iter().flatten().any(|entry| entry.worker == *worker)
+    }
+
     /// Finishes the reconciliation with the previous controller's runs once
-    /// every worker that may have one was polled, or all leases that the
+    /// every worker of the roster was polled, or all leases that the
     /// previous controller granted have expired.
     pub(super) fn try_finish_reconciliation(&mut self, now_ms: u64) {
         let Some(mut unreconciled) = self.unreconciled.take() else { return };
         let workers = &self.workers;
         unreconciled.retain(|entry| {
             let found = workers.find(&entry.worker).and_then(|key| workers.get(key));
-            let is_polled = found.is_some_and(|worker| worker.polled_ms.is_some());
+            let is_polled = found.is_some_and(Worker::is_confirmed);
             // A newer incarnation on the host has no runs of the earlier one.
             let is_vacated = self.vacated.contains(&entry.worker);
             !is_polled
                 && !is_vacated
                 && !self.has_newer_incarnation(&entry.host, entry.born_unix_ms)
         });
-        let known_are_polled = workers.iter().all(|(_, worker)| {
-            worker.polled_ms.is_some() || self.vacated.contains(&worker.entry.worker)
-        });
         let is_over = now_ms >= self.control.predecessor_until_ms;
-        if (unreconciled.is_empty() && known_are_polled) || is_over {
+        if unreconciled.is_empty() || is_over {
             log::info!(pool = self.control.pool.as_str(), not_listed = unreconciled.len(),
                 timed_out = is_over;
                 "reconciliation with the previous controller's runs has finished");
--- a/crates/dispatch/src/coordination/pool/restarts.rs
+++ b/crates/dispatch/src/coordination/pool/restarts.rs
@@ -138,7 +138,6 @@
             let outdated = self.outdated_starts.entry(entry.worker.clone()).or_default();
             outdated.push(former.entry.born_unix_ms);
             outdated.retain(|&born_unix_ms| born_unix_ms != entry.born_unix_ms);
-            self.newest_starts.insert(entry.host.clone(), entry.born_unix_ms);
         }
         let carried: Vec<_> = (former.into_iter())
             .flat_map(|worker| worker.runs.iter().map(|(&task, &(number, _))| (task, number)))
@@ -171,9 +170,20 @@
     /// the registry shows it: its capacity may be another one.
     pub(super) fn restart_at_poll(&mut self, key: WorkerKey, born_unix_ms: u64) -> WorkerKey {
         let Some(worker) = self.workers.get(key) else { return key };
-        let entry = WorkerEntry { born_unix_ms, ..worker.entry.clone() };
+        let claimant = self.workers.claimant(&worker.entry.worker);
+        let claimed = claimant.and_then(|claimant| self.workers.get(claimant));
+        let registered = claimed.map(|claimed| &claimed.entry);
+        let registered = registered.filter(|entry| entry.born_unix_ms == born_unix_ms).cloned();
+        let is_registered = registered.is_some();
+        let entry =
+            registered.unwrap_or_else(|| WorkerEntry { born_unix_ms, ..worker.entry.clone() });
+        if let Some(claimant) = claimant {
+            self.workers.remove(claimant);
+        }
         let successor = self.restart(key, entry, "the worker restarted");
-        if let Some(worker) = self.workers.get_mut(successor) {
+        if let Some(worker) = self.workers.get_mut(successor)
+            && !is_registered
+        {
             worker.presence = Presence::Unregistered;
         }
         successor
--- a/crates/dispatch/src/coordination/pool/tests/control.rs
+++ b/crates/dispatch/src/coordination/pool/tests/control.rs
@@ -201,7 +201,7 @@
     let listed: Vec<_> = [left].into_iter().chain(current).collect();
     simulation.engine(successor).on_registry(&listed);
     let number = simulation.submit(job(vec![step(4, 4_000, 300)]));
-    // The simulation panics if a worker that does not exist is called.
+    // The simulation panics if a worker that does not exist is told to run a task.
     simulation.run_until(2_000, |simulation| simulation.outcome(number) == Some(JobOutcome::Done));
 }
 
--- a/crates/dispatch/src/coordination/pool/tests/incarnations.rs
+++ b/crates/dispatch/src/coordination/pool/tests/incarnations.rs
@@ -2,172 +2,14 @@
 //! incarnation only. The engine is driven directly, event by event.
 
 use rstest::rstest;
-use tamarackproxy::{
-    coordination::jobs::Resources,
-    state::{
-        clock::ClockReading,
-        ids::{DataCentreId, HostId, PoolId, RecordVersion, Term, WorkerId},
-    },
-};
+use tamarackproxy::state::ids::{PoolId, WorkerId};
 
+use super::driver::{BORN, Driver, JOB, entry, report, running};
 use crate::coordination::pool::{
-    AdviceQuestion, EndKind, EndedTask, Order, OrderReply, OrderTarget, PollFailure, PollReport,
-    PollRequest, PoolAction, PoolControl, PoolEngine, PoolTiming, PoolWrite, QueuePolicy,
-    Recovered, RunningTask, WorkerContact, WorkerKey, WriteResult,
-};
-use crate::replay::pool::{job, pool, queue, step, task};
-use crate::state::{
-    AdviceSettings, JobNumber, JobRecord, JobSpec, JobState, Registration, TaskAddress, WorkerEntry,
+    EndKind, EndedTask, OrderReply, OrderTarget, PollFailure, PollReport, QueuePolicy,
 };
-
-const UNIX_ORIGIN_MS: u64 = 1_700_000_000_000;
-const BORN: u64 = UNIX_ORIGIN_MS;
-const JOB: JobNumber = JobNumber(1);
-
-fn entry(index: u8, born_unix_ms: u64) -> WorkerEntry {
-    WorkerEntry {
-        worker: WorkerId::new(format!("w{index}")),
-        host: HostId::new(format!("h{index}")),
-        pool: pool(),
-        address: format!("10.0.0.{}:1", index + 1).parse().expect("an address"),
-        data_centre: DataCentreId::new("d"),
-        registration: Registration::Ready,
-        born_unix_ms,
-        capacity: Resources::new(8_000, 64 << 30, 0),
-        labels: vec!["a".into(), "r0".into()],
-        rack: "r0".into(),
-    }
-}
-
-/// An engine with all actions that it has requested.
-struct Driver {
-    engine: PoolEngine,
-    now_ms: u64,
-    version: u64,
-    polls: Vec<(WorkerContact, PollRequest)>,
-    starts: Vec<(WorkerContact, OrderTarget)>,
-    stops: Vec<OrderTarget>,
-    questions: Vec<AdviceQuestion>,
-    /// Writes stay without a result.
-    holds_writes: bool,
-    held: Vec<PoolWrite>,
-}
-
-impl Driver {
-    fn new(entries: &[WorkerEntry]) -> Self {
-        let control = PoolControl {
-            pool: pool(),
-            term: Term(1),
-            since: RecordVersion(1),
-            predecessor_until_ms: 12_000,
-        };
-        let mut engine = PoolEngine::new(control, PoolTiming::new(10_000, 120_000));
-        engine.set_queues([(queue(), QueuePolicy::default())]);
-        engine.confirm_control(u64::MAX);
-        let mut driver = Self {
-            engine,
-            now_ms: 1_000,
-            version: 10,
-            polls: Vec::new(),
-            starts: Vec::new(),
-            stops: Vec::new(),
-            questions: Vec::new(),
-            holds_writes: false,
-            held: Vec::new(),
-        };
-        driver.engine.on_registry(entries.iter());
-        driver.engine.recover(driver.now(), Recovered::default());
-        driver.step();
-        driver
-    }
-
-    fn now(&self) -> ClockReading {
-        ClockReading::new(self.now_ms, UNIX_ORIGIN_MS + self.now_ms)
-    }
-
-    fn step(&mut self) {
-        let now = self.now();
-        for action in self.engine.step(now) {
-            match action {
-                PoolAction::Order { contact, target, order: Order::Start(_) } => {
-                    self.starts.push((contact, target));
-                }
-                PoolAction::Order { target, order: Order::Stop, .. } => self.stops.push(target),
-                PoolAction::Poll { contact, request } => self.polls.push((contact, request)),
-                PoolAction::Write(write) => {
-                    self.held.push(write);
-                    if !self.holds_writes {
-                        self.written();
-                    }
-                }
-                PoolAction::Advise(question) => self.questions.push(question),
-                _ => {}
-            }
-        }
-    }
-
-    /// Reports the write in flight as successful.
-    fn written(&mut self) {
-        self.version += 1;
-        let now = self.now();
-        if self.held.pop().is_some() {
-            self.engine.on_write(now, WriteResult::Written(RecordVersion(self.version)));
-        }
-    }
-
-    fn run_ms(&mut self, duration_ms: u64) {
-        for _ in 0..duration_ms / 10 {
-            self.now_ms += 10;
-            self.step();
-        }
-    }
-
-    fn submit(&mut self, spec: JobSpec) {
-        let record = JobRecord {
-            queue: queue(),
-            account: None,
-            accepted_unix_ms: self.now().unix_ms,
-            state: JobState::Live(spec),
-        };
-        self.version += 1;
-        self.engine.on_job(self.now(), JOB, RecordVersion(self.version), record);
-    }
-
-    fn register(&mut self, entries: &[WorkerEntry]) {
-        self.engine.on_registry(entries.iter());
-        self.step();
-    }
-
-    /// Answers the poll of a worker that is in flight, if there is one.
-    fn answer(&mut self, name: &str, result: Result<PollReport, PollFailure>) {
-        let Some(at) = self.polls.iter().position(|(to, _)| to.worker.as_str() == name) else {
-            return;
-        };
-        let (contact, _) = self.polls.remove(at);
-        let now = self.now();
-        self.engine.on_poll(now, contact.key, result);
-        self.step();
-    }
-
-    fn accept_starts(&mut self) {
-        for (_, target) in std::mem::take(&mut self.starts) {
-            self.engine.on_start_reply(self.now(), target, OrderReply::Accepted);
-        }
-    }
-
-    fn key(&self, name: &str) -> Option<WorkerKey> {
-        self.engine.workers.find(&WorkerId::new(name))
-    }
-}
-
-/// A report whose clock began at the worker's start.
-fn report(born_unix_ms: u64, clock_ms: u64, running: Vec<RunningTask>) -> PollReport {
-    PollReport { born_unix_ms, clock_ms, running, ended: Vec::new() }
-}
-
-fn running(address: TaskAddress, target: &OrderTarget) -> RunningTask {
-    RunningTask { task: address, run: target.run, checkpoint: "".into(), percent: 5, gauge: 0 }
-}
+use crate::replay::pool::{job, queue, step, task};
+use crate::state::{AdviceSettings, WorkerEntry};
 
 /// Guards against a crash that counts against a task which the new incarnation
 /// started: the task would be given up after two of them.
@@ -374,15 +216,18 @@
     driver.holds_writes = true;
     // A second worker joins, so the roster is written again.
     driver.register(&[entry(0, BORN), entry(1, BORN)]);
+    driver.answer("w1", Ok(report(BORN, 500_000, Vec::new())));
     driver.run_ms(10);
     let stored = driver.held[0].roster.clone().expect("the roster is written");
     let born = BORN + 5_000;
     driver.register(&[entry(0, born), entry(1, BORN)]);
+    driver.answer("w0", Ok(report(born, 100, Vec::new())));
     driver.written();
     assert!(stored.workers.iter().any(|it| it.worker.as_str() == "w0" && it.born_unix_ms == BORN));
     let key = driver.key("w0").expect("the new incarnation is known");
-    let is_rostered = driver.engine.workers.get(key).is_some_and(|worker| worker.is_rostered);
-    assert!(!is_rostered, "the stored roster names the former incarnation only");
+    let worker = driver.engine.workers.get(key).expect("the new incarnation is known");
+    assert_eq!(worker.entry.born_unix_ms, born);
+    assert!(!worker.is_rostered, "the stored roster names the former incarnation only");
 }
 
 /// Guards against a worker that is never used again because the time of day was
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -95,6 +95,8 @@
     /// the local clock.
     pub(super) lost_ms: Option<u64>,
     poll_sent_ms: Option<u64>,
+    /// The last poll had no reply of any kind.
+    pub(super) is_unreachable: bool,
     /// Consecutive polls without an answer; the worker may or may not have
     /// received the lease of the first.
     pub(super) missed_polls: u32,
@@ -128,6 +130,9 @@
     /// clock.
     pub(super) former_lease_until_ms: u64,
     pub(super) health: Health,
+    /// The registry shows another incarnation under the worker's name, and it is not
+    /// known yet which of them runs.
+    pub(super) is_claimed: bool,
     /// The stored roster contains the worker.
     pub(super) is_rostered: bool,
     /// Best-effort tasks run here beside tasks that serve users.
@@ -170,6 +175,7 @@
             heard_ms: 0,
             lost_ms: None,
             poll_sent_ms: None,
+            is_unreachable: false,
             missed_polls: 0,
             next_poll_ms: 0,
             used: Resources::default(),
@@ -186,6 +192,7 @@
             lost_before: Vec::new(),
             former_lease_until_ms: 0,
             health: Health::default(),
+            is_claimed: false,
             is_rostered: false,
             is_shared: false,
             is_vacating: false,
@@ -259,6 +266,12 @@
         [granted, former].into_iter().flatten().all(|until_ms| now_ms >= until_ms)
     }
 
+    /// Returns whether the incarnation has answered a poll. Until then it is known
+    /// from the registry only, whose entries others can write.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.polled_ms.is_some()
+    }
+
     /// Returns whether the worker answered a poll within the last `within_ms`.
     pub(super) fn is_reachable(&self, now_ms: u64, within_ms: u64) -> bool {
         self.polled_ms.is_some_and(|polled_ms| now_ms < polled_ms + within_ms)
@@ -338,6 +351,9 @@
 pub(super) struct WorkerTable {
     workers: SlotMap<WorkerKey, Worker>,
     by_name: HashMap<WorkerId, WorkerKey>,
+    /// Incarnations that the registry shows under the name of a known worker and
+    /// that have not answered a poll.
+    claimants: HashMap<WorkerId, WorkerKey>,
     /// Workers by unallocated processors, in thousandths of a core.
     by_unallocated: BTreeSet<(u64, WorkerKey)>,
     /// Workers without a poll in flight, by the time of the next one.
@@ -347,10 +363,32 @@
 impl WorkerTable {
     pub(super) fn insert(&mut self, entry: WorkerEntry) -> WorkerKey {
         let name = entry.worker.clone();
+        let key = self.add(entry);
+        self.by_name.insert(name, key);
+        key
+    }
+
+    /// Adds an incarnation that the registry shows under the name of a known
+    /// worker.
+    pub(super) fn insert_claimant(&mut self, entry: WorkerEntry) -> WorkerKey {
+        let name = entry.worker.clone();
+        let key = self.add(entry);
+        self.set_claimed(&name, true);
+        self.claimants.insert(name, key);
+        key
+    }
+
+    fn set_claimed(&mut self, name: &WorkerId, is_claimed: bool) {
+        let known = self.by_name.get(name).and_then(|&key| self.workers.get_mut(key));
+        if let Some(worker) = known {
+            worker.is_claimed = is_claimed;
+        }
+    }
+
+    fn add(&mut self, entry: WorkerEntry) -> WorkerKey {
         let worker = Worker::new(entry);
         let (unallocated, next_poll_ms) = (worker.unallocated_millicores(), worker.next_poll_ms);
         let key = self.workers.insert(worker);
-        self.by_name.insert(name, key);
         self.by_unallocated.insert((unallocated, key));
         self.by_next_poll.insert((next_poll_ms, key));
         key
@@ -451,8 +489,16 @@
 
     pub(super) fn remove(&mut self, key: WorkerKey) -> Option<Worker> {
         let worker = self.workers.remove(key)?;
-        if self.by_name.get(&worker.entry.worker) == Some(&key) {
-            self.by_name.remove(&worker.entry.worker);
+        let name = &worker.entry.worker;
+        if self.claimants.get(name) == Some(&key) {
+            self.claimants.remove(name);
+            self.set_claimed(name, false);
+        }
+        if self.by_name.get(name) == Some(&key) {
+            self.by_name.remove(name);
+            if let Some((name, claimant)) = self.claimants.remove_entry(name) {
+                self.by_name.insert(name, claimant);
+            }
         }
         self.by_unallocated.remove(&(worker.unallocated_millicores(), key));
         self.by_next_poll.remove(&(worker.next_poll_ms, key));
@@ -463,6 +509,23 @@
         self.by_name.get(name).copied()
     }
 
+    /// Returns the incarnation that claims the name of a known worker.
+    pub(super) fn claimant(&self, name: &WorkerId) -> Option<WorkerKey> {
+        self.claimants.get(name).copied()
+    }
+
+    /// Lists the incarnations that claim the names of known workers.
+    pub(super) fn claimants(&self) -> Vec<WorkerKey> {
+        self.claimants.values().copied().collect()
+    }
+
+    /// Returns the known worker whose name an incarnation claims.
+    pub(super) fn claimed_from(&self, key: WorkerKey) -> Option<WorkerKey> {
+        let name = &self.workers.get(key)?.entry.worker;
+        let is_claimant = self.claimants.get(name) == Some(&key);
+        is_claimant.then(|| self.find(name)).flatten()
+    }
+
     pub(super) fn get(&self, key: WorkerKey) -> Option<&Worker> {
         self.workers.get(key)
     }
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -632,12 +632,19 @@
     }
 
     fn worker_of(&self, contact: &WorkerContact) -> usize {
-        let found = self.workers.iter().position(|worker| worker.entry.worker == contact.worker);
-        found.expect("the worker exists")
+        self.find_worker(contact).expect("the worker exists")
+    }
+
+    fn find_worker(&self, contact: &WorkerContact) -> Option<usize> {
+        self.workers.iter().position(|worker| worker.entry.worker == contact.worker)
     }
 
     fn poll(&mut self, index: usize, contact: &WorkerContact, request: PollRequest) {
-        let at = self.worker_of(contact);
+        let Some(at) = self.find_worker(contact) else {
+            let now = self.now();
+            let result = Err(PollFailure::Unreachable);
+            return self.controllers[index].engine.on_poll(now, contact.key, result);
+        };
         let arrives_ms = self.now_ms + self.latency_ms;
         self.controllers[index].polls.push(Poll {
             at,
