Take nothing of a host from an entry that contradicts the host list

An entry of another writer that names a host changed the worker and the pool that the balance of pools assumed for it, and the largest capacity of any entry counted as that of every host.

An entry is used if its pool runs tasks and the worker that the host list names for the host is not registered itself; the capacity is that of workers that the list names.

--- a/crates/dispatch/src/coordination/balance/engine.rs
+++ b/crates/dispatch/src/coordination/balance/engine.rs
@@ -224,23 +224,39 @@
     }
 
     /// Applies the registry, which shows the worker of a host earlier than the
-    /// host list.
+    /// host list. Other writers can add entries: one that names a pool without
+    /// tasks, or a host whose listed worker is registered, is ignored.
     pub fn on_workers<'a, I>(&mut self, workers: I)
     where
-        I: IntoIterator<Item = &'a WorkerEntry>,
+        I: IntoIterator<Item = &'a WorkerEntry> + Clone,
     {
-        for entry in workers {
-            if self.departed.contains(&entry.worker) {
+        let mut unlisted = Vec::new();
+        for entry in workers.clone() {
+            if !self.working.contains(&entry.pool) || self.departed.contains(&entry.worker) {
+                continue;
+            }
+            let Some(view) = self.hosts.get_mut(&entry.host) else { continue };
+            if view.worker.as_ref() != Some(&entry.worker) {
+                unlisted.push(entry);
                 continue;
             }
             self.host_millicores = self.host_millicores.max(entry.capacity.cpu_millicores);
-            if let Some(view) = self.hosts.get_mut(&entry.host) {
-                if view.worker.as_ref() != Some(&entry.worker) {
-                    view.worker = Some(entry.worker.clone());
-                }
-                if view.pool != entry.pool {
-                    view.pool = entry.pool.clone();
-                }
+            if view.pool != entry.pool {
+                view.pool = entry.pool.clone();
+            }
+        }
+        if unlisted.is_empty() {
+            return;
+        }
+        let registered: HashSet<(&HostId, &WorkerId)> =
+            workers.into_iter().map(|entry| (&entry.host, &entry.worker)).collect();
+        for entry in unlisted {
+            let Some(view) = self.hosts.get_mut(&entry.host) else { continue };
+            let is_registered = |worker: &WorkerId| {
+                registered.contains(&(&entry.host, worker)) && !self.departed.contains(worker)
+            };
+            if !view.worker.as_ref().is_some_and(is_registered) {
+                (view.worker, view.pool) = (Some(entry.worker.clone()), entry.pool.clone());
             }
         }
     }
--- a/crates/dispatch/src/coordination/balance/tests.rs
+++ b/crates/dispatch/src/coordination/balance/tests.rs
@@ -201,3 +201,27 @@
     let is_vacate = |action: &BalanceAction| matches!(action, BalanceAction::Vacate(_));
     assert!(!actions.iter().any(is_vacate), "{actions:?}");
 }
+
+/// Guards against an entry of another writer that names the host of a registered
+/// worker: its capacity, pool and worker are not those of the host.
+#[rstest::rstest]
+#[case::working_pool(pool(1))]
+#[case::standby_pool(PoolId::new("off"))]
+#[case::unknown_pool(PoolId::new("elsewhere"))]
+fn entry_of_another_writer_changes_no_host(#[case] other_pool: PoolId) {
+    let mut fleet = Fleet::default();
+    fleet.engine.on_list(fleet.now_ms, &fleet.list());
+    fleet.engine.on_workers(&fleet.workers());
+    let before = format!("{:?}", fleet.engine);
+    let mut workers = fleet.workers();
+    let largest = tamarackproxy::coordination::jobs::Resources::new(u64::MAX, u64::MAX, 0);
+    let odd = crate::state::WorkerEntry {
+        worker: WorkerId::new("odd"),
+        pool: other_pool,
+        capacity: largest,
+        ..workers[0].clone()
+    };
+    workers.push(odd);
+    fleet.engine.on_workers(&workers);
+    assert_eq!(format!("{:?}", fleet.engine), before);
+}
