Find the jobs of a queue that was sent to another service

Callers saw 410 for accepted jobs from all processes after a version of the configuration had sent their queue to another service.

Cause: the key of a job's record contains the pool of the queue in the configuration of the process that handles the request.

A job stays in the pool in which it was accepted. A record of each queue lists every pool that may have jobs of it; a process adds a pool before it accepts the first job there. A write of new jobs is conditional on the version of that record and on the absence of the jobs in all of its pools. State, cancellation and the count of waiting jobs look into the other pools as well. The records of jobs from before this change are completed once. A failure to read or write the record of a queue is answered like a store that is not reached, and the submission is forwarded.

The forwarding tests start processes that know the queue, as a process does after its first job; their expectations are unchanged.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -112,6 +112,8 @@
 /// State of a job for callers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobView {
+    /// Queue that the job was submitted to.
+    pub queue: QueueId,
     /// Client account of the job; none if its queue was public.
     pub account: Option<AccountId>,
     /// A task has started.
@@ -540,6 +542,7 @@
     pub fn job_state(&self, number: JobNumber) -> Option<JobView> {
         let job = self.job_table.job(self.job_table.find(number)?)?;
         Some(JobView {
+            queue: job.queue.clone(),
             account: job.account.clone(),
             has_started: job.has_started,
             outcome: job.outcome.filter(|_| job.is_outcome_stored),
--- a/crates/dispatch/src/coordination/submission.rs
+++ b/crates/dispatch/src/coordination/submission.rs
@@ -9,14 +9,16 @@
 
 use bytes::Bytes;
 use hashbrown::HashMap;
-use tamarackproxy::state::{clock::ClockReading, ids::RequestId};
+use tamarackproxy::state::{
+    clock::ClockReading,
+    ids::{RecordVersion, RequestId},
+};
 
 /// Most writes in flight at once: while one waits for its reply, another can be
 /// sent.
 const IN_FLIGHT_MAX: usize = 2;
-/// Most jobs of one write: each takes two of the 32 entries that the platform
-/// accepts, a condition and a value.
-const JOBS_PER_WRITE: usize = 14;
+/// Most entries of one write, conditions and values; the platform accepts 32.
+const ENTRIES_PER_WRITE: usize = 32;
 /// Most attempts of one submission: the second covers a stale connection or a
 /// lost reply; further ones are left to the caller, who may reach another entry
 /// host.
@@ -35,18 +37,46 @@
         /// Delay before another attempt can succeed, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The job is not stored: the record of its queue has changed. It can be
+    /// submitted again once that is read.
+    QueueChanged,
     /// It is unknown whether the job is stored; a retry with the same key
     /// tells.
     Unknown,
 }
 
-/// A write of new jobs, conditional on the absence of all of their keys.
+/// A job to store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewRecord {
+    /// Key of the job's record.
+    pub key: Box<str>,
+    /// The record.
+    pub value: Bytes,
+    /// Keys at which the job may be stored already.
+    pub former_keys: Vec<Box<str>>,
+    /// Key and version of the record that lists the pools of the job's queue.
+    pub queue: (Box<str>, RecordVersion),
+}
+
+impl NewRecord {
+    /// Returns whether the job is stored at one of the keys.
+    fn is_among(&self, existing: &[Box<str>]) -> bool {
+        existing.contains(&self.key) || self.former_keys.iter().any(|key| existing.contains(key))
+    }
+}
+
+/// A write of new jobs, conditional on the absence of all of their keys and on the
+/// versions of their queues' records.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SubmissionWrite {
     /// Number that identifies the write in its result.
     pub number: u64,
     /// Keys and records.
     pub jobs: Vec<(Box<str>, Bytes)>,
+    /// Further keys that must not exist.
+    pub former_keys: Vec<Box<str>>,
+    /// Records of queues, with their versions.
+    pub queues: Vec<(Box<str>, RecordVersion)>,
 }
 
 /// Result of a write of new jobs.
@@ -54,8 +84,13 @@
 pub enum SubmissionResult {
     /// All jobs are stored.
     Written,
-    /// Nothing was written because these keys already exist.
-    Exist(Vec<Box<str>>),
+    /// Nothing was written because a condition does not hold.
+    Conflict {
+        /// Keys of jobs that already exist.
+        existing: Vec<Box<str>>,
+        /// Keys of queues' records that have changed.
+        changed_queues: Vec<Box<str>>,
+    },
     /// Nothing was sent, or the store refused the call.
     NotWritten,
     /// No reply; the write may have taken effect.
@@ -73,7 +108,7 @@
 
 #[derive(Debug)]
 struct Pending {
-    record: Bytes,
+    job: NewRecord,
     requests: Vec<RequestId>,
     deadline_ms: u64,
     attempts: u32,
@@ -91,17 +126,48 @@
     next_write: u64,
 }
 
+impl SubmissionWrite {
+    fn new(number: u64) -> Self {
+        Self { number, jobs: Vec::new(), former_keys: Vec::new(), queues: Vec::new() }
+    }
+
+    /// Adds a job if there is room for it; returns whether there was. A write takes
+    /// at least one job.
+    fn add(&mut self, job: &NewRecord) -> bool {
+        let is_new_queue = !self.queues.contains(&job.queue);
+        let entries = 2 * (self.jobs.len() + 1)
+            + self.former_keys.len()
+            + job.former_keys.len()
+            + self.queues.len()
+            + usize::from(is_new_queue);
+        // Jobs of one queue that refer to different versions of its record would
+        // exclude each other.
+        let (queue, version) = &job.queue;
+        let is_other_version = self.queues.iter().any(|(key, it)| key == queue && it != version);
+        if !self.jobs.is_empty() && (entries > ENTRIES_PER_WRITE || is_other_version) {
+            return false;
+        }
+        self.jobs.push((job.key.clone(), job.value.clone()));
+        self.former_keys.extend(job.former_keys.iter().cloned());
+        if is_new_queue {
+            self.queues.push(job.queue.clone());
+        }
+        true
+    }
+}
+
 impl Submissions {
     /// Queues a submission; `deadline_ms` is when its caller stops waiting, on
     /// the local clock. A retry joins the pending submission of the same key.
-    pub fn submit(&mut self, request: RequestId, key: Box<str>, record: Bytes, deadline_ms: u64) {
-        if let Some(pending) = self.pending.get_mut(&key) {
+    pub fn submit(&mut self, request: RequestId, job: NewRecord, deadline_ms: u64) {
+        if let Some(pending) = self.pending.get_mut(&job.key) {
             pending.requests.push(request);
             pending.deadline_ms = pending.deadline_ms.max(deadline_ms);
             return;
         }
+        let key = job.key.clone();
         let pending = Pending {
-            record,
+            job,
             requests: vec![request],
             deadline_ms,
             attempts: 0,
@@ -126,24 +192,23 @@
     pub fn step(&mut self) -> Vec<SubmissionAction> {
         let mut actions = Vec::new();
         while self.in_flight.len() < IN_FLIGHT_MAX && !self.queue.is_empty() {
-            let mut jobs = Vec::new();
-            let mut keys = Vec::new();
-            while jobs.len() < JOBS_PER_WRITE
-                && let Some(key) = self.queue.pop_front()
-            {
+            let mut write = SubmissionWrite::new(self.next_write);
+            while let Some(key) = self.queue.pop_front() {
                 let Some(pending) = self.pending.get_mut(&key) else { continue };
+                if !write.add(&pending.job) {
+                    self.queue.push_front(key);
+                    break;
+                }
                 pending.is_queued = false;
                 pending.attempts += 1;
-                jobs.push((key.clone(), pending.record.clone()));
-                keys.push(key);
             }
-            if jobs.is_empty() {
+            if write.jobs.is_empty() {
                 break;
             }
-            let number = self.next_write;
             self.next_write += 1;
-            self.in_flight.insert(number, keys);
-            actions.push(SubmissionAction::Write(SubmissionWrite { number, jobs }));
+            let keys = write.jobs.iter().map(|(key, _)| key.clone()).collect();
+            self.in_flight.insert(write.number, keys);
+            actions.push(SubmissionAction::Write(write));
         }
         actions
     }
@@ -162,12 +227,21 @@
                 SubmissionResult::Written => {
                     self.answer(&key, SubmissionAnswer::Accepted, &mut actions);
                 }
-                SubmissionResult::Exist(found) if found.contains(&key) => {
-                    self.answer(&key, SubmissionAnswer::Accepted, &mut actions);
+                SubmissionResult::Conflict { existing, changed_queues } => {
+                    let Some(Pending { job, .. }) = self.pending.get(&key) else { continue };
+                    let is_queue_changed = changed_queues.contains(&job.queue.0);
+                    if job.is_among(existing) {
+                        self.answer(&key, SubmissionAnswer::Accepted, &mut actions);
+                    } else if is_queue_changed {
+                        // No earlier attempt can take effect any more: its condition
+                        // on the queue's record does not hold.
+                        self.answer(&key, SubmissionAnswer::QueueChanged, &mut actions);
+                    } else {
+                        // Another job of the write already existed; this one can be
+                        // written without it.
+                        self.requeue(key);
+                    }
                 }
-                // Another job of the write already existed; this one can be
-                // written without it.
-                SubmissionResult::Exist(_) => self.requeue(key),
                 SubmissionResult::NotWritten => self.retry_or_answer(now, key, false, &mut actions),
                 SubmissionResult::Unknown => self.retry_or_answer(now, key, true, &mut actions),
             }
--- a/crates/dispatch/src/coordination/submission/tests.rs
+++ b/crates/dispatch/src/coordination/submission/tests.rs
@@ -7,7 +7,32 @@
 }
 
 fn submit(submissions: &mut Submissions, request: u64, key: &str) {
-    submissions.submit(RequestId(request), key.into(), Bytes::from_static(b"job"), 3_000);
+    submit_with(submissions, request, key, &[], 1);
+}
+
+/// Submits a job of a queue whose record has a version, and that may be stored at
+/// other keys.
+fn submit_with(
+    submissions: &mut Submissions,
+    request: u64,
+    key: &str,
+    former_keys: &[&str],
+    version: u64,
+) {
+    let job = NewRecord {
+        key: key.into(),
+        value: Bytes::from_static(b"job"),
+        former_keys: former_keys.iter().map(|&key| key.into()).collect(),
+        queue: ("q".into(), RecordVersion(version)),
+    };
+    submissions.submit(RequestId(request), job, 3_000);
+}
+
+fn conflict(existing: &[&str], changed_queues: &[&str]) -> SubmissionResult {
+    SubmissionResult::Conflict {
+        existing: existing.iter().map(|&key| key.into()).collect(),
+        changed_queues: changed_queues.iter().map(|&key| key.into()).collect(),
+    }
 }
 
 fn write(actions: &[SubmissionAction]) -> &SubmissionWrite {
@@ -64,8 +89,7 @@
     submit(&mut submissions, 1, "a");
     submit(&mut submissions, 2, "b");
     submissions.step();
-    let exist = SubmissionResult::Exist(vec!["a".into()]);
-    let done = submissions.on_result(now(5), 0, exist);
+    let done = submissions.on_result(now(5), 0, conflict(&["a"], &[]));
     assert_eq!(answers(done), [(1, SubmissionAnswer::Accepted)]);
     assert_eq!(&*write(&submissions.step()).jobs[0].0, "b");
 }
@@ -97,3 +121,52 @@
     assert_eq!(answers(done), [(1, SubmissionAnswer::NotAccepted { retry_after_ms: 1_000 })]);
     assert!(submissions.is_empty());
 }
+
+/// Guards against a second copy of a job, and against a refusal, if the job is
+/// stored in a pool that its queue had before.
+#[test]
+fn job_stored_at_a_former_key_is_accepted() {
+    let mut submissions = Submissions::default();
+    submit_with(&mut submissions, 1, "p/a", &["o/a"], 1);
+    let actions = submissions.step();
+    assert_eq!(write(&actions).former_keys, ["o/a".into()]);
+    let done = submissions.on_result(now(5), 0, conflict(&["o/a"], &[]));
+    assert_eq!(answers(done), [(1, SubmissionAnswer::Accepted)]);
+}
+
+/// Guards against a job that is stored although its queue has moved meanwhile and
+/// the job may be stored in a pool that this process does not know.
+#[test]
+fn job_of_a_changed_queue_is_handed_back() {
+    let mut submissions = Submissions::default();
+    submit(&mut submissions, 1, "a");
+    submit(&mut submissions, 2, "b");
+    let actions = submissions.step();
+    assert_eq!(write(&actions).queues, [("q".into(), RecordVersion(1))]);
+    let done = submissions.on_result(now(5), 0, conflict(&["b"], &["q"]));
+    let expected = [(1, SubmissionAnswer::QueueChanged), (2, SubmissionAnswer::Accepted)];
+    assert_eq!(answers(done), expected);
+    assert!(submissions.is_empty());
+}
+
+/// Guards against a write that no condition can meet, since its jobs refer to
+/// different versions of one record, and against one with too many entries.
+#[test]
+fn write_takes_one_version_of_a_queue_and_limited_entries() {
+    let mut submissions = Submissions::default();
+    submit_with(&mut submissions, 1, "a", &[], 1);
+    submit_with(&mut submissions, 2, "b", &[], 2);
+    for request in 3..40 {
+        submit_with(&mut submissions, request, &format!("c{request}"), &["x", "y"], 2);
+    }
+    for number in 0..40 {
+        for action in submissions.step() {
+            let SubmissionAction::Write(write) = action else { continue };
+            assert_eq!(write.queues.len(), 1);
+            let entries = 2 * write.jobs.len() + write.former_keys.len() + write.queues.len();
+            assert!(entries <= 32, "{entries} entries");
+        }
+        submissions.on_result(now(5), number, SubmissionResult::Written);
+    }
+    assert!(submissions.is_empty());
+}
--- a/crates/dispatch/src/node/backlog.rs
+++ b/crates/dispatch/src/node/backlog.rs
@@ -54,6 +54,7 @@
     shared: &Rc<Shared<P>>,
     number: JobNumber,
     job: &NewJob<'_>,
+    former: &[PoolId],
 ) -> Result<Option<u64>, CallerResponse>
 where
     P: Platform,
@@ -68,7 +69,7 @@
         Verdict::Admit { retry_after_ms } => return Ok(retry_after_ms),
         Verdict::Reject(rejection) => rejection,
     };
-    if may_be_stored(shared, number, job).await {
+    if may_be_stored(shared, number, job, former).await {
         return Ok(Some(rejection.retry_after_ms));
     }
     metrics::counter!("submissions_rejected", "queue" => job.queue.queue.as_str().to_owned())
@@ -107,16 +108,25 @@
 
 /// Returns whether an earlier try may have stored the job. A rejection says that
 /// it is not stored, so the store is asked before one.
-async fn may_be_stored<P>(shared: &Shared<P>, number: JobNumber, job: &NewJob<'_>) -> bool
+async fn may_be_stored<P>(
+    shared: &Shared<P>,
+    number: JobNumber,
+    job: &NewJob<'_>,
+    former: &[PoolId],
+) -> bool
 where
     P: Platform,
 {
-    let key = JobRecord::key(job.queue.pool.as_str(), number);
-    if shared.submissions.borrow().is_pending(&key) {
-        return true;
-    }
     let time = Duration::from_millis(READ_TIMEOUT_MS);
-    !matches!(timeout(time, shared.read(&key)).await, Ok(Ok(None)))
+    for pool in [&job.queue.pool].into_iter().chain(former) {
+        let key = JobRecord::key(pool.as_str(), number);
+        if shared.submissions.borrow().is_pending(&key)
+            || !matches!(timeout(time, shared.read(&key)).await, Ok(Ok(None)))
+        {
+            return true;
+        }
+    }
+    false
 }
 
 /// Reads the summaries at an interval until no more submissions arrive.
--- a/crates/dispatch/src/node/backlog/tests.rs
+++ b/crates/dispatch/src/node/backlog/tests.rs
@@ -2,12 +2,13 @@
 
 use std::rc::Rc;
 
-use tamarackproxy::state::ids::{PoolId, QueueId};
+use tamarackproxy::state::ids::{PoolId, QueueId, RecordVersion};
 
 use super::{
     super::fake::{Workers, block_on, shared},
     *,
 };
+use crate::coordination::submission::NewRecord;
 use crate::replay::pool::{job, step};
 
 fn queue() -> QueueSettings {
@@ -39,7 +40,7 @@
         let new = NewJob { queue: &queue, account: None, spec: &spec };
         for number in 0..20 {
             // The store cannot be read, so nothing is known and nothing rejected.
-            assert_eq!(check(&shared, JobNumber(number), &new).await, Ok(None));
+            assert_eq!(check(&shared, JobNumber(number), &new, &[]).await, Ok(None));
             tokio::task::yield_now().await;
         }
         assert_eq!(*lists.borrow(), [SUMMARY_PREFIX.into()]);
@@ -56,9 +57,15 @@
         let new = NewJob { queue: &queue, account: None, spec: &spec };
         let (number, request) = (JobNumber(1), shared.next_request());
         let key = JobRecord::key("p", number);
-        shared.submissions.borrow_mut().submit(request, key, Default::default(), u64::MAX);
-        assert!(may_be_stored(&shared, number, &new).await);
+        let record = NewRecord {
+            key,
+            value: Default::default(),
+            former_keys: Vec::new(),
+            queue: ("q".into(), RecordVersion(1)),
+        };
+        shared.submissions.borrow_mut().submit(request, record, u64::MAX);
+        assert!(may_be_stored(&shared, number, &new, &[]).await);
         // The store does not answer whether it has the other job.
-        assert!(may_be_stored(&shared, JobNumber(2), &new).await);
+        assert!(may_be_stored(&shared, JobNumber(2), &new, &[]).await);
     });
 }
--- a/crates/dispatch/src/node/callers.rs
+++ b/crates/dispatch/src/node/callers.rs
@@ -18,6 +18,7 @@
     backlog, clock,
     keys::{decode_item, submission_result, submission_transaction, summary_key},
     platform::{Platform, Transaction, TransactionReply},
+    queues::{self, QueuePools},
     shared::Shared,
 };
 use crate::{
@@ -25,11 +26,11 @@
         access::Caller,
         admission::NewJob,
         pool::JobView,
-        submission::{SubmissionAction, SubmissionAnswer, SubmissionWrite},
+        submission::{NewRecord, SubmissionAction, SubmissionAnswer, SubmissionWrite},
     },
     state::{
-        InvalidJob, JobNumber, JobOutcome, JobRecord, JobSpec, JobState, QueueSettings, Summary,
-        encode,
+        InvalidJob, JobNumber, JobOutcome, JobRecord, JobSpec, JobState, QueueRecord,
+        QueueSettings, Summary, encode,
     },
 };
 
@@ -40,6 +41,10 @@
 const RESPONSE_MARGIN_MS: u64 = 60;
 /// Delay before a read or a cancellation is retried, in milliseconds.
 const RETRY_MS: u64 = 40;
+/// Most attempts to read or write the record of a queue for one submission.
+const QUEUE_ATTEMPTS_MAX: u32 = 2;
+/// Time for one such attempt, in milliseconds.
+const QUEUE_TIMEOUT_MS: u64 = 500;
 /// Retry delay sent to callers while the process cannot serve them, in
 /// milliseconds.
 pub(super) const RETRY_AFTER_MS: u64 = 1_000;
@@ -170,7 +175,7 @@
             .await
             .unwrap_or(CallerResponse::Unknown),
         CallerRequest::CountWaiting { queue } => {
-            let count = timeout(time, count_waiting(shared, &queue.pool, &queue.queue)).await;
+            let count = timeout(time, count_waiting(shared, &queue)).await;
             count.unwrap_or(CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS })
         }
     }
@@ -193,8 +198,11 @@
         return CallerResponse::NotAccepted { retry_after_ms: RETRY_AFTER_MS };
     }
     let now = clock::read();
+    let deadline_ms = now.monotonic_ms.saturating_add(timeout_ms);
+    let unavailable = CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
+    let Some(mut pools) = queue_pools(shared, queue, deadline_ms).await else { return unavailable };
     let new = NewJob { queue, account: caller.account(), spec: &spec };
-    let delay = match backlog::check(shared, job, &new).await {
+    let delay = match backlog::check(shared, job, &new, &pools.former).await {
         Ok(delay) => delay,
         Err(rejection) => return rejection,
     };
@@ -211,24 +219,63 @@
             return CallerResponse::Refused(error);
         }
     };
-    let request = shared.next_request();
-    let (sender, receiver) = oneshot::channel();
-    shared.submission_replies.borrow_mut().insert(request, sender);
-    let key = JobRecord::key(queue.pool.as_str(), job);
-    let deadline_ms = now.monotonic_ms.saturating_add(timeout_ms);
-    shared.submissions.borrow_mut().submit(request, key, value, deadline_ms);
-    send_due_writes(shared);
-    match receiver.await {
-        Ok(SubmissionAnswer::Accepted) => {
-            backlog::on_accepted(shared, queue, &record);
-            CallerResponse::Accepted
+    loop {
+        let former = pools.former.iter();
+        let new = NewRecord {
+            key: JobRecord::key(queue.pool.as_str(), job),
+            value: value.clone(),
+            former_keys: former.map(|pool| JobRecord::key(pool.as_str(), job)).collect(),
+            queue: (QueueRecord::key(&queue.queue), pools.version),
+        };
+        let request = shared.next_request();
+        let (sender, receiver) = oneshot::channel();
+        shared.submission_replies.borrow_mut().insert(request, sender);
+        shared.submissions.borrow_mut().submit(request, new, deadline_ms);
+        send_due_writes(shared);
+        match receiver.await {
+            Ok(SubmissionAnswer::Accepted) => {
+                backlog::on_accepted(shared, queue, &record);
+                return CallerResponse::Accepted;
+            }
+            Ok(SubmissionAnswer::NotAccepted { retry_after_ms }) => {
+                let retry_after_ms = delay.map_or(retry_after_ms, |ms| ms.max(retry_after_ms));
+                return CallerResponse::NotAccepted { retry_after_ms };
+            }
+            Ok(SubmissionAnswer::QueueChanged) => {
+                shared.queues.forget(&queue.queue);
+                match queue_pools(shared, queue, deadline_ms).await {
+                    Some(current) => pools = current,
+                    None => return unavailable,
+                }
+            }
+            Ok(SubmissionAnswer::Unknown) | Err(_) => return CallerResponse::Unknown,
         }
-        Ok(SubmissionAnswer::NotAccepted { retry_after_ms }) => {
-            let retry_after_ms = delay.map_or(retry_after_ms, |ms| ms.max(retry_after_ms));
-            CallerResponse::NotAccepted { retry_after_ms }
+    }
+}
+
+/// Returns the pools that may have jobs of a queue, once the pool of the
+/// configuration in force is among them; none if that is not known soon, since
+/// another entry host may reach the store.
+async fn queue_pools<P>(
+    shared: &Shared<P>,
+    queue: &QueueSettings,
+    deadline_ms: u64,
+) -> Option<QueuePools>
+where
+    P: Platform,
+{
+    for _ in 0..QUEUE_ATTEMPTS_MAX {
+        let left_ms = deadline_ms.saturating_sub(clock::read().monotonic_ms);
+        let time = Duration::from_millis(left_ms.min(QUEUE_TIMEOUT_MS));
+        match timeout(time, queues::prepare(shared, queue)).await.ok()? {
+            Ok(pools) => return Some(pools),
+            Err(error) => {
+                log::info!(queue = queue.queue.as_str(), error:display = error;
+                    "record of a queue could not be read or written");
+            }
         }
-        Ok(SubmissionAnswer::Unknown) | Err(_) => CallerResponse::Unknown,
     }
+    None
 }
 
 /// Sends the submission writes that are due.
@@ -268,7 +315,7 @@
         log::info!(jobs = write.jobs.len(), error:display = error;
             "write of submitted jobs was not confirmed");
     }
-    let result = submission_result(reply);
+    let result = submission_result(&write, reply);
     let actions = shared.submissions.borrow_mut().on_result(clock::read(), write.number, result);
     carry_out(&shared, actions);
     send_due_writes(&shared);
@@ -283,56 +330,101 @@
 where
     P: Platform,
 {
-    let engine = shared.engines.borrow().get(&queue.pool).cloned();
-    if let Some(engine) = engine
-        && let Some(JobView { account, has_started, outcome }) = engine.borrow().job_state(job)
+    if let Some(response) = job_state_in(shared, caller, queue, &queue.pool, job).await {
+        return response;
+    }
+    let Some(former) = former_pools(shared, queue).await else {
+        return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
+    };
+    for pool in &former {
+        if let Some(response) = job_state_in(shared, caller, queue, pool, job).await {
+            return response;
+        }
+    }
+    CallerResponse::NoSuchJob
+}
+
+/// Lists the pools that the queue had before; none if the store does not answer.
+async fn former_pools<P>(shared: &Shared<P>, queue: &QueueSettings) -> Option<Vec<PoolId>>
+where
+    P: Platform,
+{
+    loop {
+        match queues::former_pools(shared, queue).await {
+            Ok(former) => return Some(former),
+            Err(_) if shared.store_is_reachable() => sleep(Duration::from_millis(RETRY_MS)).await,
+            Err(_) => return None,
+        }
+    }
+}
+
+/// Determines the state of a job in one pool; none if that has no such job.
+async fn job_state_in<P>(
+    shared: &Shared<P>,
+    caller: &Caller,
+    queue: &QueueSettings,
+    pool: &PoolId,
+    job: JobNumber,
+) -> Option<CallerResponse>
+where
+    P: Platform,
+{
+    let engine = shared.engines.borrow().get(pool).cloned();
+    let view = engine.and_then(|engine| engine.borrow().job_state(job));
+    if let Some(JobView { queue: own, account, has_started, outcome }) = view
+        && own == queue.queue
     {
         if !caller.may_see(account.as_ref()) {
-            return CallerResponse::NoSuchJob;
+            return Some(CallerResponse::NoSuchJob);
         }
-        return CallerResponse::State { has_started, outcome };
+        return Some(CallerResponse::State { has_started, outcome });
     }
     loop {
-        match shared.read(&JobRecord::key(queue.pool.as_str(), job)).await {
-            Ok(None) => return CallerResponse::NoSuchJob,
-            Ok(Some(item)) => return stored_state(shared, caller, queue, job, &item).await,
+        match shared.read(&JobRecord::key(pool.as_str(), job)).await {
+            Ok(None) => return None,
+            Ok(Some(item)) => return stored_state(shared, caller, queue, pool, job, &item).await,
             Err(StoreError::Throttled) => sleep(Duration::from_millis(RETRY_MS)).await,
             Err(StoreError::NotSent) if shared.store_is_reachable() => {
                 sleep(Duration::from_millis(RETRY_MS)).await;
             }
             Err(_) if shared.store_is_reachable() => {}
-            Err(_) => return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS },
+            Err(_) => return Some(CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS }),
         }
     }
 }
 
-/// Determines a job's state from its record in the store.
+/// Determines a job's state from its record in the store; none if the record is
+/// that of another queue's job.
 async fn stored_state<P>(
     shared: &Shared<P>,
     caller: &Caller,
     queue: &QueueSettings,
+    pool: &PoolId,
     job: JobNumber,
     item: &KeyValue,
-) -> CallerResponse
+) -> Option<CallerResponse>
 where
     P: Platform,
 {
     let Some(record) = decode_item::<JobRecord>(item) else {
-        return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
+        return Some(CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS });
     };
-    if record.queue != queue.queue || !caller.may_see(record.account.as_ref()) {
-        return CallerResponse::NoSuchJob;
+    if record.queue != queue.queue {
+        return None;
+    }
+    if !caller.may_see(record.account.as_ref()) {
+        return Some(CallerResponse::NoSuchJob);
     }
-    match record.state {
+    Some(match record.state {
         JobState::Ended { outcome, .. } => {
             CallerResponse::State { has_started: true, outcome: Some(outcome) }
         }
         JobState::Live(_) => {
-            let progress = super::keys::progress_key(&queue.pool, job);
+            let progress = super::keys::progress_key(pool, job);
             let has_started = matches!(shared.read(&progress).await, Ok(Some(_)));
             CallerResponse::State { has_started, outcome: None }
         }
-    }
+    })
 }
 
 async fn cancel<P>(
@@ -344,39 +436,63 @@
 where
     P: Platform,
 {
-    let key = JobRecord::key(queue.pool.as_str(), job);
+    if let Some(response) = cancel_in(shared, caller, queue, &queue.pool, job).await {
+        return response;
+    }
+    let Some(former) = former_pools(shared, queue).await else {
+        return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
+    };
+    for pool in &former {
+        if let Some(response) = cancel_in(shared, caller, queue, pool, job).await {
+            return response;
+        }
+    }
+    CallerResponse::NoSuchJob
+}
+
+/// Cancels a job in one pool; none if that has no such job.
+async fn cancel_in<P>(
+    shared: &Shared<P>,
+    caller: &Caller,
+    queue: &QueueSettings,
+    pool: &PoolId,
+    job: JobNumber,
+) -> Option<CallerResponse>
+where
+    P: Platform,
+{
+    let unavailable = CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
+    let key = JobRecord::key(pool.as_str(), job);
     loop {
         let item = match shared.read(&key).await {
-            Ok(Some(item)) => item,
-            Ok(None) => return CallerResponse::NoSuchJob,
+            Ok(item) => item?,
             Err(_) if shared.store_is_reachable() => {
                 sleep(Duration::from_millis(RETRY_MS)).await;
                 continue;
             }
-            Err(_) => return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS },
+            Err(_) => return Some(unavailable),
         };
-        let Some(record) = decode_item::<JobRecord>(&item) else {
-            return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
-        };
-        if record.queue != queue.queue || !caller.may_see(record.account.as_ref()) {
-            return CallerResponse::NoSuchJob;
+        let Some(record) = decode_item::<JobRecord>(&item) else { return Some(unavailable) };
+        if record.queue != queue.queue {
+            return None;
+        }
+        if !caller.may_see(record.account.as_ref()) {
+            return Some(CallerResponse::NoSuchJob);
         }
         if matches!(record.state, JobState::Ended { .. }) {
-            return CallerResponse::Cancelled;
+            return Some(CallerResponse::Cancelled);
         }
         let ended_unix_ms = clock::read().unix_ms;
         let outcome = JobOutcome::Cancelled;
         let record = JobRecord { state: JobState::Ended { outcome, ended_unix_ms }, ..record };
-        let Ok(value) = encode(&record) else {
-            return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
-        };
+        let Ok(value) = encode(&record) else { return Some(unavailable) };
         let transaction = Transaction {
             expected: vec![(key.clone(), item.version)],
             put: vec![(key.clone(), value.into())],
             remove: Vec::new(),
         };
         match shared.transact(&transaction).await {
-            Ok(TransactionReply::Written(_)) => return CallerResponse::Cancelled,
+            Ok(TransactionReply::Written(_)) => return Some(CallerResponse::Cancelled),
             // The record has changed since it was read: read it again.
             Ok(TransactionReply::Conflict(_)) => {}
             Err(error) => {
@@ -388,19 +504,33 @@
     }
 }
 
-async fn count_waiting<P>(shared: &Shared<P>, pool: &PoolId, queue: &QueueId) -> CallerResponse
+/// Counts a queue's waiting jobs in all pools that may have some.
+async fn count_waiting<P>(shared: &Shared<P>, queue: &QueueSettings) -> CallerResponse
 where
     P: Platform,
 {
-    loop {
-        match shared.read(&summary_key(pool)).await {
-            Ok(item) => {
-                let summary: Summary = item.and_then(|item| decode_item(&item)).unwrap_or_default();
-                let found = summary.waiting.iter().find(|(name, _)| name == queue);
-                return CallerResponse::Waiting(found.map_or(0, |(_, count)| *count));
+    let Some(former) = former_pools(shared, queue).await else {
+        return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
+    };
+    let mut sum = 0;
+    for pool in [&queue.pool].into_iter().chain(&former) {
+        loop {
+            match shared.read(&summary_key(pool)).await {
+                Ok(item) => {
+                    let summary: Summary =
+                        item.and_then(|item| decode_item(&item)).unwrap_or_default();
+                    let found = summary.waiting.iter().find(|(name, _)| *name == queue.queue);
+                    sum += found.map_or(0, |(_, count)| *count);
+                    break;
+                }
+                Err(_) if shared.store_is_reachable() => {
+                    sleep(Duration::from_millis(RETRY_MS)).await;
+                }
+                Err(_) => {
+                    return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
+                }
             }
-            Err(_) if shared.store_is_reachable() => sleep(Duration::from_millis(RETRY_MS)).await,
-            Err(_) => return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS },
         }
     }
+    CallerResponse::Waiting(sum)
 }
--- a/crates/dispatch/src/node/forward/client.rs
+++ b/crates/dispatch/src/node/forward/client.rs
@@ -137,7 +137,7 @@
     P: Platform,
 {
     match response {
-        CallerResponse::Unknown => true,
+        CallerResponse::Unknown | CallerResponse::Unavailable { .. } => true,
         CallerResponse::NotAccepted { .. } => {
             !own.was_reachable || !shared.store_is_reachable() || shared.store_is_disconnected()
         }
--- a/crates/dispatch/src/node/forward/tests.rs
+++ b/crates/dispatch/src/node/forward/tests.rs
@@ -26,7 +26,7 @@
         clock,
         fake::{Reach, StoredValues, Workers, block_on, shared_with},
         platform::Transaction,
-        relay,
+        queues, relay,
         requests::{self, ReceivedRequest},
         shared::Shared,
     },
@@ -105,6 +105,11 @@
         let shared = shared_with(platform, |settings| settings.entry = EntryId::new(name));
         if matches!(reach, Reach::Up | Reach::RepliesLost) {
             shared.read("any").await.expect("the store answers");
+            // The writes of a test are those of its jobs.
+            let reach = reaches.replace(Reach::Up);
+            queues::prepare(&shared, &queue("q", false)).await.expect("the store answers");
+            reaches.set(reach);
+            transactions.borrow_mut().clear();
         }
         let address = relay::listen(Rc::clone(&shared), any_port()).await.expect("a free port");
         Self { shared, reach: reaches, transactions, address }
--- a/crates/dispatch/src/node/keys.rs
+++ b/crates/dispatch/src/node/keys.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use tamarackproxy::{
     protocol::store::{KeyValue, StoreError},
-    state::ids::{EntryId, PoolId, RecordVersion, WorkerId},
+    state::ids::{EntryId, PoolId, QueueId, RecordVersion, WorkerId},
 };
 
 use super::platform::{Listing, Transaction, TransactionReply};
@@ -15,8 +15,8 @@
         upkeep::UpkeepWrite,
     },
     state::{
-        BalanceRecord, HandoverRequest, JobNumber, JobRecord, RecordError, VacateRequest,
-        WaveNumber, WaveRecord, WaveState, decode, encode,
+        BalanceRecord, HandoverRequest, JobNumber, JobRecord, QueueRecord, RecordError,
+        VacateRequest, WaveNumber, WaveRecord, WaveState, decode, encode,
     },
 };
 
@@ -37,6 +37,13 @@
 /// Key of the record of pool sizes and load surges, kept by the controller of
 /// host maintenance.
 pub(super) const BALANCE_KEY: &str = "balance/state";
+/// Prefix of the queues' records.
+pub(super) const QUEUES_PREFIX: &str = "queues/";
+/// Empty key that exists once every queue with jobs has a record. It sorts before
+/// the queues.
+pub(super) const QUEUES_COMPLETE_KEY: &str = "queues/-complete";
+/// Prefix of the records of all jobs.
+pub(super) const ALL_JOBS_PREFIX: &str = "jobs/";
 /// Empty key of the controller of host maintenance; its version is that of the
 /// controller's last write.
 pub(super) const UPKEEP_LAST_WRITE_KEY: &str = "last-upkeep-write";
@@ -131,6 +138,29 @@
     format!("progress/{pool}/{job}").into()
 }
 
+/// Parses the pool in the key of a job's record.
+pub(super) fn pool_of_job(key: &str) -> Option<PoolId> {
+    key.strip_prefix(ALL_JOBS_PREFIX)?.split_once('/')?.0.parse().ok()
+}
+
+/// Parses the name in the key of a queue's record.
+pub(super) fn queue_of(key: &str) -> Option<QueueId> {
+    key.strip_prefix(QUEUES_PREFIX)?.parse().ok()
+}
+
+/// Builds the transaction that writes records of queues, each of the given version.
+pub(super) fn queue_transaction(
+    records: &[(QueueId, RecordVersion, QueueRecord)],
+) -> Result<Transaction, RecordError> {
+    let mut transaction = Transaction { expected: Vec::new(), put: Vec::new(), remove: Vec::new() };
+    for (queue, version, record) in records {
+        let key = QueueRecord::key(queue);
+        transaction.expected.push((key.clone(), *version));
+        transaction.put.push(encode_entry(key, record)?);
+    }
+    Ok(transaction)
+}
+
 /// Parses the job number at the end of a key.
 pub(super) fn job_of(key: &str) -> Option<JobNumber> {
     key.rsplit('/').next()?.parse().ok()
@@ -331,16 +361,31 @@
 
 /// Builds the transaction that stores new jobs.
 pub(super) fn submission_transaction(write: &SubmissionWrite) -> Transaction {
-    let expected = write.jobs.iter().map(|(key, _)| (key.clone(), RecordVersion(0))).collect();
+    let keys = write.jobs.iter().map(|(key, _)| key).chain(&write.former_keys);
+    let absent = keys.map(|key| (key.clone(), RecordVersion(0)));
+    let expected = absent.chain(write.queues.iter().cloned()).collect();
     Transaction { expected, put: write.jobs.clone(), remove: Vec::new() }
 }
 
 /// Converts the store's reply to a write of new jobs.
-pub(super) fn submission_result(reply: Result<TransactionReply, StoreError>) -> SubmissionResult {
+pub(super) fn submission_result(
+    write: &SubmissionWrite,
+    reply: Result<TransactionReply, StoreError>,
+) -> SubmissionResult {
     match reply {
         Ok(TransactionReply::Written(_)) => SubmissionResult::Written,
         Ok(TransactionReply::Conflict(items)) => {
-            SubmissionResult::Exist(items.into_iter().map(|item| item.key).collect())
+            let found = |key: &str| {
+                let item = items.iter().find(|item| *item.key == *key);
+                item.map_or(RecordVersion(0), |item| item.version)
+            };
+            let keys = write.jobs.iter().map(|(key, _)| key).chain(&write.former_keys);
+            let existing = keys.filter(|&key| found(key) != RecordVersion(0));
+            let changed = write.queues.iter().filter(|(key, version)| found(key) != *version);
+            SubmissionResult::Conflict {
+                existing: existing.cloned().collect(),
+                changed_queues: changed.map(|(key, _)| key.clone()).collect(),
+            }
         }
         Err(StoreError::NotSent | StoreError::Throttled) => SubmissionResult::NotWritten,
         Err(StoreError::Unknown | StoreError::Malformed(_)) => SubmissionResult::Unknown,
--- a/crates/dispatch/src/node/mod.rs
+++ b/crates/dispatch/src/node/mod.rs
@@ -14,6 +14,7 @@
 mod launch;
 mod platform;
 mod pool;
+mod queues;
 mod relay;
 mod requests;
 mod server;
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -22,6 +22,7 @@
     platform::{
         Changes, ChangesError, Listing, OperatorRecord, Platform, Transaction, TransactionReply,
     },
+    queues::KnownQueues,
 };
 use crate::{
     coordination::{
@@ -67,6 +68,7 @@
     /// Engines of the pools that this process controls.
     pub(super) engines: RefCell<HashMap<PoolId, Rc<RefCell<PoolEngine>>>>,
     pub(super) submissions: RefCell<Submissions>,
+    pub(super) queues: KnownQueues,
     pub(super) backlog: Backlog,
     pub(super) submission_replies: RefCell<HashMap<RequestId, oneshot::Sender<SubmissionAnswer>>>,
     pub(super) stopping: watch::Sender<bool>,
@@ -107,6 +109,7 @@
             attempted: RefCell::default(),
             engines: RefCell::default(),
             submissions: RefCell::default(),
+            queues: KnownQueues::default(),
             backlog: Backlog::default(),
             submission_replies: RefCell::default(),
             stopping: watch::Sender::new(false),
--- a/crates/dispatch/src/state/mod.rs
+++ b/crates/dispatch/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod account;
 mod ids;
 mod job;
+mod queue;
 mod record;
 mod serving;
 mod share;
@@ -14,6 +15,7 @@
     account::{AccountSettings, Accounts, CallerKey, KeyDigest, KeyHasher},
     ids::{JobNumber, JobNumberError, RunNumber, TaskAddress},
     job::{InvalidJob, JobSpec, Schedule, StepSpec, TASKS_MAX},
+    queue::{QueueRecord, StoredPolicy},
     record::{
         BalanceRecord, CrashRecord, Demand, HandoverRequest, JobOutcome, JobRecord, JobState,
         MemberRecord, Overload, PoolLoad, ProgressRecord, QueueMeans, RecordError, Roster,
--- a/crates/dispatch/src/state/serving.rs
+++ b/crates/dispatch/src/state/serving.rs
@@ -1,5 +1,6 @@
 //! The parts of the operator's configuration that the dispatcher uses.
 
+use serde::{Deserialize, Serialize};
 use tamarackproxy::state::ids::{PoolId, QueueId, RecordVersion};
 
 use super::account::Accounts;
@@ -57,7 +58,7 @@
 }
 
 /// Duration of queries to the policy service, and validity of its answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceSettings {
     /// Time that a query takes, in milliseconds.
     pub question_ms: u64,
