Keep the policy of a queue for jobs that outlast it

Cause: a controller knows the policies of the queues that the configuration in force sends to its pool, and uses a default for all others.

The record of a queue contains its policy. A controller with jobs of an unknown queue reads these records. It takes the policies of all queues of the configuration, since its pool may have jobs of queues that are sent elsewhere.

stored_policy_of_a_removed_queue_counts fails without the stored policy: the engine it calls did not exist before.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -103,7 +103,7 @@
 }
 
 impl Default for QueuePolicy {
-    /// The policy of a queue that was removed: its accepted jobs still run.
+    /// The policy of a queue whose policy is not known.
     fn default() -> Self {
         Self { priority: 0, attempts_max: 2, stretch: 2.0, objective_ms: 1_000, advice: None }
     }
@@ -142,6 +142,8 @@
     pub(super) control: PoolControl,
     pub(super) timing: PoolTiming,
     queues: HashMap<QueueId, QueuePolicy>,
+    /// A job of a queue without a known policy has arrived.
+    has_unknown_queue: bool,
     pub(super) job_table: JobTable,
     pub(super) workers: WorkerTable,
     pub(super) writer: Writer,
@@ -201,6 +203,7 @@
             control,
             timing,
             queues: HashMap::new(),
+            has_unknown_queue: false,
             job_table: JobTable::default(),
             workers: WorkerTable::default(),
             writer: Writer::default(),
@@ -254,6 +257,23 @@
         &self.control
     }
 
+    /// Applies the stored policies of queues that the configuration need not have.
+    pub fn set_stored_queues<I>(&mut self, queues: I)
+    where
+        I: IntoIterator<Item = (QueueId, QueuePolicy)>,
+    {
+        for (queue, policy) in queues {
+            self.queues.entry(queue).or_insert(policy);
+        }
+        self.placing_due = true;
+    }
+
+    /// Returns whether a job arrived, since the last call, of a queue whose policy is
+    /// not known.
+    pub fn take_unknown_queue(&mut self) -> bool {
+        std::mem::take(&mut self.has_unknown_queue)
+    }
+
     /// Applies the queues of a configuration.
     pub fn set_queues<I>(&mut self, queues: I)
     where
@@ -298,6 +318,7 @@
                     "ignored a job record that is older than the job's end");
             }
             (None, JobState::Live(spec)) => {
+                self.has_unknown_queue |= !self.queues.contains_key(&record.queue);
                 let is_inherited = version <= self.control.since;
                 let job = Job::new(number, record.queue, spec, version)
                     .with_account(record.account)
--- a/crates/dispatch/src/coordination/pool/tests/driver.rs
+++ b/crates/dispatch/src/coordination/pool/tests/driver.rs
@@ -4,7 +4,7 @@
     coordination::jobs::Resources,
     state::{
         clock::ClockReading,
-        ids::{DataCentreId, HostId, RecordVersion, Term, WorkerId},
+        ids::{DataCentreId, HostId, QueueId, RecordVersion, Term, WorkerId},
     },
 };
 
@@ -126,8 +126,13 @@
     }
 
     pub(super) fn submit(&mut self, spec: JobSpec) {
+        self.submit_to(&queue(), spec);
+    }
+
+    /// Submits a job to a queue.
+    pub(super) fn submit_to(&mut self, queue: &QueueId, spec: JobSpec) {
         let record = JobRecord {
-            queue: queue(),
+            queue: queue.clone(),
             account: None,
             accepted_unix_ms: self.now().unix_ms,
             state: JobState::Live(spec),
--- a/crates/dispatch/src/coordination/pool/tests/failures.rs
+++ b/crates/dispatch/src/coordination/pool/tests/failures.rs
@@ -1,7 +1,10 @@
 //! Workers that are partitioned, restart, fail, stall or lose replies.
 
 use rstest::rstest;
+use tamarackproxy::state::ids::QueueId;
 
+use super::driver::{BORN, Driver, JOB, entry, report};
+use crate::coordination::pool::{EndKind, EndedTask, OrderTarget, PollReport, QueuePolicy};
 use crate::replay::pool::{PoolSimulation, job, lasting, step, task};
 use crate::state::{JobOutcome, StepSpec};
 
@@ -194,3 +197,36 @@
     simulation.run_ms(6_000);
     assert_eq!(simulation.running(), 0);
 }
+
+/// Guards against a job that fails after the default number of attempts, because its
+/// queue was removed before its controller read the configuration.
+#[test]
+fn stored_policy_of_a_removed_queue_counts() {
+    let mut driver = Driver::new(&[entry(0, BORN)]);
+    let removed = QueueId::new("removed");
+    driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
+    assert!(!driver.engine.take_unknown_queue());
+    driver.submit_to(&removed, job(vec![step(1, 1_000, 2_000)]));
+    assert!(driver.engine.take_unknown_queue(), "the policy is not asked for");
+    let policy = QueuePolicy { attempts_max: 4, ..QueuePolicy::default() };
+    driver.engine.set_stored_queues([(removed.clone(), policy.clone())]);
+    for number in 1..=4 {
+        driver.run_ms(3_000);
+        assert_eq!(driver.starts.len(), 1, "attempt {number}");
+        let (_, OrderTarget { task, run, .. }) = driver.starts[0].clone();
+        driver.accept_starts();
+        let end = EndedTask { number, task, run, how: EndKind::Failed, checkpoint: "".into() };
+        let clock_ms = 500_000 + driver.now_ms;
+        let ended = PollReport { ended: vec![end], ..report(BORN, clock_ms, Vec::new()) };
+        driver.answer("w0", Ok(ended));
+    }
+    driver.run_ms(3_000);
+    assert!(driver.starts.is_empty(), "a fifth attempt");
+    let view = driver.engine.job_state(JOB);
+    assert!(view.is_none_or(|view| view.outcome == Some(JobOutcome::Failed)));
+    // The configuration goes before a stored policy.
+    let newer = QueuePolicy { attempts_max: 7, ..policy.clone() };
+    driver.engine.set_queues([(removed.clone(), newer)]);
+    driver.engine.set_stored_queues([(removed.clone(), policy)]);
+    assert_eq!(driver.engine.policy(&removed).attempts_max, 7);
+}
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -10,7 +10,7 @@
 use tamarackproxy::{
     coordination::control::Tenure,
     protocol::store::{KeyValue, WatchEvent},
-    state::ids::{PoolId, RecordVersion, WorkerId},
+    state::ids::{PoolId, QueueId, RecordVersion, WorkerId},
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -29,6 +29,7 @@
         pool_transaction, progress_prefix, roster_key, vacate_key, vacated_key,
     },
     platform::{Platform, Transaction},
+    queues,
     relay::{CallEnd, CallOutcome, RelayLink, list_members},
     shared::Shared,
     shares::{ShareReply, Shares},
@@ -73,6 +74,7 @@
     Relayed(CallOutcome, CallEnd),
     Members(Vec<Member>),
     Shares(ShareReply),
+    Queues(Vec<(QueueId, QueuePolicy)>),
 }
 
 /// Controls a pool until it is aborted or fenced.
@@ -97,7 +99,7 @@
     let mut document = shared.document.subscribe();
     let mut registry = shared.registry.subscribe();
     let mut vacate = shared.vacate.subscribe();
-    apply_document(&mut engine, &mut document, &pool);
+    apply_document(&mut engine, &mut document);
     engine.on_registry(registry.borrow_and_update().values());
 
     let jobs = list_with_retry(&shared, &jobs_prefix(&pool)).await;
@@ -108,6 +110,9 @@
     engine.set_vacating(requests.keys().cloned().collect());
     engine.set_vacated(HashSet::clone(&shared.vacated.borrow()));
     engine.recover(clock::read(), recovered);
+    if engine.take_unknown_queue() {
+        engine.set_stored_queues(queues::stored_policies(&shared).await);
+    }
     log::info!(pool = pool.as_str(), term = tenure.term.0,
         took_ms = clock::read().monotonic_ms - began.monotonic_ms;
         "pool state was recovered from the store");
@@ -166,13 +171,13 @@
 fn apply_document(
     engine: &mut PoolEngine,
     document: &mut watch::Receiver<Option<Rc<ServingDocument>>>,
-    pool: &PoolId,
 ) {
     let document = document.borrow_and_update().clone();
     let mut pools = document.iter().flat_map(|document| &document.pools);
     engine.set_switches_off_hosts(pools.any(|pool| pool.is_standby));
     let queues = document.iter().flat_map(|document| &document.queues);
-    let queues = queues.filter(|queue| queue.pool == *pool).map(|queue| {
+    // The pool may have jobs of queues that are sent to another pool now.
+    let queues = queues.map(|queue| {
         let policy = QueuePolicy {
             priority: queue.priority,
             attempts_max: queue.attempts_max,
@@ -253,7 +258,7 @@
                 self.on_input(input);
             }
             if document.has_changed().unwrap_or(false) {
-                apply_document(&mut self.engine.borrow_mut(), &mut document, &self.pool);
+                apply_document(&mut self.engine.borrow_mut(), &mut document);
                 self.set_limits(&document);
             }
             if registry.has_changed().unwrap_or(false) {
@@ -422,6 +427,9 @@
             Input::Relayed(outcome, end) => return self.on_relayed(outcome, end),
             Input::Members(members) => return self.on_members(&members),
             Input::Shares(reply) => return self.shares.on_reply(reply),
+            Input::Queues(policies) => {
+                return self.engine.borrow_mut().set_stored_queues(policies);
+            }
             input => input,
         };
         let now = clock::read();
@@ -440,11 +448,23 @@
             )) => {}
             Input::Started(target, reply) => engine.on_start_reply(now, target, reply),
             Input::Stopped(target, reply) => engine.on_stop_reply(now, target, reply),
-            Input::Paced | Input::Relayed(..) | Input::Members(_) | Input::Shares(_) => {}
+            Input::Paced
+            | Input::Relayed(..)
+            | Input::Members(_)
+            | Input::Shares(_)
+            | Input::Queues(_) => {}
             Input::Polled(worker, result) => engine.on_poll(now, worker, result),
             Input::Written(result) => engine.on_write(now, result),
             Input::Advised(question, allowed) => engine.on_advice(now, &question, allowed),
         }
+        if engine.take_unknown_queue() {
+            let (shared, inputs) = (Rc::clone(&self.shared), self.inputs.clone());
+            self.calls.spawn_local(async move {
+                let policies = queues::stored_policies(&shared).await;
+                // The receiver is gone when control has ended.
+                let _ = inputs.send(Input::Queues(policies));
+            });
+        }
     }
 
     fn carry_out(&mut self, action: PoolAction) {
