Read the record of a queue for counts only after a change of the configuration

The pools of a queue change only with the configuration, so a record that was read after all processes had applied the current one is used again. States and cancellations still read it before they answer that a job does not exist.

record_is_read_for_counts_after_a_change_only guards against both.

--- a/crates/dispatch/src/node/callers.rs
+++ b/crates/dispatch/src/node/callers.rs
@@ -509,8 +509,12 @@
 where
     P: Platform,
 {
-    let Some(former) = former_pools(shared, queue).await else {
-        return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS };
+    let former = loop {
+        match queues::waiting_pools(shared, queue).await {
+            Ok(former) => break former,
+            Err(_) if shared.store_is_reachable() => sleep(Duration::from_millis(RETRY_MS)).await,
+            Err(_) => return CallerResponse::Unavailable { retry_after_ms: RETRY_AFTER_MS },
+        }
     };
     let mut sum = 0;
     for pool in [&queue.pool].into_iter().chain(&former) {
--- a/crates/dispatch/src/node/fake.rs
+++ b/crates/dispatch/src/node/fake.rs
@@ -74,6 +74,8 @@
     pub(super) payloads: Rc<RefCell<Vec<Box<str>>>>,
     /// Transactions, oldest first; none of them has a reply in time.
     pub(super) transactions: Rc<RefCell<Vec<Transaction>>>,
+    /// Keys that were read, oldest first.
+    pub(super) reads: Rc<RefCell<Vec<Box<str>>>>,
     /// Listed prefixes, oldest first; none of them has a reply.
     pub(super) lists: Rc<RefCell<Vec<Box<str>>>>,
     /// Time that workers take to answer an order, in milliseconds.
@@ -116,6 +118,7 @@
     async fn store(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
         self.reach_for(StoreError::NotSent).await?;
         let StoreRequest::Get { key } = request else { return Err(StoreError::NotSent) };
+        self.reads.borrow_mut().push(key.clone());
         Ok(StoreReply::Value(self.stored.borrow().get(key).cloned()))
     }
 
--- a/crates/dispatch/src/node/queues.rs
+++ b/crates/dispatch/src/node/queues.rs
@@ -6,7 +6,7 @@
 //! record and on the absence of the job in all pools of it, so that a repeated
 //! request never stores a second copy.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use hashbrown::HashMap;
 use tamarackproxy::{
@@ -15,6 +15,7 @@
 };
 
 use super::{
+    clock,
     follow::list_with_retry,
     keys::{
         ALL_JOBS_PREFIX, QUEUES_COMPLETE_KEY, QUEUES_PREFIX, decode_item, pool_of_job, queue_of,
@@ -43,6 +44,13 @@
 #[derive(Debug, Default)]
 pub(super) struct KnownQueues {
     records: RefCell<HashMap<QueueId, (RecordVersion, QueueRecord)>>,
+    /// When the record of each queue was last read, also if there was none, in
+    /// milliseconds on the local clock.
+    read_ms: RefCell<HashMap<QueueId, u64>>,
+    /// When the configuration last changed, in milliseconds on the local clock.
+    configured_ms: Cell<u64>,
+    /// Every queue with jobs has a record.
+    are_complete: Cell<bool>,
 }
 
 impl KnownQueues {
@@ -51,6 +59,18 @@
         self.records.borrow_mut().remove(queue);
     }
 
+    /// Records that a configuration has come into force.
+    pub(super) fn on_configuration(&self, now_ms: u64) {
+        self.configured_ms.set(now_ms);
+    }
+
+    /// Returns whether a record was read so long after the last change of the
+    /// configuration, `apply_ms`, that all processes had applied it.
+    fn is_settled(&self, queue: &QueueId, apply_ms: u64) -> bool {
+        let settled_ms = self.configured_ms.get().saturating_add(apply_ms);
+        self.read_ms.borrow().get(queue).is_some_and(|&read_ms| read_ms >= settled_ms)
+    }
+
     fn get(&self, queue: &QueueId) -> Option<(RecordVersion, QueueRecord)> {
         self.records.borrow().get(queue).cloned()
     }
@@ -117,7 +137,10 @@
 where
     P: Platform,
 {
-    let Some(item) = shared.read(&QueueRecord::key(queue)).await? else { return Ok(None) };
+    let sent_ms = clock::read().monotonic_ms;
+    let item = shared.read(&QueueRecord::key(queue)).await?;
+    shared.queues.read_ms.borrow_mut().insert(queue.clone(), sent_ms);
+    let Some(item) = item else { return Ok(None) };
     let record = decode_item::<QueueRecord>(&item)
         .ok_or_else(|| StoreError::Malformed("record of a queue".into()))?;
     shared.queues.set(queue, item.version, record.clone());
@@ -136,14 +159,35 @@
 where
     P: Platform,
 {
-    if let Some((version, record)) = read(shared, &queue.queue).await? {
-        return Ok(pools(queue, version, &record).former);
+    let mut record = read(shared, &queue.queue).await?;
+    if record.is_none() && !shared.queues.are_complete.get() {
+        complete(shared).await?;
+        record = read(shared, &queue.queue).await?;
     }
-    complete(shared).await?;
-    let record = read(shared, &queue.queue).await?;
     Ok(record.map(|(version, record)| pools(queue, version, &record).former).unwrap_or_default())
 }
 
+/// Lists the pools besides `queue.pool` in which jobs of a queue may wait. Unlike
+/// [`former_pools`], it reads the record again only while the configuration has
+/// changed recently: a count may leave out a pool that an outdated process adds.
+///
+/// # Errors
+///
+/// Returns the error of the store.
+pub(super) async fn waiting_pools<P>(
+    shared: &Shared<P>,
+    queue: &QueueSettings,
+) -> Result<Vec<PoolId>, StoreError>
+where
+    P: Platform,
+{
+    if !shared.queues.is_settled(&queue.queue, shared.settings.configuration_apply_ms) {
+        return former_pools(shared, queue).await;
+    }
+    let known = shared.queues.get(&queue.queue);
+    Ok(known.map(|(version, record)| pools(queue, version, &record).former).unwrap_or_default())
+}
+
 /// Reads the policies of all queues that have had jobs; retried until the store has
 /// replied.
 pub(super) async fn stored_policies<P>(shared: &Shared<P>) -> Vec<(QueueId, QueuePolicy)>
@@ -172,7 +216,11 @@
 where
     P: Platform,
 {
-    while shared.read(QUEUES_COMPLETE_KEY).await?.is_none() {
+    while !shared.queues.are_complete.get() {
+        if shared.read(QUEUES_COMPLETE_KEY).await?.is_some() {
+            shared.queues.are_complete.set(true);
+            break;
+        }
         let found = pools_by_queue(&shared.list(ALL_JOBS_PREFIX).await?);
         let mut records = Vec::new();
         for (name, found) in found {
--- a/crates/dispatch/src/node/queues/tests.rs
+++ b/crates/dispatch/src/node/queues/tests.rs
@@ -248,6 +248,33 @@
     });
 }
 
+/// Guards against a read of the record for each count of waiting jobs, and against a
+/// count that leaves out a pool which another process has added after a change of the
+/// configuration.
+#[rstest]
+#[case::settled(10_000, 0)]
+#[case::changed(0, 3)]
+fn record_is_read_for_counts_after_a_change_only(#[case] age_ms: u64, #[case] reads: usize) {
+    block_on(async {
+        let stored = StoredValues::default();
+        let platform = Workers { stored: Rc::clone(&stored), ..Workers::default() };
+        platform.reach.set(Reach::Up);
+        let keys = Rc::clone(&platform.reads);
+        let mut process = Process { shared: shared(platform), queue: queue("a") };
+        process.configure(1, "a");
+        process.submit().await;
+        let now_ms = clock::read().monotonic_ms;
+        process.shared.queues.on_configuration(now_ms.saturating_sub(age_ms));
+        keys.borrow_mut().clear();
+        for _ in 0..3 {
+            let count = process.call(CallerRequest::CountWaiting { queue: process.queue.clone() });
+            assert_eq!(count.await, CallerResponse::Waiting(0));
+        }
+        let of_queues = keys.borrow().iter().filter(|key| key.starts_with("queues/")).count();
+        assert_eq!(of_queues, reads);
+    });
+}
+
 /// Guards against the default number of attempts for a job whose queue was removed
 /// before its controller read the configuration.
 #[test]
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -281,6 +281,7 @@
             log::info!(revision = document.revision, record = document.record.0,
                 queues = document.queues.len(), pools = document.pools.len();
                 "configuration is in force");
+            self.queues.on_configuration(clock::read().monotonic_ms);
             self.document.send_replace(Some(Rc::new(document)));
         }
     }
