--- a/review/common-2/platform_standins.py
+++ b/review/common-2/platform_standins.py
@@ -18,7 +18,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 # Bounds of the site files, in milliseconds.
-GANG_MS, RESTORE_MS, SAVE_MS, UPKEEP_MS = 3000, 600, 1000, 2000
+GANG_MS, RESTORE_MS, SAVE_MS, UPKEEP_MS, HISTORY_MS = 3000, 600, 1000, 2000, 20000
 PROGRAM = os.path.join(ROOT, "target/release/tamarack-dispatchd")
 
 
@@ -106,6 +106,8 @@
 
     def __init__(self):
         self.revision = 1
+        # Revision up to which the history is dropped, and the dispatchers that are turned away.
+        self.dropped, self.away = 0, set()
         self.items = {}
         self.events = []
         self.leases = {}
@@ -113,10 +115,19 @@
         self.changed = asyncio.Event()
 
     async def start(self):
-        self.server = await serve(self.handle)
-        self.address = address_of(self.server)
+        self.fronts = {}
         asyncio.get_running_loop().create_task(self.expire())
 
+    async def front(self, index):
+        """Returns the address at which one dispatcher reaches the store."""
+        async def handle(*call):
+            if index in self.away:
+                return 503, {}
+            return await self.handle(*call)
+        if index not in self.fronts:
+            self.fronts[index] = await serve(handle)
+        return address_of(self.fronts[index])
+
     def wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
@@ -132,11 +143,11 @@
         for key, value, lease in puts:
             created = self.items[key][2] if key in self.items else revision
             self.items[key] = (value, revision, created, lease)
-            self.events.append((revision, key, self.item(key)))
+            self.events.append((revision, key, self.item(key), now_ms()))
         for key in removes:
             if self.items.pop(key, None) is not None:
-                self.events.append(
-                    (revision, key, {"key": key, "revision": revision, "deleted": True}))
+                gone = {"key": key, "revision": revision, "deleted": True}
+                self.events.append((revision, key, gone, now_ms()))
         self.wake()
         return revision
 
@@ -156,6 +167,9 @@
             over = [lease for lease, (_, until) in self.leases.items() if now_ms() >= until]
             for lease in over:
                 self.end_lease(lease)
+            old = now_ms() - HISTORY_MS
+            while self.events and self.events[0][3] < old:
+                self.dropped = self.events.pop(0)[0]
 
     async def handle(self, method, path, query, headers, body):
         value = json.loads(body) if body else {}
@@ -196,7 +210,9 @@
         prefix, after = query.get("prefix", ""), int(query.get("after", 0))
         until = now_ms() + int(query.get("wait_ms", 0))
         while True:
-            found = [event for revision, key, event in self.events
+            if after < self.dropped:
+                return 410, {}
+            found = [event for revision, key, event, _ in self.events
                      if revision > after and key.startswith(prefix)]
             left = until - now_ms()
             if found or left <= 0:
@@ -419,6 +435,7 @@
         for slot in range(minions):
             await self.start_minion(slot)
         for index in range(dispatchers):
+            await self.store.front(index)
             self.start_dispatcher(index)
         for index in range(dispatchers):
             await self.wait_ready(index)
@@ -528,7 +545,7 @@
                 f"[entry]\nname = edge-{index}\ndata_centre = zone-a\n\n"
                 f"[listen]\ncallers = {front}\nready = {ready}\nmetrics = {metrics}\n"
                 f"relay = {relay}\n\n"
-                f"[platform]\nstore = {self.store.address}\n"
+                f"[platform]\nstore = {address_of(self.store.fronts[index])}\n"
                 f"hosts = {address_of(self.machines)}\nhosts_reject_old_terms = true\n"
                 f"advice =\n\n"
                 f"[limits]\ngraceful_stop_s = 6\nworker_lease_max_ms = 10000\n"
