--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of review/7 and review/8 start, besides the build of deploy/system.toml:
+# Builds what the scripts of review/6 to review/10 start, besides the build of deploy/system.toml:
 # the stand-ins are Python of the standard library, so they are only checked.
 set -eu
 cd "$(dirname "$0")"
