--- a/review/common-2/platform_standins.py
+++ b/review/common-2/platform_standins.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from urllib.parse import parse_qs, urlsplit
@@ -422,6 +423,8 @@
         # Whether the machines' service answers orders; none: it resets the connection.
         self.takes_orders = True
         self.directory = tempfile.mkdtemp(prefix="tamarack-review-")
+        # So that a script that is told to end also ends its processes.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def start(self, minions, dispatchers, routes):
         if not os.path.exists(PROGRAM):
