Tell by the clock in a reply which incarnation received an order

Every reply to an order states the worker's clock, which was not read.

The reply to an order now carries that clock, also through a relay, and one that the known incarnation cannot have is logged and counted. A lease that expires is logged with the incarnation, the runs that it never listed, and the ages of its last report and reply. No decision changes.

--- a/crates/dispatch/src/coordination/pool/events.rs
+++ b/crates/dispatch/src/coordination/pool/events.rs
@@ -98,6 +98,21 @@
     Unknown,
 }
 
+/// Result of an order, with what the reply tells of the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderOutcome {
+    pub reply: OrderReply,
+    /// The worker's clock when it replied, in milliseconds; none if the reply does
+    /// not state it.
+    pub clock_ms: Option<u64>,
+}
+
+impl From<OrderReply> for OrderOutcome {
+    fn from(reply: OrderReply) -> Self {
+        Self { reply, clock_ms: None }
+    }
+}
+
 /// Poll of a worker: extends its lease and asks for its runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PollRequest {
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -41,9 +41,9 @@
 pub use self::{
     engine::{JobView, PoolControl, PoolEngine, PoolTiming, QueuePolicy},
     events::{
-        AdviceQuestion, EndKind, EndedTask, JobKey, Order, OrderReply, OrderTarget, PollFailure,
-        PollReport, PollRequest, PoolAction, Refusal, RunningTask, StartOrder, WorkerContact,
-        WorkerKey,
+        AdviceQuestion, EndKind, EndedTask, JobKey, Order, OrderOutcome, OrderReply, OrderTarget,
+        PollFailure, PollReport, PollRequest, PoolAction, Refusal, RunningTask, StartOrder,
+        WorkerContact, WorkerKey,
     },
     fair_share::AccountStatus,
     interference::InterferingPair,
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -13,15 +13,15 @@
     crashes::{ALONE_MS, Caution},
     engine::{PoolEngine, contact},
     events::{
-        AdviceQuestion, JobKey, Order, OrderReply, OrderTarget, PoolAction, Refusal, StartOrder,
-        WorkerKey,
+        AdviceQuestion, JobKey, Order, OrderOutcome, OrderReply, OrderTarget, PoolAction, Refusal,
+        StartOrder, WorkerKey,
     },
     interference::RunAt,
     job_table::Job,
     order::{Rank, RankInputs, value},
     placement::{PlaceQuery, REACHABLE_MS, Unplaceable, is_plain, takes_work},
     task::{Run, RunPhase, TaskRef},
-    workers::Worker,
+    workers::{ClockOrigin, Worker},
 };
 use crate::state::{RunNumber, StepSpec};
 
@@ -504,8 +504,13 @@
     }
 
     /// Handles the result of a start order.
-    pub fn on_start_reply(&mut self, now: ClockReading, target: OrderTarget, reply: OrderReply) {
+    pub fn on_start_reply<O>(&mut self, now: ClockReading, target: OrderTarget, outcome: O)
+    where
+        O: Into<OrderOutcome>,
+    {
+        let OrderOutcome { reply, clock_ms } = outcome.into();
         let now_ms = now.monotonic_ms;
+        self.check_origin(now_ms, &target, clock_ms);
         if reply != OrderReply::Accepted {
             let worker = self.workers.get(target.worker);
             let worker = worker.map_or("", |worker| worker.entry.worker.as_str());
@@ -543,6 +548,31 @@
         self.placing_due = true;
     }
 
+    /// Returns which incarnation of its worker replied to an order, and logs a reply
+    /// of another one than the order was meant for.
+    pub(super) fn check_origin(
+        &mut self,
+        now_ms: u64,
+        target: &OrderTarget,
+        clock_ms: Option<u64>,
+    ) -> ClockOrigin {
+        let worker = self.workers.get(target.worker);
+        let clock = worker.and_then(|worker| worker.clock);
+        let (Some(worker), Some(clock), Some(clock_ms)) = (worker, clock, clock_ms) else {
+            return ClockOrigin::Ambiguous;
+        };
+        let origin = clock.origin(now_ms, clock_ms);
+        if origin == ClockOrigin::Other {
+            log::warn!(worker = worker.entry.worker.as_str(),
+                born_unix_ms = worker.entry.born_unix_ms, task:display = target.task,
+                run:display = target.run, clock_ms = clock_ms,
+                expected_clock_ms = clock.now_ms(now_ms);
+                "order was received by another incarnation of the worker");
+            metrics::counter!("orders_to_other_incarnations").increment(1);
+        }
+        origin
+    }
+
     fn on_start_refused(
         &mut self,
         now: ClockReading,
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -6,7 +6,7 @@
 
 use super::{
     engine::{PoolEngine, contact},
-    events::{Order, OrderReply, OrderTarget, PoolAction, Refusal, WorkerKey},
+    events::{Order, OrderOutcome, OrderReply, OrderTarget, PoolAction, Refusal, WorkerKey},
     placement::REACHABLE_MS,
     task::{Run, RunPhase, Task, TaskRef},
     workers::{Presence, Worker},
@@ -204,7 +204,12 @@
     }
 
     /// Handles the result of a stop order.
-    pub fn on_stop_reply(&mut self, now: ClockReading, target: OrderTarget, reply: OrderReply) {
+    pub fn on_stop_reply<O>(&mut self, now: ClockReading, target: OrderTarget, outcome: O)
+    where
+        O: Into<OrderOutcome>,
+    {
+        let OrderOutcome { reply, clock_ms } = outcome.into();
+        self.check_origin(now.monotonic_ms, &target, clock_ms);
         match reply {
             OrderReply::Refused(Refusal::OldTerm) => {
                 self.fence("a worker has seen a higher term");
@@ -355,7 +360,11 @@
                 continue;
             }
             if !worker.is_empty() {
-                log::warn!(worker = worker.entry.worker.as_str(), runs = worker.runs.len();
+                let entry = &worker.entry;
+                log::warn!(worker = entry.worker.as_str(), born_unix_ms = entry.born_unix_ms,
+                    runs = worker.runs.len(), unlisted = &*self.describe_unlisted(key),
+                    reported_age_ms = worker.polled_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
+                    heard_age_ms = now_ms.saturating_sub(worker.heard_ms);
                     "worker is unreachable and its lease expired; its tasks will be rescheduled");
             }
             let is_gone = !matches!(worker.presence, Presence::Registered(_));
--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -10,6 +10,7 @@
 mod incarnations;
 mod interference;
 mod interleavings;
+mod leases;
 mod limits;
 mod load;
 mod order;
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -31,6 +31,21 @@
 /// Most polls in a row that are repeated at once.
 const QUICK_RETRIES_MAX: u32 = 6;
 
+/// Largest difference between two readings of one clock that network delays and
+/// replies which overtake each other explain, in milliseconds.
+const CLOCK_TOLERANCE_MS: u64 = 1_000;
+
+/// What a reading of a worker's clock tells of the incarnation that it is from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClockOrigin {
+    /// The known incarnation.
+    Known,
+    /// Either the known incarnation or one that began since its latest report.
+    Ambiguous,
+    /// Another incarnation.
+    Other,
+}
+
 /// Latest reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WorkerClock {
@@ -48,6 +63,21 @@
         self.clock_ms + now_ms.saturating_sub(self.read_ms)
     }
 
+    /// Returns which incarnation a reading at `now_ms`, on the local clock, is from.
+    /// The clock of a new incarnation starts near 0.
+    pub(super) fn origin(&self, now_ms: u64, clock_ms: u64) -> ClockOrigin {
+        let since_ms = now_ms.saturating_sub(self.read_ms);
+        let since_max_ms = since_ms + since_ms * CLOCK_DRIFT_PERCENT / 100 + CLOCK_TOLERANCE_MS;
+        let earliest_ms = self.clock_ms.saturating_sub(CLOCK_TOLERANCE_MS);
+        if !(earliest_ms..=self.clock_ms + since_max_ms).contains(&clock_ms) {
+            ClockOrigin::Other
+        } else if clock_ms <= since_max_ms {
+            ClockOrigin::Ambiguous
+        } else {
+            ClockOrigin::Known
+        }
+    }
+
     /// Returns the time on the local clock at which the worker's clock has
     /// certainly passed `deadline_ms`.
     fn passes_at_ms(&self, deadline_ms: u64) -> u64 {
--- a/crates/dispatch/src/node/calls.rs
+++ b/crates/dispatch/src/node/calls.rs
@@ -7,7 +7,8 @@
 
 use super::{clock, platform::Platform};
 use crate::coordination::pool::{
-    Order, OrderReply, OrderTarget, PollFailure, PollReport, PollRequest, WorkerContact,
+    Order, OrderOutcome, OrderReply, OrderTarget, PollFailure, PollReport, PollRequest,
+    WorkerContact,
 };
 
 /// Orders to one worker that may be in flight at once. The number of connections
@@ -41,20 +42,22 @@
         contact: &WorkerContact,
         target: &OrderTarget,
         order: &Order,
-    ) -> OrderReply
+    ) -> OrderOutcome
     where
         P: Platform,
     {
         let permits = self.permits(contact.address);
-        let Ok(_permit) = permits.acquire().await else { return OrderReply::NotSent };
+        let Ok(_permit) = permits.acquire().await else {
+            return OrderReply::NotSent.into();
+        };
         let sent_ms = clock::read().monotonic_ms;
         if sent_ms >= requested_ms + ORDER_AGE_MAX_MS {
-            return OrderReply::NotSent;
+            return OrderReply::NotSent.into();
         }
-        let reply = platform.send_order(contact, target, order).await;
+        let outcome = platform.send_order(contact, target, order).await;
         let took_ms = clock::read().monotonic_ms.saturating_sub(sent_ms);
         metrics::histogram!("worker_order_ms").record(took_ms as f64);
-        reply
+        outcome
     }
 
     /// Polls a worker.
--- a/crates/dispatch/src/node/calls/tests.rs
+++ b/crates/dispatch/src/node/calls/tests.rs
@@ -46,7 +46,7 @@
         replies
     });
     let (sent, waited) = replies.split_at(CONCURRENT_ORDERS_MAX);
-    assert!(sent.iter().all(|reply| *reply == OrderReply::Accepted), "{sent:?}");
-    assert!(waited.iter().all(|reply| *reply == OrderReply::NotSent), "{waited:?}");
+    assert!(sent.iter().all(|outcome| outcome.reply == OrderReply::Accepted), "{sent:?}");
+    assert!(waited.iter().all(|outcome| outcome.reply == OrderReply::NotSent), "{waited:?}");
     assert_eq!(payloads.borrow().len(), CONCURRENT_ORDERS_MAX);
 }
--- a/crates/dispatch/src/node/fake.rs
+++ b/crates/dispatch/src/node/fake.rs
@@ -27,8 +27,8 @@
 use crate::{
     coordination::{
         pool::{
-            AdviceQuestion, Order, OrderReply, OrderTarget, PollFailure, PollReport, PollRequest,
-            WorkerContact,
+            AdviceQuestion, Order, OrderOutcome, OrderReply, OrderTarget, PollFailure, PollReport,
+            PollRequest, WorkerContact,
         },
         upkeep::{HostOrderReply, HostView},
     },
@@ -161,14 +161,14 @@
         None
     }
 
-    async fn send_order(&self, _: &WorkerContact, _: &OrderTarget, order: &Order) -> OrderReply {
+    async fn send_order(&self, _: &WorkerContact, _: &OrderTarget, order: &Order) -> OrderOutcome {
         if let Order::Start(start) = order {
             self.payloads.borrow_mut().push(start.job.payload.clone());
         }
         if self.order_ms > 0 {
             sleep(Duration::from_millis(self.order_ms)).await;
         }
-        OrderReply::Accepted
+        OrderReply::Accepted.into()
     }
 
     async fn poll_worker(
--- a/crates/dispatch/src/node/platform.rs
+++ b/crates/dispatch/src/node/platform.rs
@@ -17,7 +17,7 @@
     coordination::{
         control::OrderPermit,
         pool::{
-            AdviceQuestion, Order, OrderReply, OrderTarget, PollFailure, PollReport, PollRequest,
+            AdviceQuestion, Order, OrderOutcome, OrderTarget, PollFailure, PollReport, PollRequest,
             WorkerContact,
         },
         upkeep::{HostOrderReply, HostView},
@@ -164,7 +164,7 @@
         contact: &WorkerContact,
         target: &OrderTarget,
         order: &Order,
-    ) -> impl Future<Output = OrderReply>;
+    ) -> impl Future<Output = OrderOutcome>;
 
     /// Asks a worker for its runs.
     fn poll_worker(
--- a/crates/dispatch/src/node/pool.rs
+++ b/crates/dispatch/src/node/pool.rs
@@ -36,9 +36,9 @@
 };
 use crate::{
     coordination::pool::{
-        AdviceQuestion, Order, OrderReply, OrderTarget, PollFailure, PollReport, PoolAction,
-        PoolControl, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered, StoredJob,
-        WorkerContact, WorkerKey, WriteResult,
+        AdviceQuestion, Order, OrderOutcome, OrderReply, OrderTarget, PollFailure, PollReport,
+        PoolAction, PoolControl, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered,
+        StoredJob, WorkerContact, WorkerKey, WriteResult,
     },
     coordination::relay::{Member, choose_relays, relay_of, relays_wanted},
     state::{Accounts, ServingDocument, Vacancy, WorkerEntry, encode},
@@ -65,8 +65,8 @@
 /// An event that the controller passes to the engine.
 enum Input {
     Jobs(PrefixUpdate),
-    Started(OrderTarget, OrderReply),
-    Stopped(OrderTarget, OrderReply),
+    Started(OrderTarget, OrderOutcome),
+    Stopped(OrderTarget, OrderOutcome),
     Paced,
     Polled(WorkerKey, Result<PollReport, PollFailure>),
     Written(WriteResult),
@@ -404,8 +404,10 @@
 
     fn on_relayed(&mut self, outcome: CallOutcome, end: CallEnd) {
         let unreached = match &outcome {
-            CallOutcome::Started(target, reply) | CallOutcome::Stopped(target, reply) => {
-                matches!(reply, OrderReply::NotSent | OrderReply::Unknown).then_some(target.worker)
+            CallOutcome::Started(target, ordered) | CallOutcome::Stopped(target, ordered) => {
+                let is_unreached =
+                    matches!(ordered.reply, OrderReply::NotSent | OrderReply::Unknown);
+                is_unreached.then_some(target.worker)
             }
             CallOutcome::Polled(worker, Err(PollFailure::Unreachable)) => Some(*worker),
             CallOutcome::Polled(..) | CallOutcome::Paced => None,
@@ -415,8 +417,8 @@
             self.direct_until_ms.insert(worker, until_ms);
         }
         self.on_input(match outcome {
-            CallOutcome::Started(target, reply) => Input::Started(target, reply),
-            CallOutcome::Stopped(target, reply) => Input::Stopped(target, reply),
+            CallOutcome::Started(target, ordered) => Input::Started(target, ordered),
+            CallOutcome::Stopped(target, ordered) => Input::Stopped(target, ordered),
             CallOutcome::Paced => Input::Paced,
             CallOutcome::Polled(worker, result) => Input::Polled(worker, result),
         });
@@ -446,8 +448,8 @@
             Input::Jobs(PrefixUpdate::Changed(
                 WatchEvent::Deleted { .. } | WatchEvent::Interrupted,
             )) => {}
-            Input::Started(target, reply) => engine.on_start_reply(now, target, reply),
-            Input::Stopped(target, reply) => engine.on_stop_reply(now, target, reply),
+            Input::Started(target, outcome) => engine.on_start_reply(now, target, outcome),
+            Input::Stopped(target, outcome) => engine.on_stop_reply(now, target, outcome),
             Input::Paced
             | Input::Relayed(..)
             | Input::Members(_)
--- a/crates/dispatch/src/node/relay/link.rs
+++ b/crates/dispatch/src/node/relay/link.rs
@@ -31,8 +31,8 @@
 };
 use crate::{
     coordination::pool::{
-        Order, OrderReply, OrderTarget, PollFailure, PollReport, PollRequest, WorkerContact,
-        WorkerKey,
+        Order, OrderOutcome, OrderReply, OrderTarget, PollFailure, PollReport, PollRequest,
+        WorkerContact, WorkerKey,
     },
     state::JobNumber,
 };
@@ -64,8 +64,8 @@
 /// Result of a call that a relay carried.
 #[derive(Clone, Debug)]
 pub(in crate::node) enum CallOutcome {
-    Started(OrderTarget, OrderReply),
-    Stopped(OrderTarget, OrderReply),
+    Started(OrderTarget, OrderOutcome),
+    Stopped(OrderTarget, OrderOutcome),
     Paced,
     Polled(WorkerKey, Result<PollReport, PollFailure>),
 }
@@ -79,10 +79,10 @@
 }
 
 impl Expected {
-    fn ordered(self, reply: OrderReply) -> CallOutcome {
+    fn ordered(self, outcome: OrderOutcome) -> CallOutcome {
         match self {
-            Self::Started(target) => CallOutcome::Started(target, reply),
-            Self::Stopped(target) => CallOutcome::Stopped(target, reply),
+            Self::Started(target) => CallOutcome::Started(target, outcome),
+            Self::Stopped(target) => CallOutcome::Stopped(target, outcome),
             Self::Paced => CallOutcome::Paced,
             Self::Polled(worker) => CallOutcome::Polled(worker, Err(PollFailure::Unreachable)),
         }
@@ -132,7 +132,7 @@
     fn lose_pending(&self, on_outcome: &OnOutcome) {
         let lost = std::mem::take(&mut *self.pending.borrow_mut());
         for lost in lost.into_values() {
-            on_outcome(lost.expected.ordered(OrderReply::Unknown), CallEnd::Lost);
+            on_outcome(lost.expected.ordered(OrderReply::Unknown.into()), CallEnd::Lost);
         }
     }
 }
@@ -330,11 +330,13 @@
                 let pending = state.pending.borrow_mut().remove(call);
                 let Some(Pending { expected, .. }) = pending else { continue };
                 let outcome = match (reply, expected) {
-                    (RelayReply::Order { reply, .. }, expected) => expected.ordered(reply),
+                    (RelayReply::Order { outcome, .. }, expected) => expected.ordered(outcome),
                     (RelayReply::Poll { result, .. }, Expected::Polled(worker)) => {
                         CallOutcome::Polled(worker, result)
                     }
-                    (RelayReply::Poll { .. }, expected) => expected.ordered(OrderReply::Unknown),
+                    (RelayReply::Poll { .. }, expected) => {
+                        expected.ordered(OrderReply::Unknown.into())
+                    }
                 };
                 on_outcome(outcome, CallEnd::Replied);
             }
--- a/crates/dispatch/src/node/relay/message.rs
+++ b/crates/dispatch/src/node/relay/message.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     coordination::pool::{
-        Order, OrderReply, OrderTarget, PollFailure, PollReport, PollRequest, StartOrder,
+        Order, OrderOutcome, OrderTarget, PollFailure, PollReport, PollRequest, StartOrder,
         WorkerContact, WorkerKey,
     },
     state::{JobNumber, JobSpec, RunNumber, TaskAddress},
@@ -107,7 +107,7 @@
 /// Message of a relay to a controller.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) enum RelayReply {
-    Order { call: CallNumber, reply: OrderReply },
+    Order { call: CallNumber, outcome: OrderOutcome },
     Poll { call: CallNumber, result: Result<PollReport, PollFailure> },
 }
 
--- a/crates/dispatch/src/node/relay/server.rs
+++ b/crates/dispatch/src/node/relay/server.rs
@@ -188,15 +188,15 @@
     match call {
         RelayCall::Order { call, receiver, task, run, order } => {
             metrics::counter!("relayed_orders").increment(1);
-            let reply = match order.order(payload.as_ref()) {
+            let outcome = match order.order(payload.as_ref()) {
                 Some(order) => {
                     let (contact, target) = (receiver.contact(), target(task, run));
                     let (calls, platform) = (&shared.worker_calls, &shared.platform);
                     calls.order(platform, received_ms, &contact, &target, &order).await
                 }
-                None => OrderReply::NotSent,
+                None => OrderReply::NotSent.into(),
             };
-            Some(RelayReply::Order { call, reply })
+            Some(RelayReply::Order { call, outcome })
         }
         RelayCall::Poll { call, receiver, request } => {
             metrics::counter!("relayed_polls").increment(1);
--- a/crates/dispatch/src/node/relay/tests.rs
+++ b/crates/dispatch/src/node/relay/tests.rs
@@ -68,7 +68,11 @@
         let mut started = 0;
         for _ in 0..3 {
             match outcomes.recv().await.expect("an outcome") {
-                (CallOutcome::Started(_, OrderReply::Accepted), CallEnd::Replied) => started += 1,
+                (CallOutcome::Started(_, outcome), CallEnd::Replied)
+                    if outcome.reply == OrderReply::Accepted =>
+                {
+                    started += 1;
+                }
                 (CallOutcome::Polled(_, Ok(report)), CallEnd::Replied) => {
                     assert_eq!(report.clock_ms, 7);
                 }
