Count on calls for a former incarnation until the last one has arrived

A poll or start that was sent before the restart was noticed may arrive after it. Its time limit is a reading of the former clock, so it gives the new incarnation the longest lease (10 s). The engine remembered that only while a run was carried over, and went back to its own lease (6 s) as soon as the new incarnation had listed its runs.

When a call with a time limit was last sent is kept for each incarnation, and after it by the worker's name. A later incarnation holds the longest lease from 15 s after that time, when no such call can arrive any more. Clock, granted time limits and leases of former incarnations are in a part of their own now (pool/lease.rs) with private fields.

--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -15,6 +15,7 @@
     fair_share::FairShare,
     interference::Interference,
     job_table::{Job, JobTable},
+    lease::FormerLeases,
     restarts::LateStarts,
     task::TaskRef,
     trail::Trail,
@@ -167,6 +168,7 @@
     /// milliseconds since 1970.
     pub(super) outdated_starts: HashMap<WorkerId, Vec<u64>>,
     pub(super) late_starts: LateStarts,
+    pub(super) former_leases: FormerLeases,
     /// The roster has to be stored again.
     pub(super) roster_due: bool,
     /// No successor can hold control before this time, on the local clock.
@@ -220,6 +222,7 @@
             newest_starts: HashMap::new(),
             outdated_starts: HashMap::new(),
             late_starts: LateStarts::default(),
+            former_leases: FormerLeases::default(),
             roster_due: false,
             confirmed_until_ms: 0,
             handover_grace_until_ms: 0,
@@ -503,6 +506,7 @@
         self.expire_leases(now.monotonic_ms);
         self.resend_stops(now.monotonic_ms);
         self.review_late_starts(now.monotonic_ms);
+        self.former_leases.prune(now.monotonic_ms);
         self.stop_stalled(now.monotonic_ms);
         self.clear_suspects(now.monotonic_ms);
         self.review_interference(now.monotonic_ms);
@@ -522,10 +526,10 @@
             let Some(worker) = self.workers.get_mut(key) else { continue };
             // The lease of a worker that does not answer is not extended, so
             // that the time at which its runs have certainly ended stays fixed.
-            let clock = worker.clock.filter(|_| worker.missed_polls == 0);
+            let clock = worker.lease.clock().filter(|_| worker.missed_polls == 0);
             let lease_until_ms = clock.map(|clock| clock.now_ms(now_ms) + lease_ms);
             if let Some(until_ms) = lease_until_ms {
-                worker.grant(until_ms);
+                worker.lease.send(now_ms, until_ms);
             }
             let wait_ms = match (&clock, worker.is_empty()) {
                 (None, _) => 0,
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -15,9 +15,10 @@
     events::{EndKind, EndedTask, PollFailure, PollReport, RunningTask, WorkerKey},
     interference::RunAt,
     job_table::Completion,
+    lease::WorkerClock,
     registry::SUPERSEDED,
     task::{Run, RunPhase, TaskRef},
-    workers::{OrphanRun, ProgressSequence, WorkerClock},
+    workers::{OrphanRun, ProgressSequence},
 };
 use crate::state::{JobOutcome, RunNumber, StepSpec, TaskAddress};
 
@@ -88,13 +89,9 @@
         } else {
             self.restart_at_poll(key, report.born_unix_ms)
         };
-        let Some(worker) = self.workers.get(key) else { return };
-        let held_until_ms = self.lease_held_until_ms(worker, report.clock_ms);
+        self.hold_former_lease(key, report.clock_ms);
         let Some(worker) = self.workers.get_mut(key) else { return };
-        if let Some(until_ms) = held_until_ms {
-            worker.grant(until_ms);
-        }
-        worker.clock = Some(WorkerClock::new(report.clock_ms, now_ms));
+        worker.lease.set_clock(WorkerClock::new(report.clock_ms, now_ms));
         let was_reachable = worker.is_reachable(now_ms, super::placement::REACHABLE_MS);
         let was_confirmed = worker.is_confirmed();
         worker.is_unreachable = false;
--- a/crates/dispatch/src/coordination/pool/mod.rs
+++ b/crates/dispatch/src/coordination/pool/mod.rs
@@ -21,6 +21,7 @@
 mod health;
 mod interference;
 mod job_table;
+mod lease;
 mod limits;
 mod load;
 mod looks;
--- a/crates/dispatch/src/coordination/pool/restarts.rs
+++ b/crates/dispatch/src/coordination/pool/restarts.rs
@@ -19,9 +19,10 @@
     engine::{PoolEngine, PoolTiming},
     events::{OrderTarget, WorkerKey},
     interference::RunAt,
+    lease::lease_end_ms,
     stops::STOP_RETRY_MS,
     task::{Run, RunPhase, TaskRef},
-    workers::{Presence, Worker},
+    workers::Presence,
 };
 use crate::state::{RunNumber, TaskAddress, WorkerEntry};
 
@@ -80,13 +81,12 @@
         self.by_worker.entry(worker.worker.clone()).or_default().push(start);
     }
 
-    /// Returns whether an incarnation may receive a time limit that refers to the
-    /// clock of a former one.
-    fn may_reach(&self, worker: &WorkerEntry) -> bool {
-        let starts = self.by_worker.get(&worker.worker);
-        starts.is_some_and(|starts| {
-            starts.iter().any(|start| start.limit_of != Some(worker.born_unix_ms))
-        })
+    /// Returns until when an incarnation may receive a time limit that refers to the
+    /// clock of a former one, on the local clock.
+    fn until_ms(&self, worker: &WorkerEntry) -> Option<u64> {
+        let starts = self.by_worker.get(&worker.worker)?.iter();
+        let of_former = starts.filter(|start| start.limit_of != Some(worker.born_unix_ms));
+        of_former.map(|start| start.until_ms).max()
     }
 
     /// Lists the runs that a worker has to be told to stop now.
@@ -145,26 +145,24 @@
         }
         let carried: Vec<_> = (former.into_iter())
             .flat_map(|worker| worker.runs.iter().map(|(&task, &(number, _))| (task, number)))
-            .filter_map(|(task, number)| {
-                let until_ms = self.may_begin_until_ms(key, task, number)?;
-                (now_ms < until_ms).then_some((task, number, until_ms))
+            .filter(|&(task, number)| {
+                let until_ms = self.may_begin_until_ms(key, task, number);
+                until_ms.is_some_and(|until_ms| now_ms < until_ms)
             })
             .collect();
         // Crashes are counted by the former key, so before the runs change theirs.
         let lost_before = self.workers.get_mut(key).map(|it| std::mem::take(&mut it.lost_before));
         self.suspects.note_lost(lost_before.unwrap_or_default());
-        let lost = self.note_crash(key, |task| carried.iter().any(|&(other, ..)| other == task));
+        let lost = self.note_crash(key, |task| carried.iter().any(|&(other, _)| other == task));
         let successor = self.insert_worker(entry);
-        for &(task, number, _) in &carried {
+        for &(task, number) in &carried {
             let lost = lost.iter().find(|lost| lost.task == task).copied();
             self.carry_over(now_ms, RunAt { worker: key, task, number }, successor, lost);
         }
         self.drop_all_runs(key);
         self.remove_worker(key);
-        let late_until_ms = carried.iter().map(|&(.., until_ms)| until_ms).max();
-        let lease_max_ms = self.timing.worker_lease_max_ms;
-        if let (Some(until_ms), Some(worker)) = (late_until_ms, self.workers.get_mut(successor)) {
-            worker.former_lease_until_ms = until_ms + lease_max_ms;
+        if let Some(worker) = self.workers.get_mut(successor) {
+            worker.lease.hold_former(self.former_leases.until_ms(&worker.entry.worker));
         }
         self.stop_late_starts(now_ms, successor);
         successor
@@ -340,19 +338,32 @@
         }
     }
 
-    /// Returns the latest end of the lease that a worker may hold when it reports,
-    /// on its clock; none if that is the lease which this engine has granted. A time
-    /// limit that refers to the clock of a former incarnation is far ahead of the
-    /// current one's, so it grants the longest lease.
-    pub(super) fn lease_held_until_ms(&self, worker: &Worker, clock_ms: u64) -> Option<u64> {
+    /// Records the lease that a worker may hold, beyond what this engine has granted
+    /// it, when it reports with a reading of its clock.
+    pub(super) fn hold_former_lease(&mut self, key: WorkerKey, clock_ms: u64) {
         let PoolTiming { worker_lease_ms, worker_lease_max_ms, .. } = self.timing;
-        if !worker.carried_over.is_empty() || self.late_starts.may_reach(&worker.entry) {
-            return Some(clock_ms + worker_lease_max_ms);
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if let Some(until_ms) = self.late_starts.until_ms(&worker.entry) {
+            worker.lease.hold_former(lease_end_ms(until_ms, worker_lease_max_ms));
+        }
+        if !worker.is_confirmed() {
+            worker.lease.hold_former(self.former_leases.until_ms(&worker.entry.worker));
+            // Until its first report under this term, the worker accepts the limits of
+            // previous controllers.
+            let by_former_ms = clock_ms.min(FORMER_LIMITS_MS) + worker_lease_max_ms;
+            worker.lease.grant(by_former_ms.max(clock_ms + worker_lease_ms));
         }
-        // Until the first report under this term, the worker accepts the limits of
-        // previous controllers.
-        let by_former_ms = clock_ms.min(FORMER_LIMITS_MS) + worker_lease_max_ms;
-        (!worker.is_confirmed()).then(|| by_former_ms.max(clock_ms + worker_lease_ms))
+    }
+
+    /// Remembers, by the worker's name, the lease that calls for an incarnation may
+    /// grant to later ones.
+    pub(super) fn note_former_lease(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else { return };
+        let lease_max_ms = self.timing.worker_lease_max_ms;
+        let sent_ms = worker.lease.limit_sent_ms();
+        let by_own_ms = sent_ms.map(|at_ms| lease_end_ms(at_ms + LATE_ORDER_MAX_MS, lease_max_ms));
+        let until_ms = worker.lease.former_until_ms().max(by_own_ms.unwrap_or(0));
+        self.former_leases.note(&worker.entry.worker, until_ms);
     }
 
     /// Returns the target of an order with the incarnation that its run belongs to
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -18,10 +18,11 @@
     },
     interference::RunAt,
     job_table::Job,
+    lease::ClockOrigin,
     order::{Rank, RankInputs, value},
     placement::{PlaceQuery, REACHABLE_MS, Unplaceable, is_plain, takes_work},
     task::{Run, RunPhase, TaskRef},
-    workers::{ClockOrigin, Worker},
+    workers::Worker,
 };
 use crate::state::{RunNumber, StepSpec};
 
@@ -465,12 +466,12 @@
         let Some(allocation) = self.job_table.spec(task).map(StepSpec::allocation) else { return };
         let caution = self.caution(task);
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let Some(clock) = worker.clock else { return };
+        let Some(clock) = worker.lease.clock() else { return };
         if caution == Caution::Alone {
             (worker.is_reserved, worker.alone) = (false, Some((task, now_ms + ALONE_MS)));
         }
         let valid_until_ms = clock.now_ms(now_ms) + self.timing.start_valid_ms;
-        worker.grant(valid_until_ms);
+        worker.lease.send(now_ms, valid_until_ms);
         let contact = contact(key, worker, self.control.term);
         self.workers.allocate(key, task, number, allocation);
         let Some(state) = self.job_table.task_mut(task) else { return };
@@ -557,7 +558,7 @@
         clock_ms: Option<u64>,
     ) -> ClockOrigin {
         let worker = self.workers.get(target.worker);
-        let clock = worker.and_then(|worker| worker.clock);
+        let clock = worker.and_then(|worker| worker.lease.clock());
         let (Some(worker), Some(clock), Some(clock_ms)) = (worker, clock, clock_ms) else {
             return ClockOrigin::Ambiguous;
         };
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -425,6 +425,7 @@
 
     /// Removes a worker on which nothing runs any more.
     pub(super) fn remove_worker(&mut self, key: WorkerKey) {
+        self.note_former_lease(key);
         self.workers.remove(key);
         self.interference.on_worker_gone(key);
         self.roster_changed();
--- a/crates/dispatch/src/coordination/pool/tests/incarnations.rs
+++ b/crates/dispatch/src/coordination/pool/tests/incarnations.rs
@@ -342,7 +342,6 @@
 /// incarnation extended it in the new one: its deadline is on another clock, so the
 /// worker holds the longest lease that it accepts from then on.
 #[test]
-#[ignore = "known failure: see KNOWN-RED.txt"]
 fn lease_that_a_late_poll_extended_is_not_over_early() {
     let mut driver = Driver::new(&[entry(0, BORN), entry(1, BORN)]);
     driver.answer("w0", Ok(report(BORN, 500_000, Vec::new())));
@@ -354,9 +353,10 @@
     let born = BORN + 1_100;
     let began_ms = driver.now_ms;
     driver.register(&[entry(0, born), entry(1, BORN)]);
-    let key = driver.key("w0").expect("the new incarnation is known");
+    let key = driver.key("w0").expect("the worker is known");
     driver.polls.retain(|(contact, _)| contact.key == key);
     driver.answer("w0", Ok(report(born, 100, Vec::new())));
+    let key = driver.key("w0").expect("the new incarnation is known");
     driver.submit(job(vec![step(1, 1_000, 30_000)]));
     driver.run_ms(100);
     let (_, target) = driver.starts[0].clone();
--- a/crates/dispatch/src/coordination/pool/tests/leases.rs
+++ b/crates/dispatch/src/coordination/pool/tests/leases.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use crate::coordination::pool::workers::{ClockOrigin, WorkerClock};
+use crate::coordination::pool::lease::{ClockOrigin, WorkerClock};
 
 /// Guards against a reply of a new incarnation, whose clock starts anew, that is
 /// taken for one of the known incarnation, and against the reverse.
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -14,78 +14,17 @@
     crashes::LostRun,
     events::{EndedTask, WorkerKey},
     health::Health,
+    lease::WorkerLease,
     task::TaskRef,
 };
 use crate::state::{Registration, RunNumber, TaskAddress, WorkerEntry};
 
-/// Percentage by which a worker's clock may run slower than the local one; the
-/// platform states 2.
-const CLOCK_DRIFT_PERCENT: u64 = 3;
-/// Time added to the end of a lease before its runs count as ended, in
-/// milliseconds: covers the worker's own scheduling delay in ending them.
-const LEASE_MARGIN_MS: u64 = 150;
-
 /// Time within which a poll fails if its connection is refused or reset, in
 /// milliseconds.
 const QUICK_FAILURE_MS: u64 = 100;
 /// Most polls in a row that are repeated at once.
 const QUICK_RETRIES_MAX: u32 = 6;
 
-/// Largest difference between two readings of one clock that network delays and
-/// replies which overtake each other explain, in milliseconds.
-const CLOCK_TOLERANCE_MS: u64 = 1_000;
-
-/// What a reading of a worker's clock tells of the incarnation that it is from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ClockOrigin {
-    /// The known incarnation.
-    Known,
-    /// Either the known incarnation or one that began since its latest report.
-    Ambiguous,
-    /// Another incarnation.
-    Other,
-}
-
-/// Latest reading of a worker's clock.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct WorkerClock {
-    clock_ms: u64,
-    read_ms: u64,
-}
-
-impl WorkerClock {
-    pub(super) fn new(clock_ms: u64, read_ms: u64) -> Self {
-        Self { clock_ms, read_ms }
-    }
-
-    /// Estimates the current time on the worker's clock.
-    pub(super) fn now_ms(&self, now_ms: u64) -> u64 {
-        self.clock_ms + now_ms.saturating_sub(self.read_ms)
-    }
-
-    /// Returns which incarnation a reading at `now_ms`, on the local clock, is from.
-    /// The clock of a new incarnation starts near 0.
-    pub(super) fn origin(&self, now_ms: u64, clock_ms: u64) -> ClockOrigin {
-        let since_ms = now_ms.saturating_sub(self.read_ms);
-        let since_max_ms = since_ms + since_ms * CLOCK_DRIFT_PERCENT / 100 + CLOCK_TOLERANCE_MS;
-        let earliest_ms = self.clock_ms.saturating_sub(CLOCK_TOLERANCE_MS);
-        if !(earliest_ms..=self.clock_ms + since_max_ms).contains(&clock_ms) {
-            ClockOrigin::Other
-        } else if clock_ms <= since_max_ms {
-            ClockOrigin::Ambiguous
-        } else {
-            ClockOrigin::Known
-        }
-    }
-
-    /// Returns the time on the local clock at which the worker's clock has
-    /// certainly passed `deadline_ms`.
-    fn passes_at_ms(&self, deadline_ms: u64) -> u64 {
-        let left_ms = deadline_ms.saturating_sub(self.clock_ms);
-        self.read_ms + left_ms + left_ms * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN_MS
-    }
-}
-
 /// Whether the worker is registered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Presence {
@@ -113,10 +52,7 @@
 pub(super) struct Worker {
     pub(super) entry: WorkerEntry,
     pub(super) presence: Presence,
-    pub(super) clock: Option<WorkerClock>,
-    /// Latest end of a lease or time limit of a start that was sent, on the
-    /// worker's clock.
-    granted_until_ms: u64,
+    pub(super) lease: WorkerLease,
     /// When a poll was last answered, on the local clock.
     pub(super) polled_ms: Option<u64>,
     /// When a poll or a start was last answered, on the local clock.
@@ -156,9 +92,6 @@
     /// Runs that were carried over and are not here: the former incarnation may
     /// have crashed under them.
     pub(super) lost_before: Vec<LostRun>,
-    /// End of every lease that a run which was carried over may hold, on the local
-    /// clock.
-    pub(super) former_lease_until_ms: u64,
     pub(super) health: Health,
     /// The registry shows another incarnation under the worker's name, and it is not
     /// known yet which of them runs.
@@ -199,8 +132,7 @@
         Self {
             presence: Presence::Registered(entry.registration),
             entry,
-            clock: None,
-            granted_until_ms: 0,
+            lease: WorkerLease::default(),
             polled_ms: None,
             heard_ms: 0,
             lost_ms: None,
@@ -220,7 +152,6 @@
             acknowledgement_confirmed: 0,
             carried_over: HashMap::new(),
             lost_before: Vec::new(),
-            former_lease_until_ms: 0,
             health: Health::default(),
             is_claimed: false,
             is_rostered: false,
@@ -282,18 +213,10 @@
         self.runs.is_empty() && self.orphan_runs.is_empty()
     }
 
-    /// Records the end of a lease or the time limit of a start before it is
-    /// sent.
-    pub(super) fn grant(&mut self, until_ms: u64) {
-        self.granted_until_ms = self.granted_until_ms.max(until_ms);
-    }
-
     /// Returns whether every lease and start that was granted has certainly
     /// expired.
     pub(super) fn is_lease_over(&self, now_ms: u64) -> bool {
-        let granted = self.clock.map(|clock| clock.passes_at_ms(self.granted_until_ms));
-        let former = (!self.carried_over.is_empty()).then_some(self.former_lease_until_ms);
-        [granted, former].into_iter().flatten().all(|until_ms| now_ms >= until_ms)
+        self.lease.is_over(now_ms)
     }
 
     /// Returns whether the incarnation has answered a poll. Until then it is known
