Wait for the longest lease where a later incarnation may run a task

The restart is not noticed, because the poll in flight hangs on a connection of the former incarnation.

A run counts as begun by the known incarnation only if that has listed it, or if the clock in the reply to its start can be no other one's. Any other run on a worker whose lease is over waits until the longest lease has expired that the last call with a time limit may have given to a later incarnation; the others are given up as before. A reply of another incarnation also ends the placement of work there until a poll shows it. Runs that are known to have begun are no longer carried over at a restart.

--- a/crates/dispatch/src/coordination/pool/crashes.rs
+++ b/crates/dispatch/src/coordination/pool/crashes.rs
@@ -203,17 +203,28 @@
 
     /// Remembers the runs that are given up because the lease of their worker is
     /// over.
-    pub(super) fn note_given_up(&mut self, now_ms: u64, key: WorkerKey) {
+    pub(super) fn note_given_up(
+        &mut self,
+        now_ms: u64,
+        key: WorkerKey,
+        given_up: &[(TaskRef, RunNumber)],
+    ) {
         let lost_ms = self.workers.get(key).and_then(|worker| worker.lost_ms);
-        let runs = self.runs_on_trial(key, lost_ms.unwrap_or(now_ms));
+        let mut runs = self.runs_on_trial(key, lost_ms.unwrap_or(now_ms));
+        runs.retain(|lost| given_up.contains(&(lost.task, lost.number)));
         if let Some(worker) = self.workers.get(key)
             && !worker.is_leaving
             && !runs.is_empty()
         {
             let born_unix_ms = worker.entry.born_unix_ms;
             let tasks: Vec<_> = runs.iter().map(|lost| lost.task).collect();
+            let host = worker.entry.host.clone();
+            // The runs of one worker may be given up in two parts.
+            let earlier = self.suspects.given_up.remove(&host);
+            let earlier = earlier.filter(|earlier| earlier.born_unix_ms == born_unix_ms);
+            runs.extend(earlier.into_iter().flat_map(|earlier| earlier.runs));
             let given_up = GivenUp { at_ms: now_ms, born_unix_ms, runs };
-            self.suspects.given_up.insert(worker.entry.host.clone(), given_up);
+            self.suspects.given_up.insert(host, given_up);
             for task in tasks {
                 let Some(state) = self.job_table.task(task) else { continue };
                 let record = state.crashes;
--- a/crates/dispatch/src/coordination/pool/engine.rs
+++ b/crates/dispatch/src/coordination/pool/engine.rs
@@ -15,7 +15,7 @@
     fair_share::FairShare,
     interference::Interference,
     job_table::{Job, JobTable},
-    lease::FormerLeases,
+    lease::{FormerLeases, LimitCall},
     restarts::LateStarts,
     task::TaskRef,
     trail::Trail,
@@ -63,6 +63,9 @@
 /// Shortest interval between two placement rounds, in milliseconds: events that
 /// arrive closer together share a round.
 const PLACE_INTERVAL_MS: u64 = 8;
+/// Longest time from the request of a call to its timeout, in milliseconds, without
+/// the time that a worker may hold a poll.
+pub(super) const CALL_MAX_MS: u64 = 1_500;
 /// Leases and time limits of a pool's scheduler, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoolTiming {
@@ -520,7 +523,9 @@
     }
 
     fn send_polls(&mut self, now_ms: u64) {
-        let (term, lease_ms) = (self.control.term, self.timing.worker_lease_ms);
+        let PoolTiming { worker_lease_ms: lease_ms, worker_lease_max_ms: lease_max_ms, .. } =
+            self.timing;
+        let term = self.control.term;
         while let Some(key) = self.workers.next_poll(now_ms) {
             self.workers.begin_poll(now_ms, key);
             let Some(worker) = self.workers.get_mut(key) else { continue };
@@ -528,9 +533,6 @@
             // that the time at which its runs have certainly ended stays fixed.
             let clock = worker.lease.clock().filter(|_| worker.missed_polls == 0);
             let lease_until_ms = clock.map(|clock| clock.now_ms(now_ms) + lease_ms);
-            if let Some(until_ms) = lease_until_ms {
-                worker.lease.send(now_ms, until_ms);
-            }
             let wait_ms = match (&clock, worker.is_empty()) {
                 (None, _) => 0,
                 _ if !worker.carried_over.is_empty() => 0,
@@ -538,6 +540,11 @@
                 (Some(_), false) if worker.is_shared => SHARED_POLL_WAIT_MS,
                 (Some(_), false) => POLL_WAIT_MS,
             };
+            if let Some(until_ms) = lease_until_ms {
+                let arrives_by_ms = now_ms + wait_ms + CALL_MAX_MS;
+                let call = LimitCall { sent_ms: now_ms, arrives_by_ms };
+                worker.lease.send(call, until_ms, lease_max_ms);
+            }
             let acknowledged = worker.take_acknowledgement();
             worker.poll_wait_ms = wait_ms;
             let contact = contact(key, worker, term);
--- a/crates/dispatch/src/coordination/pool/lease.rs
+++ b/crates/dispatch/src/coordination/pool/lease.rs
@@ -79,6 +79,14 @@
     }
 }
 
+/// Call with a time limit; times are on the local clock.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LimitCall {
+    pub(super) sent_ms: u64,
+    /// When the call has arrived, unless it is late.
+    pub(super) arrives_by_ms: u64,
+}
+
 /// Lease that an incarnation of a worker may hold.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct WorkerLease {
@@ -91,6 +99,9 @@
     former_until_ms: u64,
     /// When a call with a time limit was last sent, on the local clock.
     limit_sent_ms: Option<u64>,
+    /// Latest end of a lease that calls for this incarnation may have granted to a
+    /// later one, on the local clock.
+    later_until_ms: u64,
 }
 
 impl WorkerLease {
@@ -110,10 +121,12 @@
         self.granted_until_ms = self.granted_until_ms.max(until_ms);
     }
 
-    /// Records a time limit, on the worker's clock, before it is sent.
-    pub(super) fn send(&mut self, now_ms: u64, until_ms: u64) {
+    /// Records a time limit, on the worker's clock, before it is sent in a call.
+    pub(super) fn send(&mut self, call: LimitCall, until_ms: u64, lease_max_ms: u64) {
         self.grant(until_ms);
-        self.limit_sent_ms = Some(now_ms);
+        self.limit_sent_ms = Some(call.sent_ms);
+        self.later_until_ms =
+            self.later_until_ms.max(lease_end_ms(call.arrives_by_ms, lease_max_ms));
     }
 
     /// Returns when a call with a time limit was last sent, on the local clock.
@@ -139,6 +152,12 @@
         let granted_ms = self.clock.map_or(0, |clock| clock.passes_at_ms(self.granted_until_ms));
         now_ms >= granted_ms.max(self.former_until_ms)
     }
+
+    /// Returns whether every lease has certainly expired that calls for this
+    /// incarnation may have granted to a later one which no report has shown.
+    pub(super) fn is_over_later(&self, now_ms: u64) -> bool {
+        now_ms >= self.later_until_ms
+    }
 }
 
 /// Ends of the leases that calls for incarnations which are no longer known may
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -326,7 +326,7 @@
             state.checkpoint = running.checkpoint.clone();
         }
         let Some(run) = state.run_mut(key, number) else { return };
-        (run.is_listed, run.has_begun) = (true, true);
+        (run.is_settled, run.has_begun) = (true, true);
         if running.percent != run.percent {
             run.percent = running.percent;
             run.percent_since_ms = now_ms;
@@ -439,7 +439,7 @@
             worker: key,
             number: running.run,
             phase: RunPhase::Running { since_ms: now_ms },
-            is_listed: true,
+            is_settled: true,
             has_begun: true,
             since_ms: now_ms,
             start_until_ms: 0,
--- a/crates/dispatch/src/coordination/pool/restarts.rs
+++ b/crates/dispatch/src/coordination/pool/restarts.rs
@@ -6,8 +6,8 @@
 //! starts that were meant for the former incarnation, be it because they were
 //! sent before the restart was noticed, or because they arrive late.
 //!
-//! A run that the former incarnation listed has ended with it. Any other run is
-//! carried over to the new incarnation: it goes on there if the new incarnation
+//! A run that the former incarnation is known to have begun has ended with it. Any
+//! other run is carried over to the new incarnation: it goes on there if the new incarnation
 //! lists it, and otherwise its task waits until the start can no longer be
 //! carried out there.
 
@@ -196,7 +196,7 @@
     fn may_begin_until_ms(&self, key: WorkerKey, task: TaskRef, number: RunNumber) -> Option<u64> {
         let runs = &self.job_table.task(task)?.runs;
         let run = runs.iter().find(|run| run.worker == key && run.number == number)?;
-        (!run.is_listed).then_some(run.since_ms + LATE_ORDER_MAX_MS)
+        (!run.is_settled).then_some(run.since_ms + LATE_ORDER_MAX_MS)
     }
 
     fn carry_over(&mut self, now_ms: u64, at: RunAt, successor: WorkerKey, lost: Option<LostRun>) {
@@ -298,15 +298,6 @@
         }
     }
 
-    /// Remembers the starts of all runs on a worker that are given up.
-    pub(super) fn note_late_starts(&mut self, now_ms: u64, key: WorkerKey) {
-        let Some(worker) = self.workers.get(key) else { return };
-        let runs: Vec<_> = worker.runs.iter().map(|(&task, &(number, _))| (task, number)).collect();
-        for (task, number) in runs {
-            self.note_late_start(now_ms, key, task, number);
-        }
-    }
-
     pub(super) fn is_carried_over(&self, key: WorkerKey, task: TaskRef) -> bool {
         self.workers.get(key).is_some_and(|worker| worker.carried_over.contains_key(&task))
     }
--- a/crates/dispatch/src/coordination/pool/starts.rs
+++ b/crates/dispatch/src/coordination/pool/starts.rs
@@ -11,14 +11,14 @@
 use super::{
     advice::WORKERS_PER_QUERY,
     crashes::{ALONE_MS, Caution},
-    engine::{PoolEngine, contact},
+    engine::{CALL_MAX_MS, PoolEngine, contact},
     events::{
         AdviceQuestion, JobKey, Order, OrderOutcome, OrderReply, OrderTarget, PoolAction, Refusal,
         StartOrder, WorkerKey,
     },
     interference::RunAt,
     job_table::Job,
-    lease::ClockOrigin,
+    lease::{ClockOrigin, LimitCall},
     order::{Rank, RankInputs, value},
     placement::{PlaceQuery, REACHABLE_MS, Unplaceable, is_plain, takes_work},
     task::{Run, RunPhase, TaskRef},
@@ -471,7 +471,8 @@
             (worker.is_reserved, worker.alone) = (false, Some((task, now_ms + ALONE_MS)));
         }
         let valid_until_ms = clock.now_ms(now_ms) + self.timing.start_valid_ms;
-        worker.lease.send(now_ms, valid_until_ms);
+        let call = LimitCall { sent_ms: now_ms, arrives_by_ms: now_ms + CALL_MAX_MS };
+        worker.lease.send(call, valid_until_ms, self.timing.worker_lease_max_ms);
         let contact = contact(key, worker, self.control.term);
         self.workers.allocate(key, task, number, allocation);
         let Some(state) = self.job_table.task_mut(task) else { return };
@@ -486,7 +487,7 @@
             worker: key,
             number,
             phase: RunPhase::Ordered,
-            is_listed: false,
+            is_settled: false,
             has_begun: false,
             since_ms: now_ms,
             start_until_ms: valid_until_ms,
@@ -511,7 +512,7 @@
     {
         let OrderOutcome { reply, clock_ms } = outcome.into();
         let now_ms = now.monotonic_ms;
-        self.check_origin(now_ms, &target, clock_ms);
+        let origin = self.check_origin(now_ms, &target, clock_ms);
         if reply != OrderReply::Accepted {
             let worker = self.workers.get(target.worker);
             let worker = worker.map_or("", |worker| worker.entry.worker.as_str());
@@ -527,6 +528,7 @@
                 }
                 if let Some(run) = task.and_then(|task| self.run_mut(task, &current)) {
                     run.has_begun = true;
+                    run.is_settled |= origin == ClockOrigin::Known;
                     if matches!(run.phase, RunPhase::Ordered | RunPhase::Unanswered { .. }) {
                         run.phase = RunPhase::Running { since_ms: now_ms };
                     }
@@ -549,8 +551,9 @@
         self.placing_due = true;
     }
 
-    /// Returns which incarnation of its worker replied to an order, and logs a reply
-    /// of another one than the order was meant for.
+    /// Returns which incarnation of its worker replied to an order. If it is another
+    /// one than the order was meant for, the worker gets no further orders until a
+    /// poll shows that one.
     pub(super) fn check_origin(
         &mut self,
         now_ms: u64,
@@ -570,6 +573,7 @@
                 expected_clock_ms = clock.now_ms(now_ms);
                 "order was received by another incarnation of the worker");
             metrics::counter!("orders_to_other_incarnations").increment(1);
+            self.mark_unreachable(now_ms, target.worker);
         }
         origin
     }
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -359,17 +359,28 @@
             if worker.is_reachable(now_ms, REACHABLE_MS) || !worker.is_lease_over(now_ms) {
                 continue;
             }
+            let given_up = self.expired_runs(now_ms, key, worker);
+            let is_partial = given_up.len() < worker.runs.len();
+            if given_up.is_empty() && is_partial {
+                continue;
+            }
             if !worker.is_empty() {
                 let entry = &worker.entry;
                 log::warn!(worker = entry.worker.as_str(), born_unix_ms = entry.born_unix_ms,
-                    runs = worker.runs.len(), unlisted = &*self.describe_unlisted(key),
+                    runs = worker.runs.len(), given_up = given_up.len(), unlisted = &*self.describe_unlisted(key),
                     reported_age_ms = worker.polled_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
                     heard_age_ms = now_ms.saturating_sub(worker.heard_ms);
                     "worker is unreachable and its lease expired; its tasks will be rescheduled");
             }
             let is_gone = !matches!(worker.presence, Presence::Registered(_));
-            self.note_given_up(now_ms, key);
-            self.note_late_starts(now_ms, key);
+            self.note_given_up(now_ms, key, &given_up);
+            for &(task, number) in &given_up {
+                self.note_late_start(now_ms, key, task, number);
+                self.drop_run(task, key, number);
+            }
+            if is_partial {
+                continue;
+            }
             self.drop_all_runs(key);
             if is_gone {
                 self.remove_worker(key);
@@ -377,6 +388,25 @@
         }
     }
 
+    /// Lists the runs on a worker whose leases have certainly expired, given that its
+    /// own lease has. A run that the known incarnation may not have begun may be
+    /// under a lease of a later one.
+    fn expired_runs(
+        &self,
+        now_ms: u64,
+        key: WorkerKey,
+        worker: &Worker,
+    ) -> Vec<(TaskRef, RunNumber)> {
+        let is_over_later = worker.lease.is_over_later(now_ms);
+        let is_settled = |task: TaskRef, number: RunNumber| {
+            let runs = self.job_table.task(task).map_or(&[][..], |task| &task.runs);
+            let run = runs.iter().find(|run| run.worker == key && run.number == number);
+            run.is_none_or(|run| run.is_settled)
+        };
+        let runs = worker.runs.iter().map(|(&task, &(number, _))| (task, number));
+        runs.filter(|&(task, number)| is_over_later || is_settled(task, number)).collect()
+    }
+
     /// Removes a worker incarnation that has certainly ended.
     pub(super) fn end_incarnation(&mut self, key: WorkerKey, sign: &str) {
         if self.workers.get(key).is_none() {
@@ -406,7 +436,7 @@
         let Some(worker) = self.workers.get(key) else { return text };
         for &task in worker.runs.keys() {
             let runs = self.job_table.task(task).map_or(&[][..], |task| &task.runs);
-            let unlisted = runs.iter().filter(|run| run.worker == key && !run.is_listed);
+            let unlisted = runs.iter().filter(|run| run.worker == key && !run.is_settled);
             let Some(address) = self.job_table.address(task) else { continue };
             for run in unlisted {
                 if text.len() >= UNLISTED_MAX_BYTES {
--- a/crates/dispatch/src/coordination/pool/task.rs
+++ b/crates/dispatch/src/coordination/pool/task.rs
@@ -39,8 +39,9 @@
     pub(super) worker: WorkerKey,
     pub(super) number: RunNumber,
     pub(super) phase: RunPhase,
-    /// A poll has listed the run, so it ends with the worker's incarnation.
-    pub(super) is_listed: bool,
+    /// The worker's incarnation is known to have begun the run, by a poll or by the
+    /// clock in its reply, so the run ends with that incarnation.
+    pub(super) is_settled: bool,
     /// A worker has confirmed or listed the run, so its start is not carried out
     /// again.
     pub(super) has_begun: bool,
--- a/crates/dispatch/src/coordination/pool/tests/partitions_after_restart.rs
+++ b/crates/dispatch/src/coordination/pool/tests/partitions_after_restart.rs
@@ -63,7 +63,6 @@
 #[rstest]
 #[case::reply_arrives(false)]
 #[case::reply_is_lost(true)]
-#[ignore = "known failure: see KNOWN-RED.txt"]
 fn unnoticed_restart_before_a_partition_runs_no_task_twice(
     #[case] loses_replies: bool,
     #[values(50, 600)] outage_ms: u64,
@@ -254,7 +253,6 @@
 /// Guards against a second run while restarts, partitions and changes of control
 /// follow each other in random order.
 #[rstest]
-#[ignore = "known failure: see KNOWN-RED.txt"]
 fn random_partitions_after_restarts_run_no_task_twice(
     #[values(1, 2, 3, 4, 5, 6, 7, 8)] round: u64,
     #[values(false, true)] has_late_polls: bool,
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -23,9 +23,9 @@
 
 use crate::{
     coordination::pool::{
-        EndKind, EndedTask, Order, OrderReply, OrderTarget, PollFailure, PollRequest, PoolAction,
-        PoolControl, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered, Refusal, StoredJob,
-        WorkerContact, WorkerKey, WriteResult,
+        EndKind, EndedTask, Order, OrderOutcome, OrderReply, OrderTarget, PollFailure, PollRequest,
+        PoolAction, PoolControl, PoolEngine, PoolTiming, PoolWrite, QueuePolicy, Recovered,
+        Refusal, StoredJob, WorkerContact, WorkerKey, WriteResult,
     },
     state::{
         JobNumber, JobOutcome, JobRecord, JobSpec, JobState, ProgressRecord, Roster, StepSpec,
@@ -126,7 +126,7 @@
     is_paused: bool,
     is_fenced: bool,
     polls: Vec<Poll>,
-    replies: Vec<(u64, OrderTarget, bool, OrderReply)>,
+    replies: Vec<(u64, OrderTarget, bool, OrderOutcome)>,
 }
 
 /// Controllers of one pool with their workers and store, on virtual time.
@@ -574,14 +574,14 @@
             let due: Vec<_> =
                 self.delayed_orders.extract_if(.., |late| now_ms >= late.at_ms).collect();
             for DelayedOrder { at, term, target, order, reply_to, .. } in due {
-                let reply = if self.workers[at].is_away() {
-                    OrderReply::Unknown
+                let outcome = if self.workers[at].is_away() {
+                    OrderReply::Unknown.into()
                 } else {
                     self.execute(at, term, target, &order)
                 };
                 if let Some(index) = reply_to {
                     let is_start = matches!(order, Order::Start(_));
-                    self.controllers[index].replies.push((now_ms, target, is_start, reply));
+                    self.controllers[index].replies.push((now_ms, target, is_start, outcome));
                 }
             }
             self.deliver_polls();
@@ -602,11 +602,11 @@
         let controller = &mut self.controllers[index];
         let due: Vec<_> =
             controller.replies.extract_if(.., |(at_ms, ..)| *at_ms <= now.monotonic_ms).collect();
-        for (_, target, is_start, reply) in due {
+        for (_, target, is_start, outcome) in due {
             if is_start {
-                controller.engine.on_start_reply(now, target, reply);
+                controller.engine.on_start_reply(now, target, outcome);
             } else {
-                controller.engine.on_stop_reply(now, target, reply);
+                controller.engine.on_stop_reply(now, target, outcome);
             }
         }
         for action in controller.engine.step(now) {
@@ -755,10 +755,10 @@
         let delay_ms = self.workers[at].next_delay_ms();
         let is_lost = is_partitioned || self.workers[at].loses_replies || delay_ms.is_some();
         let is_start = matches!(order, Order::Start(_));
-        let reply = if is_partitioned {
-            OrderReply::Unknown
+        let outcome = if is_partitioned {
+            OrderReply::Unknown.into()
         } else if self.workers[at].back_ms.is_some() {
-            OrderReply::NotSent
+            OrderReply::NotSent.into()
         } else if delay_ms.is_some() || self.latency_ms > 0 {
             let (at_ms, term) = (self.now_ms + delay_ms.unwrap_or(self.latency_ms), contact.term);
             let reply_to = (!is_lost).then_some(index);
@@ -775,19 +775,31 @@
             if !is_lost {
                 return;
             }
-            OrderReply::Unknown
+            OrderReply::Unknown.into()
         } else {
             self.execute(at, contact.term, target, &order)
         };
-        let (at_ms, reply) = if is_lost {
-            (self.now_ms + ORDER_TIMEOUT_MS, OrderReply::Unknown)
+        let (at_ms, outcome) = if is_lost {
+            (self.now_ms + ORDER_TIMEOUT_MS, OrderReply::Unknown.into())
         } else {
-            (self.now_ms, reply)
+            (self.now_ms, outcome)
         };
-        self.controllers[index].replies.push((at_ms, target, is_start, reply));
+        self.controllers[index].replies.push((at_ms, target, is_start, outcome));
     }
 
-    fn execute(&mut self, at: usize, term: Term, target: OrderTarget, order: &Order) -> OrderReply {
+    /// Has a worker carry out an order; returns its reply with its clock.
+    fn execute(
+        &mut self,
+        at: usize,
+        term: Term,
+        target: OrderTarget,
+        order: &Order,
+    ) -> OrderOutcome {
+        let reply = self.reply(at, term, target, order);
+        OrderOutcome { reply, clock_ms: Some(self.workers[at].clock_ms(self.now_ms)) }
+    }
+
+    fn reply(&mut self, at: usize, term: Term, target: OrderTarget, order: &Order) -> OrderReply {
         let now_ms = self.now_ms;
         let worker = &mut self.workers[at];
         if term < worker.term {
