Reproduce second runs after restarted workers are cut off

A worker that restarts under its name holds the longest lease when it receives a time limit of the former clock. No replay test had long tasks, restarts and partitions together.

The replay gets partitions from all controllers and the registry, clocks that are 2% slow, and polls that are carried out late by whichever incarnation has the name. With lost resets, polls in flight at a crash also hang during the outage. "runs twice" names both runs with the ends of their leases.

The engine is unchanged. The late start (8 cases) and the restart that only a successor notices (4 cases) hold; they fail if the engine does not assume the longest lease after such a start, or for a worker that the roster names with another start. The crate's other library tests pass.

--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -14,6 +14,7 @@
 mod load;
 mod order;
 mod pacing;
+mod partitions_after_restart;
 mod placing;
 mod registry;
 mod restarts;
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -99,11 +99,27 @@
     arrives_ms: u64,
     /// Incarnation at which it arrived.
     born_unix_ms: u64,
+    /// The worker was up when it arrived.
+    is_received: bool,
+    /// It is carried out late, and its reply is lost.
+    is_late: bool,
     /// Latest time of the answer, in milliseconds of virtual time.
     until_ms: u64,
     term: Term,
 }
 
+/// Poll that is carried out later, by whichever incarnation then has the worker's
+/// name; its reply is lost.
+struct LatePoll {
+    at_ms: u64,
+    /// Index of the controller that sent it.
+    from: usize,
+    /// Index of the worker.
+    at: usize,
+    term: Term,
+    request: PollRequest,
+}
+
 struct Controller {
     engine: PoolEngine,
     is_alive: bool,
@@ -132,6 +148,7 @@
     pub write_delay_ms: Option<u64>,
     /// Orders in flight.
     delayed_orders: Vec<DelayedOrder>,
+    late_polls: Vec<LatePoll>,
     /// Writes without a reply: time, index of the controller and write.
     delayed_writes: Vec<(u64, usize, PoolWrite)>,
     last_write: RecordVersion,
@@ -205,6 +222,7 @@
             store_is_up: true,
             write_delay_ms: None,
             delayed_orders: Vec::new(),
+            late_polls: Vec::new(),
             delayed_writes: Vec::new(),
             last_write: RecordVersion(0),
             acknowledged_tasks: StdHashSet::new(),
@@ -312,6 +330,22 @@
         self.controllers[controller].is_fenced
     }
 
+    /// Cuts a worker off from all controllers, including later ones, and from the
+    /// registry.
+    pub fn partition(&mut self, index: usize, duration_ms: u64) {
+        self.workers[index].partitioned_until_ms = self.now_ms + duration_ms;
+    }
+
+    /// Returns whether an order to a worker is in flight.
+    pub fn has_delayed_order(&self, index: usize) -> bool {
+        self.delayed_orders.iter().any(|late| late.at == index)
+    }
+
+    /// Returns whether a poll of a worker is to be carried out late.
+    pub fn has_late_poll(&self, index: usize) -> bool {
+        self.late_polls.iter().any(|late| late.at == index)
+    }
+
     /// Passes client accounts with their weights to all engines.
     pub fn set_accounts(&mut self, accounts: &[(&str, f64)]) {
         let ids = accounts.iter().map(|&(account, weight)| (AccountId::new(account), weight));
@@ -415,7 +449,8 @@
         let now_ms = self.now_ms;
         let mut is_due = false;
         for worker in &mut self.workers {
-            if worker.back_ms.is_none() && worker.shown_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+            let is_connected = worker.back_ms.is_none() && now_ms >= worker.partitioned_until_ms;
+            if is_connected && worker.shown_ms.is_some_and(|at_ms| now_ms >= at_ms) {
                 (worker.shown_ms, worker.former_entry) = (None, None);
                 is_due = true;
             }
@@ -587,11 +622,15 @@
                 self.controllers[index].polls.push(poll);
                 continue;
             }
-            let worker = &mut self.workers[poll.at];
+            let now_ms = self.now_ms;
+            let worker = &self.workers[poll.at];
             let is_reset = worker.entry.born_unix_ms != poll.born_unix_ms && !self.loses_resets;
-            let is_silent = worker.partitioned_from.contains(&index)
+            let is_silent = worker.is_partitioned(index, now_ms)
+                || poll.is_late
+                || worker.back_ms.is_some()
                 || worker.entry.born_unix_ms != poll.born_unix_ms;
-            let result = if worker.back_ms.is_some() || is_reset {
+            let is_refused = worker.back_ms.is_some() && !(self.loses_resets && poll.is_received);
+            let result = if is_refused || is_reset {
                 Err(PollFailure::Unreachable)
             } else if is_silent {
                 if self.now_ms < poll.until_ms + POLL_TIMEOUT_MS {
@@ -646,12 +685,21 @@
             return self.controllers[index].engine.on_poll(now, contact.key, result);
         };
         let arrives_ms = self.now_ms + self.latency_ms;
+        let worker = &mut self.workers[at];
+        let is_reached = !worker.is_away() && !worker.is_partitioned(index, self.now_ms);
+        let delay_ms = worker.next_poll_delay_ms().filter(|_| is_reached);
+        if let Some(delay_ms) = delay_ms {
+            let (at_ms, term) = (self.now_ms + delay_ms, contact.term);
+            self.late_polls.push(LatePoll { at_ms, from: index, at, term, request });
+        }
         self.controllers[index].polls.push(Poll {
             at,
             key: contact.key,
-            request: Some(request),
+            request: delay_ms.is_none().then_some(request),
             arrives_ms,
             born_unix_ms: self.workers[at].entry.born_unix_ms,
+            is_received: delay_ms.is_some(),
+            is_late: delay_ms.is_some(),
             until_ms: arrives_ms + request.wait_ms,
             term: contact.term,
         });
@@ -661,11 +709,16 @@
     /// Applies the polls that have arrived.
     fn deliver_polls(&mut self) {
         let now_ms = self.now_ms;
+        let late: Vec<_> = self.late_polls.extract_if(.., |late| now_ms >= late.at_ms).collect();
+        for LatePoll { from, at, term, request, .. } in late {
+            self.deliver_poll(from, at, term, request);
+        }
         for index in 0..self.controllers.len() {
             let mut polls = std::mem::take(&mut self.controllers[index].polls);
             for poll in polls.iter_mut().filter(|poll| now_ms >= poll.arrives_ms) {
                 if let Some(request) = poll.request.take() {
                     poll.born_unix_ms = self.workers[poll.at].entry.born_unix_ms;
+                    poll.is_received = !self.workers[poll.at].is_away();
                     self.deliver_poll(index, poll.at, poll.term, request);
                 }
             }
@@ -675,7 +728,7 @@
 
     fn deliver_poll(&mut self, index: usize, at: usize, term: Term, request: PollRequest) {
         let worker = &mut self.workers[at];
-        let is_reached = worker.back_ms.is_none() && !worker.partitioned_from.contains(&index);
+        let is_reached = worker.back_ms.is_none() && !worker.is_partitioned(index, self.now_ms);
         if !is_reached || term < worker.term {
             return;
         }
@@ -700,7 +753,7 @@
 
     fn order(&mut self, index: usize, contact: &WorkerContact, target: OrderTarget, order: Order) {
         let at = self.worker_of(contact);
-        let is_partitioned = self.workers[at].partitioned_from.contains(&index);
+        let is_partitioned = self.workers[at].is_partitioned(index, self.now_ms);
         let delay_ms = self.workers[at].next_delay_ms();
         let is_lost = is_partitioned || self.workers[at].loses_replies || delay_ms.is_some();
         let is_start = matches!(order, Order::Start(_));
@@ -877,12 +930,17 @@
 
     /// Checks the invariants that must always hold.
     fn check_invariants(&self) {
-        let mut running = StdHashSet::new();
+        let mut running: HashMap<TaskAddress, &FakeWorker> = HashMap::new();
         for worker in &self.workers {
             let fits = worker.used().fits_in(&worker.entry.capacity);
             assert!(fits || worker.has_shrunk, "{} is over", worker.entry.worker);
             for &task in worker.running.keys() {
-                assert!(running.insert(task) || self.copies_allowed, "{task} runs twice");
+                let other = running.insert(task, worker);
+                if let Some(other) = other.filter(|_| !self.copies_allowed) {
+                    let [first, second] =
+                        [other, worker].map(|it| it.describe_run(task, self.now_ms));
+                    panic!("{task} runs twice at {} ms: {first}; {second}", self.now_ms);
+                }
             }
         }
     }
--- a/crates/dispatch/src/replay/pool/worker.rs
+++ b/crates/dispatch/src/replay/pool/worker.rs
@@ -19,6 +19,8 @@
 const ENDS_LISTED_MAX: usize = 500;
 /// Longest lease that a worker accepts, in milliseconds; longer ones are shortened.
 const LEASE_MAX_MS: u64 = 10_000;
+/// Percentage by which a slow clock is slower than virtual time.
+const SLOW_PERCENT: u64 = 2;
 /// Time for which the first incarnations have been up at the origin of virtual
 /// time, in milliseconds.
 const UPTIME_MS: u64 = 3_600_000;
@@ -44,15 +46,26 @@
     pub entry: WorkerEntry,
     /// Indexes of the controllers that cannot reach it.
     pub partitioned_from: HashSet<usize>,
+    /// When a partition from all controllers and from the registry ends, in
+    /// milliseconds of virtual time.
+    pub(super) partitioned_until_ms: u64,
+    /// Its clock is 2% slow.
+    pub has_slow_clock: bool,
     /// Orders are carried out, but their replies are lost.
     pub loses_replies: bool,
     /// Delay after which orders are carried out, in milliseconds; their replies
     /// are lost. None if they are carried out at once.
     pub order_delay_ms: Option<u64>,
-    /// One in so many orders is delayed, the others are carried out at once.
+    /// Delay after which polls are carried out, in milliseconds; their replies are
+    /// lost. None if they are carried out at once.
+    pub poll_delay_ms: Option<u64>,
+    /// One in so many orders, and one in so many polls, is delayed; the others are
+    /// carried out at once.
     pub delays_one_in: u64,
     /// Orders that were sent to it.
     pub(super) orders: u64,
+    /// Polls that were sent to it.
+    pub(super) polls: u64,
     /// Every task fails at its end.
     pub fails_all: bool,
     /// Tail latency that it reports for long-running tasks, in milliseconds.
@@ -113,10 +126,14 @@
             is_unlisted: false,
             entry,
             partitioned_from: HashSet::new(),
+            partitioned_until_ms: 0,
+            has_slow_clock: false,
             loses_replies: false,
             order_delay_ms: None,
+            poll_delay_ms: None,
             delays_one_in: 1,
             orders: 0,
+            polls: 0,
             fails_all: false,
             tail_ms: 0,
             paces: Vec::new(),
@@ -146,10 +163,14 @@
             shown_ms: Some(shown_ms),
             former_entry: Some(former_entry),
             partitioned_from: std::mem::take(&mut self.partitioned_from),
+            partitioned_until_ms: self.partitioned_until_ms,
+            has_slow_clock: self.has_slow_clock,
             loses_replies: self.loses_replies,
             order_delay_ms: self.order_delay_ms,
+            poll_delay_ms: self.poll_delay_ms,
             delays_one_in: self.delays_one_in,
             orders: self.orders,
+            polls: self.polls,
             fails_all: self.fails_all,
             tail_ms: self.tail_ms,
             slowdown: self.slowdown,
@@ -168,7 +189,25 @@
 
     /// Returns the time on the incarnation's own clock.
     pub(super) fn clock_ms(&self, now_ms: u64) -> u64 {
-        (UNIX_ORIGIN_MS + now_ms).saturating_sub(self.entry.born_unix_ms)
+        let uptime_ms = (UNIX_ORIGIN_MS + now_ms).saturating_sub(self.entry.born_unix_ms);
+        // The clocks of the first incarnations are exact at the origin of virtual time.
+        let measured_ms = uptime_ms.min(now_ms);
+        let lag_ms = if self.has_slow_clock { measured_ms * SLOW_PERCENT / 100 } else { 0 };
+        uptime_ms - lag_ms
+    }
+
+    /// Returns whether a controller cannot reach the worker.
+    pub(super) fn is_partitioned(&self, controller: usize, now_ms: u64) -> bool {
+        now_ms < self.partitioned_until_ms || self.partitioned_from.contains(&controller)
+    }
+
+    /// Describes a run with the time at which the lease ends.
+    pub(super) fn describe_run(&self, task: TaskAddress, now_ms: u64) -> String {
+        let left_ms = self.lease_until_ms.saturating_sub(self.clock_ms(now_ms));
+        let percent = if self.has_slow_clock { 100 - SLOW_PERCENT } else { 100 };
+        let lease_ends_ms = now_ms + left_ms * 100 / percent;
+        let (worker, began_ms) = (&self.entry.worker, self.running[&task].began_ms);
+        format!("on {worker} from {began_ms} ms with a lease until {lease_ends_ms} ms")
     }
 
     /// Extends the lease to a time on the incarnation's own clock.
@@ -183,6 +222,12 @@
         self.order_delay_ms.filter(|_| self.orders.is_multiple_of(self.delays_one_in))
     }
 
+    /// Returns the delay of the next poll that is sent to the worker.
+    pub(super) fn next_poll_delay_ms(&mut self) -> Option<u64> {
+        self.polls += 1;
+        self.poll_delay_ms.filter(|_| self.polls.is_multiple_of(self.delays_one_in))
+    }
+
     /// Returns whether the worker has crashed and is not back.
     pub fn is_away(&self) -> bool {
         self.back_ms.is_some()
