--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -685,7 +685,9 @@
             return self.controllers[index].engine.on_poll(now, contact.key, result);
         };
         let arrives_ms = self.now_ms + self.latency_ms;
-        let delay_ms = self.workers[at].next_poll_delay_ms();
+        let worker = &mut self.workers[at];
+        let is_reached = !worker.is_away() && !worker.is_partitioned(index, self.now_ms);
+        let delay_ms = worker.next_poll_delay_ms().filter(|_| is_reached);
         if let Some(delay_ms) = delay_ms {
             let (at_ms, term) = (self.now_ms + delay_ms, contact.term);
             self.late_polls.push(LatePoll { at_ms, from: index, at, term, request });
