Wait longer for an unreachable worker that restarted before a takeover

A successor waits 12 s for workers of the roster that it never reaches: the previous controller may go on for 6 s and grant a lease of 6 s. To a worker that restarts meanwhile under its name, its last call may grant the longest lease (10 s), on the former clock.

The successor waits 4 s longer for a worker that the registry shows with another start than the roster, and as long as before for others. A worker that restarted and was cut off before it wrote its entry is not told from these.

--- a/crates/dispatch/src/coordination/pool/recovery.rs
+++ b/crates/dispatch/src/coordination/pool/recovery.rs
@@ -6,8 +6,13 @@
     ids::{RecordVersion, WorkerId},
 };
 
-use super::{engine::PoolEngine, stops::HANDOVER_GRACE_MS, task::TaskRef, workers::Worker};
-use crate::state::{JobNumber, JobOutcome, JobRecord, ProgressRecord, Roster};
+use super::{
+    engine::{PoolEngine, PoolTiming},
+    stops::HANDOVER_GRACE_MS,
+    task::TaskRef,
+    workers::Worker,
+};
+use crate::state::{JobNumber, JobOutcome, JobRecord, ProgressRecord, Roster, RosterEntry};
 
 /// A job's record with its version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,6 +88,21 @@
         self.unreconciled.iter().flatten().any(|entry| entry.worker == *worker)
     }
 
+    /// Returns when every lease and start has expired that the previous controller
+    /// granted to a worker of its roster, on the local clock. A worker that has
+    /// restarted since may hold the longest lease by a call for its former
+    /// incarnation.
+    fn predecessor_until_ms(&self, entry: &RosterEntry) -> u64 {
+        let PoolTiming { worker_lease_ms, worker_lease_max_ms, .. } = self.timing;
+        let known = self.workers.find(&entry.worker);
+        let shown = known.into_iter().chain(self.workers.claimant(&entry.worker));
+        let has_restarted = shown
+            .filter_map(|key| self.workers.get(key))
+            .any(|worker| worker.entry.born_unix_ms != entry.born_unix_ms);
+        let longer_ms = if has_restarted { worker_lease_max_ms - worker_lease_ms } else { 0 };
+        self.control.predecessor_until_ms + longer_ms
+    }
+
     /// Finishes the reconciliation with the previous controller's runs once
     /// every worker of the roster was polled, or all leases that the
     /// previous controller granted have expired.
@@ -98,10 +118,10 @@
                 && !is_vacated
                 && !self.has_newer_incarnation(&entry.host, entry.born_unix_ms)
         });
-        let is_over = now_ms >= self.control.predecessor_until_ms;
-        if unreconciled.is_empty() || is_over {
+        let is_over = unreconciled.iter().all(|entry| now_ms >= self.predecessor_until_ms(entry));
+        if is_over {
             log::info!(pool = self.control.pool.as_str(), not_listed = unreconciled.len(),
-                timed_out = is_over;
+                timed_out = !unreconciled.is_empty();
                 "reconciliation with the previous controller's runs has finished");
             self.count_unseen_crashes(now_ms);
             self.handover_grace_until_ms = now_ms + HANDOVER_GRACE_MS;
