Bound the memory that the bodies of callers' requests hold

Up to connections_max clients could each have a whole body in the process, and a body in chunks was kept as a list of frames that each kept the buffer it had arrived in. Nothing bounded the sum.

coordination/request_memory holds one account of all bodies, from the first byte until the request is answered. Bytes are copied into one buffer that grows with what has arrived. When a quarter of limits.memory_mb is used up, the incomplete body that holds the most is ended, the oldest among equals; a body that would itself hold the most is rejected. A quarter of the account is kept for bodies up to 16 KiB. Rejected requests get 503 with Retry-After and Connection: close.

--- a/crates/dispatch/src/coordination/mod.rs
+++ b/crates/dispatch/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod forwarding;
 pub mod pool;
 pub mod relay;
+pub mod request_memory;
 pub mod shares;
 pub mod submission;
 pub mod upkeep;
--- a/crates/dispatch/src/node/requests.rs
+++ b/crates/dispatch/src/node/requests.rs
@@ -97,12 +97,7 @@
             forward::forward(shared, kind_of(request.method), request, own).await.into()
         }
         Err(NotDecoded::Unconfirmed) => {
-            let retry_after_ms = RETRY_AFTER_MS;
-            let own = if request.method == Method::POST {
-                CallerResponse::NotAccepted { retry_after_ms }
-            } else {
-                CallerResponse::Unavailable { retry_after_ms }
-            };
+            let own = rejection(request.method);
             forward::forward(shared, kind_of(request.method), request, own).await.into()
         }
     }
@@ -178,6 +173,15 @@
     forward::serve_with_peers(shared, own, request, response).await
 }
 
+/// Returns the response to a request that was not handled and can be sent again.
+pub(super) fn rejection(method: &Method) -> CallerResponse {
+    let retry_after_ms = RETRY_AFTER_MS;
+    match kind_of(method) {
+        RequestKind::Submit => CallerResponse::NotAccepted { retry_after_ms },
+        RequestKind::Cancel | RequestKind::Read => CallerResponse::Unavailable { retry_after_ms },
+    }
+}
+
 /// Returns what a request that is not decoded asks for.
 fn kind_of(method: &Method) -> RequestKind {
     match *method {
--- a/crates/dispatch/src/node/server.rs
+++ b/crates/dispatch/src/node/server.rs
@@ -4,19 +4,20 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tamarackproxy::state::ids::AccountId;
 use tokio::{net::TcpListener, time::timeout};
 
 use super::{
-    callers::RequestError,
+    callers::{CallerResponse, RequestError},
     clock,
     platform::Platform,
     requests::{self, Answer, ReceivedRequest},
     shared::Shared,
 };
+use crate::coordination::request_memory::{BodyError, ByteCount, RequestMemory, WholeBody};
 
 /// Delay after a failed accept, in milliseconds; gives open connections time to
 /// free file descriptors.
@@ -97,7 +98,8 @@
         let shared = Rc::clone(&shared);
         service_fn(move |request| {
             let shared = Rc::clone(&shared);
-            async move { Ok::<_, Infallible>(handle(shared, service, request).await) }
+            // Boxed, so that an idle connection takes little memory.
+            Box::pin(async move { Ok::<_, Infallible>(handle(shared, service, request).await) })
         })
     };
     let mut builder = http1::Builder::new();
@@ -127,6 +129,7 @@
         }
         Service::Ready => plain_response(StatusCode::NOT_FOUND, ""),
         Service::Metrics => {
+            metrics::gauge!("request_memory_bytes").set(shared.request_memory.held().0 as f64);
             plain_response(StatusCode::OK, tamarackproxy::observability::render_metrics())
         }
         Service::Callers => {
@@ -158,41 +161,106 @@
     let began_ms = clock::read().monotonic_ms;
     let (head, body) = request.into_parts();
     let request_id = shared.platform.request_id(&head.headers).unwrap_or_default().to_owned();
-    let Answer { account, response } = answer_caller(shared, &head, body, began_ms).await;
+    let received = receive_body(shared, &head, body).await;
+    // The rest of a body is not read, so that its connection cannot be used again.
+    let is_closed = received.is_err();
+    let Answer { account, response } = match received {
+        // Boxed, because connections whose body is incomplete are the most.
+        Ok(body) => Box::pin(answer_caller(shared, &head, &body, began_ms)).await,
+        Err(response) => response.into(),
+    };
     let took_ms = clock::read().monotonic_ms.saturating_sub(began_ms);
     log::info!(request = request_id, method = head.method.as_str(), path = head.uri.path(),
         account = account.as_ref().map(AccountId::as_str), answer:? = response, took_ms = took_ms,
         configuration = shared.document().map_or(0, |document| document.revision);
         "request answered");
     metrics::histogram!("request_ms").record(took_ms as f64);
-    shared.platform.encode_response(&response).map(Full::from)
+    let mut response = shared.platform.encode_response(&response).map(Full::from);
+    if is_closed {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
-async fn answer_caller<P>(
-    shared: &Rc<Shared<P>>,
+/// Reads a body into the memory for requests.
+///
+/// # Errors
+///
+/// Returns the response to a request whose body is not received.
+async fn receive_body<P>(
+    shared: &Shared<P>,
     head: &http::request::Parts,
     body: Incoming,
-    received_ms: u64,
-) -> Answer
+) -> Result<WholeBody, CallerResponse>
 where
     P: Platform,
 {
     let limits = shared.document().map(|document| document.limits).unwrap_or_default();
-    let body = Limited::new(body, limits.body_max_bytes).collect();
     let time = Duration::from_millis(limits.head_timeout_ms);
-    let body = match timeout(time, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return RequestError::TooLarge(limits.body_max_bytes).into();
+    let max = ByteCount(limits.body_max_bytes);
+    let error = match timeout(time, collect(&shared.request_memory, max, body)).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(ReceiveError::Body(BodyError::Exhausted))) => {
+            metrics::counter!("request_bodies_rejected").increment(1);
+            return Err(requests::rejection(&head.method));
         }
-        Ok(Err(error)) => {
-            return RequestError::Malformed(error.to_string().into()).into();
+        Ok(Err(ReceiveError::Body(BodyError::TooLarge))) => RequestError::TooLarge(max.0),
+        Ok(Err(ReceiveError::Connection(error))) => {
+            RequestError::Malformed(error.to_string().into())
         }
         Err(_) => {
             let reason = "the body did not arrive in time; send it at once";
-            return RequestError::Malformed(reason.into()).into();
+            RequestError::Malformed(reason.into())
         }
     };
+    Err(CallerResponse::Refused(error))
+}
+
+/// Reasons why a body is not received.
+enum ReceiveError {
+    Body(BodyError),
+    Connection(hyper::Error),
+}
+
+impl From<BodyError> for ReceiveError {
+    fn from(error: BodyError) -> Self {
+        Self::Body(error)
+    }
+}
+
+async fn collect(
+    memory: &RequestMemory,
+    max: ByteCount,
+    mut body: Incoming,
+) -> Result<WholeBody, ReceiveError> {
+    let mut received = memory.begin(max);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = received.ended() => return Err(BodyError::Exhausted.into()),
+            frame = body.frame() => frame,
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                if let Some(part) = frame.data_ref() {
+                    received.push(part)?;
+                }
+            }
+            Some(Err(error)) => return Err(ReceiveError::Connection(error)),
+            None => return Ok(received.finish()?),
+        }
+    }
+}
+
+async fn answer_caller<P>(
+    shared: &Rc<Shared<P>>,
+    head: &http::request::Parts,
+    body: &WholeBody,
+    received_ms: u64,
+) -> Answer
+where
+    P: Platform,
+{
     let authority = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let authority = authority.or(head.uri.host()).unwrap_or_default();
     let request = ReceivedRequest {
@@ -201,7 +269,7 @@
         path: head.uri.path(),
         key: shared.platform.caller_key(&head.headers),
         request_id: shared.platform.request_id(&head.headers).unwrap_or_default(),
-        body,
+        body: body.bytes().clone(),
         received_ms,
         timeout_ms: shared.platform.timeout_ms(&head.headers),
     };
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -28,6 +28,7 @@
     coordination::{
         access::ConfigurationAge,
         pool::PoolEngine,
+        request_memory::RequestMemory,
         submission::{SubmissionAnswer, Submissions},
     },
     settings::DispatchSettings,
@@ -83,6 +84,8 @@
     store_is_disconnected: Cell<bool>,
     next_request: Cell<u64>,
     pub(super) requests_open: Cell<usize>,
+    /// Memory that the bodies of requests hold.
+    pub(super) request_memory: RequestMemory,
     /// Forwards requests to other processes.
     pub(super) forwarder: Forwarder,
 }
@@ -92,6 +95,7 @@
     P: Platform,
 {
     pub(super) fn new(platform: P, settings: DispatchSettings) -> Self {
+        let request_memory = RequestMemory::new(settings.request_memory);
         let forwarder = Forwarder::new(settings.data_centre.clone());
         Self {
             platform,
@@ -119,6 +123,7 @@
             store_is_disconnected: Cell::new(false),
             next_request: Cell::new(0),
             requests_open: Cell::new(0),
+            request_memory,
             forwarder,
         }
     }
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -1,8 +1,8 @@
 //! Settings of a `tamarack-dispatchd` process, read from an INI file.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, ops::RangeInclusive};
 
-use crate::coordination::{control::Fencing, relay::WORKERS_PER_RELAY};
+use crate::coordination::{control::Fencing, relay::WORKERS_PER_RELAY, request_memory::ByteCount};
 use log::LevelFilter;
 use tamarackproxy::state::{
     ids::{DataCentreId, EntryId},
@@ -17,6 +17,14 @@
 const LEVEL: &str = "off, error, warn, info, debug or trace";
 const CORES: &str = "a number of cores such as 0.25 or 2";
 const COUNT: &str = "a whole number";
+/// Bytes of a mebibyte.
+const MIB: f64 = 1_048_576.0;
+/// Range of the memory of a process, in MiB.
+const MEMORY_MB: RangeInclusive<f64> = 16.0..=1_048_576.0;
+/// Memory of a process that states none, in MiB.
+const MEMORY_DEFAULT_MB: f64 = 260.0;
+/// Part of the memory that callers' requests may hold.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
 const SWITCH: &str = "true or false";
 
 /// Complete and validated settings of a process.
@@ -64,6 +72,8 @@
     pub cores: f64,
     /// Workers for each process that carries calls for a large pool.
     pub workers_per_relay: usize,
+    /// Memory that callers' requests may hold.
+    pub request_memory: ByteCount,
     /// Connections that may be open at once.
     pub connections_max: usize,
     /// Least severe level that is logged.
@@ -130,13 +140,15 @@
         let move_ms = milliseconds(reader, "host_move_s", 1.5);
         let cores = reader.or_default("cores", CORES, 1.0_f64);
         let descriptors = reader.or_default("descriptors", COUNT, 1_024_usize);
+        let memory_mb = reader.in_range("memory_mb", MEMORY_MB, Some(MEMORY_DEFAULT_MB));
         let workers_per_relay = reader.or_default("workers_per_relay", COUNT, WORKERS_PER_RELAY);
         // An empty value means that no key has to stop without the store.
         let key_revocation_ms = reader.list("key_revocation_ms", COUNT).into_iter().next();
         let configuration_apply_ms = reader.or_default("configuration_apply_ms", COUNT, 2_000);
         let configuration_ms = (key_revocation_ms, configuration_apply_ms);
         let worker_ms = (worker_lease_max_ms, maintenance_ms, move_ms, configuration_ms);
-        Some((stop_ms, status_ms, worker_ms, cores, descriptors, workers_per_relay))
+        let process = (cores, descriptors, memory_mb?);
+        Some((stop_ms, status_ms, worker_ms, process, workers_per_relay))
     });
     let level = read_section(sections, "log", errors, |reader| {
         Some(reader.or_default("level", LEVEL, LevelFilter::Info))
@@ -145,7 +157,9 @@
     let (entry, data_centre) = entry?;
     let (callers, ready, metrics, relay) = listen?;
     let (store, hosts, host_fencing, advice) = platform?;
-    let (stop_ms, status_ms, worker_ms, cores, descriptors, workers_per_relay) = limits?;
+    let (stop_ms, status_ms, worker_ms, process, workers_per_relay) = limits?;
+    let (cores, descriptors, memory_mb) = process;
+    let memory_bytes = (memory_mb * MIB) as usize;
     let (worker_lease_max_ms, maintenance_ms, move_ms, configuration_ms) = worker_ms;
     let (key_revocation_ms, configuration_apply_ms) = configuration_ms;
     Some(DispatchSettings {
@@ -168,6 +182,7 @@
         move_ms,
         cores,
         workers_per_relay,
+        request_memory: ByteCount(memory_bytes / REQUEST_MEMORY_DIVISOR),
         // Half of the descriptors are kept for files, connections to the store
         // and to workers, and as a reserve.
         connections_max: (descriptors / 2).max(64),
--- a/crates/dispatch/src/settings/tests.rs
+++ b/crates/dispatch/src/settings/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the validation of settings.
 
+use rstest::rstest;
+
 use super::DispatchSettings;
 
 const VALID: &str = "[entry]\nname = a-1\ndata_centre = a\n[listen]\ncallers = 127.0.0.1:1\n\
@@ -30,3 +32,23 @@
     let errors = DispatchSettings::parse(&text).expect_err("the section is unknown");
     assert!(errors.to_string().contains("[limit]"), "{errors}");
 }
+
+/// Guards against a process without memory for requests, and against a value
+/// that is silently replaced.
+#[rstest]
+#[case::left_out("", Some(65 << 20))]
+#[case::small("memory_mb = 64\n", Some(16 << 20))]
+#[case::too_small("memory_mb = 0\n", None)]
+#[case::fraction("memory_mb = 64.5\n", Some(129 << 17))]
+#[case::not_a_number("memory_mb = NaN\n", None)]
+#[case::empty("memory_mb =\n", None)]
+fn memory_for_requests_follows_the_machine(#[case] line: &str, #[case] expected: Option<usize>) {
+    let settings = DispatchSettings::parse(&format!("{VALID}{line}"));
+    match (settings, expected) {
+        (Ok(settings), expected) => {
+            assert_eq!(Some(settings.request_memory.0), expected);
+        }
+        (Err(errors), None) => assert!(errors.to_string().contains("memory_mb"), "{errors}"),
+        (Err(errors), Some(_)) => panic!("{errors}"),
+    }
+}
