Let unfinished connections give way to new ones

A connection beyond connections_max was closed at once, so a crowd that held all connections kept ordinary callers out for as long as its time limits allowed, and again when it returned. The number of connections followed the descriptors alone, also on a machine whose memory does not bear them, and the readiness and metrics ports each had the same bound.

coordination/connections keeps the open connections of a listener in the order in which they give way: the oldest incomplete request first, then the one that has been idle for longest; a request that is served never does. connections_max is also bounded by half of limits.memory_mb at 64 KiB a connection (2,050 on the platform's machines as before). The readiness and metrics ports accept 64. The counter of open requests is a guard, as handlers may now be dropped.

--- a/crates/dispatch/src/coordination/mod.rs
+++ b/crates/dispatch/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod access;
 pub mod admission;
 pub mod balance;
+pub mod connections;
 pub mod control;
 pub mod forwarding;
 pub mod pool;
--- a/crates/dispatch/src/node/forward/server.rs
+++ b/crates/dispatch/src/node/forward/server.rs
@@ -17,7 +17,12 @@
 use tokio::time::timeout;
 
 use super::{
-    super::{clock, platform::Platform, requests, shared::Shared},
+    super::{
+        clock,
+        platform::Platform,
+        requests,
+        shared::{OpenRequest, Shared},
+    },
     message::{ForwardReply, Forwarded, MESSAGE_MAX_BYTES, MessageError},
 };
 use crate::coordination::forwarding::IN_FLIGHT_MAX;
@@ -52,23 +57,6 @@
     }
 }
 
-/// Counts an open request until it is dropped, so that a graceful stop waits for
-/// it.
-struct OpenRequest<'a>(&'a Cell<usize>);
-
-impl<'a> OpenRequest<'a> {
-    fn new(open: &'a Cell<usize>) -> Self {
-        open.set(open.get() + 1);
-        Self(open)
-    }
-}
-
-impl Drop for OpenRequest<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// How a forwarded request ended here, for metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/dispatch/src/node/server.rs
+++ b/crates/dispatch/src/node/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server for callers, the load balancer's readiness checks and metrics.
 
-use std::{cell::Cell, convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -8,20 +8,25 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tamarackproxy::state::ids::AccountId;
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{net::TcpListener, sync::oneshot, time::timeout};
 
 use super::{
     callers::{CallerResponse, RequestError},
     clock,
     platform::Platform,
     requests::{self, Answer, ReceivedRequest},
-    shared::Shared,
+    shared::{OpenRequest, Shared},
+};
+use crate::coordination::{
+    connections::{Activity, ConnectionKey, Connections},
+    request_memory::{BodyError, ByteCount, RequestMemory, WholeBody},
 };
-use crate::coordination::request_memory::{BodyError, ByteCount, RequestMemory, WholeBody};
 
 /// Delay after a failed accept, in milliseconds; gives open connections time to
 /// free file descriptors.
 const ACCEPT_RETRY_MS: u64 = 20;
+/// Most connections for readiness checks, and for metrics.
+const OBSERVERS_MAX: usize = 64;
 
 /// Service offered by a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,12 +39,24 @@
 
 type HttpResponse = Response<Full<Bytes>>;
 
-/// Decrements the number of open connections when dropped.
-struct ConnectionGuard(Rc<Cell<usize>>);
+/// Connections of a listener; dropping the sender of one ends it.
+type ListenerConnections = RefCell<Connections<oneshot::Sender<()>>>;
+
+/// Gives up the place of a connection when dropped.
+struct ConnectionPlace {
+    connections: Rc<ListenerConnections>,
+    key: ConnectionKey,
+}
+
+impl ConnectionPlace {
+    fn set_activity(&self, activity: Activity) {
+        self.connections.borrow_mut().set_activity(self.key, activity);
+    }
+}
 
-impl Drop for ConnectionGuard {
+impl Drop for ConnectionPlace {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.connections.borrow_mut().remove(self.key);
     }
 }
 
@@ -61,7 +78,11 @@
 where
     P: Platform,
 {
-    let open = Rc::new(Cell::new(0_usize));
+    let max = match service {
+        Service::Callers => shared.settings.connections_max,
+        Service::Ready | Service::Metrics => shared.settings.connections_max.min(OBSERVERS_MAX),
+    };
+    let connections = Rc::new(ListenerConnections::new(Connections::new(max)));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -72,16 +93,31 @@
                 continue;
             }
         };
-        if open.get() >= shared.settings.connections_max {
-            // An immediate close lets the caller try another entry host.
-            metrics::counter!("connections_refused").increment(1);
-            continue;
+        if connections.borrow().is_full() {
+            let replaced = connections.borrow_mut().take_replaceable();
+            if replaced.is_none() {
+                // An immediate close lets the caller try another entry host.
+                metrics::counter!("connections_refused").increment(1);
+                continue;
+            }
+            metrics::counter!("connections_replaced").increment(1);
+            drop(replaced);
+            // The connection that gives way is closed before the next is accepted.
+            tokio::task::yield_now().await;
         }
-        open.set(open.get() + 1);
-        let guard = ConnectionGuard(Rc::clone(&open));
+        let (sender, end) = oneshot::channel();
+        let key = connections.borrow_mut().insert(sender);
+        let place = ConnectionPlace { connections: Rc::clone(&connections), key };
         // Without the option the connection is slower but works.
         let _ = stream.set_nodelay(true);
-        tokio::task::spawn_local(serve_connection(Rc::clone(&shared), stream, service, guard));
+        let connection = serve_connection(Rc::clone(&shared), stream, service, place);
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                biased;
+                _ = end => {}
+                () = connection => {}
+            }
+        });
     }
 }
 
@@ -89,19 +125,21 @@
     shared: Rc<Shared<P>>,
     stream: tokio::net::TcpStream,
     service: Service,
-    _guard: ConnectionGuard,
+    place: ConnectionPlace,
 ) where
     P: Platform,
 {
     let limits = shared.document().map(|document| document.limits).unwrap_or_default();
-    let handler = {
-        let shared = Rc::clone(&shared);
-        service_fn(move |request| {
-            let shared = Rc::clone(&shared);
-            // Boxed, so that an idle connection takes little memory.
-            Box::pin(async move { Ok::<_, Infallible>(handle(shared, service, request).await) })
+    let place = Rc::new(place);
+    let handler = service_fn(move |request| {
+        let (shared, place) = (Rc::clone(&shared), Rc::clone(&place));
+        // Boxed, so that an idle connection takes little memory.
+        Box::pin(async move {
+            let response = handle(&shared, service, &place, request).await;
+            place.set_activity(Activity::Idle);
+            Ok::<_, Infallible>(response)
         })
-    };
+    });
     let mut builder = http1::Builder::new();
     // The header read timeout also limits how long a connection may be idle.
     let head_time = Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
@@ -114,8 +152,9 @@
 }
 
 async fn handle<P>(
-    shared: Rc<Shared<P>>,
+    shared: &Rc<Shared<P>>,
     service: Service,
+    place: &ConnectionPlace,
     request: Request<Incoming>,
 ) -> HttpResponse
 where
@@ -133,9 +172,8 @@
             plain_response(StatusCode::OK, tamarackproxy::observability::render_metrics())
         }
         Service::Callers => {
-            shared.requests_open.set(shared.requests_open.get() + 1);
-            let mut response = handle_caller(&shared, request).await;
-            shared.requests_open.set(shared.requests_open.get() - 1);
+            let _open = OpenRequest::new(&shared.requests_open);
+            let mut response = handle_caller(shared, place, request).await;
             if shared.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -154,14 +192,20 @@
     response
 }
 
-async fn handle_caller<P>(shared: &Rc<Shared<P>>, request: Request<Incoming>) -> HttpResponse
+async fn handle_caller<P>(
+    shared: &Rc<Shared<P>>,
+    place: &ConnectionPlace,
+    request: Request<Incoming>,
+) -> HttpResponse
 where
     P: Platform,
 {
     let began_ms = clock::read().monotonic_ms;
     let (head, body) = request.into_parts();
     let request_id = shared.platform.request_id(&head.headers).unwrap_or_default().to_owned();
+    place.set_activity(Activity::Receiving);
     let received = receive_body(shared, &head, body).await;
+    place.set_activity(Activity::Serving);
     // The rest of a body is not read, so that its connection cannot be used again.
     let is_closed = received.is_err();
     let Answer { account, response } = match received {
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -41,6 +41,23 @@
 /// cut off out of rotation, and callers give up after three.
 const STORE_UNREACHABLE_MS: u64 = 1_500;
 
+/// Counts an open request until it is dropped, so that a graceful stop waits for
+/// it.
+pub(super) struct OpenRequest<'a>(&'a Cell<usize>);
+
+impl<'a> OpenRequest<'a> {
+    pub(super) fn new(open: &'a Cell<usize>) -> Self {
+        open.set(open.get() + 1);
+        Self(open)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Shared state of one process.
 pub(super) struct Shared<P> {
     pub(super) platform: P,
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -25,6 +25,11 @@
 const MEMORY_DEFAULT_MB: f64 = 260.0;
 /// Part of the memory that callers' requests may hold.
 const REQUEST_MEMORY_DIVISOR: usize = 4;
+/// Part of the memory that connections of callers may hold.
+const CONNECTION_MEMORY_DIVISOR: usize = 2;
+/// Memory of one connection beside the bodies of its requests: buffers of the
+/// socket and of the parser, and the tasks that serve it.
+const CONNECTION_BYTES: usize = 64 << 10;
 const SWITCH: &str = "true or false";
 
 /// Complete and validated settings of a process.
@@ -185,7 +190,9 @@
         request_memory: ByteCount(memory_bytes / REQUEST_MEMORY_DIVISOR),
         // Half of the descriptors are kept for files, connections to the store
         // and to workers, and as a reserve.
-        connections_max: (descriptors / 2).max(64),
+        connections_max: (descriptors / 2)
+            .max(64)
+            .min(memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES),
         level: level?,
     })
 }
--- a/crates/dispatch/src/settings/tests.rs
+++ b/crates/dispatch/src/settings/tests.rs
@@ -52,3 +52,14 @@
         (Err(errors), Some(_)) => panic!("{errors}"),
     }
 }
+
+/// Guards against more connections than the machine's memory or descriptors
+/// bear.
+#[rstest]
+#[case::platform("descriptors = 4100\nmemory_mb = 260\n", 2_050)]
+#[case::little_memory("descriptors = 4100\nmemory_mb = 64\n", 512)]
+#[case::few_descriptors("descriptors = 700\nmemory_mb = 64\n", 350)]
+fn connections_follow_the_machine(#[case] lines: &str, #[case] expected: usize) {
+    let settings = DispatchSettings::parse(&format!("{VALID}{lines}")).expect("valid settings");
+    assert_eq!(settings.connections_max, expected);
+}
