Bound what arrives at callers' sockets and is not read

What has arrived at a socket and is not read counts towards the machine's memory. The system's own receive buffers grow to megabytes for each connection, so a crowd filled them while the process was busy, and a client could send more behind a request that was being served.

The listeners for callers, readiness checks and metrics ask for receive buffers of 16 KiB, which accepted connections inherit.

--- a/crates/dispatch/src/node/server.rs
+++ b/crates/dispatch/src/node/server.rs
@@ -8,7 +8,11 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tamarackproxy::state::ids::AccountId;
-use tokio::{net::TcpListener, sync::oneshot, time::timeout};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    sync::oneshot,
+    time::timeout,
+};
 
 use super::{
     callers::{CallerResponse, RequestError},
@@ -25,6 +29,10 @@
 /// Delay after a failed accept, in milliseconds; gives open connections time to
 /// free file descriptors.
 const ACCEPT_RETRY_MS: u64 = 20;
+/// Size of the receive buffer of a connection, in bytes; the system may double it.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+/// Most connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Most connections for readiness checks, and for metrics.
 const OBSERVERS_MAX: usize = 64;
 
@@ -69,11 +77,25 @@
 where
     P: Platform,
 {
-    let listener = TcpListener::bind(address).await?;
+    let listener = bind(address)?;
     tokio::task::spawn_local(accept(shared, listener, service));
     Ok(())
 }
 
+/// Binds an address whose connections have small receive buffers: the system's
+/// own size grows to megabytes for bytes that are not read.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Without the option connections work, and may hold more memory.
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::warn!(address:display = address, error:display = error;
+            "size of receive buffers could not be set");
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 async fn accept<P>(shared: Rc<Shared<P>>, listener: TcpListener, service: Service)
 where
     P: Platform,
