Count forwarded requests in the memory for requests

A peer read up to 64 forwarded messages at once, each up to 9 MiB, beside the bodies that its own callers sent; nothing bounded the sum.

The message is received into the account of request memory and counts there until the request is answered. Without room the peer replies Overloaded, as it does when all places are taken: it has done nothing, and the sender asks another one.

peer_without_memory_is_passed_over failed before (the job was accepted) and passes now.

--- a/crates/dispatch/src/node/forward/server.rs
+++ b/crates/dispatch/src/node/forward/server.rs
@@ -9,10 +9,7 @@
 use strum::IntoStaticStr;
 use tamarackproxy::{
     state::ids::AccountId,
-    transport::{
-        frame,
-        peer_stream::{read_bounded, send_all},
-    },
+    transport::{frame, peer_stream::send_all},
 };
 use tokio::time::timeout;
 
@@ -25,11 +22,15 @@
     },
     message::{ForwardReply, Forwarded, MESSAGE_MAX_BYTES, MessageError},
 };
-use crate::coordination::forwarding::IN_FLIGHT_MAX;
+use crate::coordination::{
+    forwarding::IN_FLIGHT_MAX,
+    request_memory::{BodyError, ByteCount, RequestMemory, WholeBody},
+};
 
 /// Time within which a message must arrive: the sender has it whole when it
 /// opens the stream.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+const MESSAGE_MAX: ByteCount = ByteCount(MESSAGE_MAX_BYTES);
 
 /// Counts the forwarded requests that this process handles.
 #[derive(Debug, Default)]
@@ -118,10 +119,12 @@
         return Ok(ForwardReply::Overloaded);
     };
     let received_ms = clock::read().monotonic_ms;
-    let bytes = timeout(MESSAGE_TIMEOUT, read_bounded(body, MESSAGE_MAX_BYTES)).await;
-    let bytes = bytes.ok().and_then(Result::ok).ok_or(MessageError::Incomplete)?;
-    let forwarded = Forwarded::decode(&bytes)?;
-    drop(bytes);
+    let received = timeout(MESSAGE_TIMEOUT, receive(&shared.request_memory, body)).await;
+    let Some(message) = received.map_err(|_| MessageError::Incomplete)?? else {
+        metrics::counter!("request_bodies_rejected").increment(1);
+        return Ok(ForwardReply::Overloaded);
+    };
+    let forwarded = Forwarded::decode(message.bytes())?;
     let _open = OpenRequest::new(&shared.requests_open);
     let request = forwarded.request(received_ms);
     let answer = requests::answer_forwarded(shared, &request).await;
@@ -137,6 +140,41 @@
     Ok(reply)
 }
 
+/// Reads a message into the memory for requests; none if there is no room.
+async fn receive(
+    memory: &RequestMemory,
+    mut body: RecvStream,
+) -> Result<Option<WholeBody>, MessageError> {
+    let mut message = memory.begin(MESSAGE_MAX);
+    loop {
+        let part = tokio::select! {
+            biased;
+            () = message.ended() => None,
+            part = body.data() => Some(part),
+        };
+        let pushed = match part {
+            Some(Some(Ok(part))) => {
+                let pushed = message.push(&part);
+                // Fails only if the stream has ended, which the next read reports.
+                let _ = body.flow_control().release_capacity(part.len());
+                pushed
+            }
+            Some(Some(Err(_))) => return Err(MessageError::Incomplete),
+            Some(None) => return Ok(message.finish().ok()),
+            None => Err(BodyError::Exhausted),
+        };
+        match pushed {
+            Ok(()) => {}
+            Err(BodyError::TooLarge) => return Err(MessageError::Incomplete),
+            Err(BodyError::Exhausted) => {
+                drop(message);
+                discard(body).await;
+                return Ok(None);
+            }
+        }
+    }
+}
+
 /// Reads a message without keeping it: a sender whose stream ends early might
 /// not see the reply.
 async fn discard(mut body: RecvStream) {
--- a/crates/dispatch/src/node/forward/tests.rs
+++ b/crates/dispatch/src/node/forward/tests.rs
@@ -34,7 +34,11 @@
     peers::read_peers,
 };
 use crate::{
-    coordination::{forwarding::IN_FLIGHT_MAX, relay::Member},
+    coordination::{
+        forwarding::IN_FLIGHT_MAX,
+        relay::Member,
+        request_memory::{ByteCount, RequestMemory, WholeBody},
+    },
     state::{
         AccountSettings, Accounts, CallerKey, JobNumber, JobRecord, KeyHasher, QueueSettings,
         ServingDocument, decode,
@@ -543,6 +547,39 @@
     });
 }
 
+/// Holds all of the memory that a process has for requests of any size.
+fn fill(memory: &RequestMemory) -> Vec<WholeBody> {
+    let whole = |bytes: usize| {
+        let mut body = memory.begin(ByteCount(bytes));
+        body.push(&vec![0; bytes]).ok()?;
+        body.finish().ok()
+    };
+    let sizes = (0..15).rev().map(|exponent| 1 << exponent);
+    sizes.flat_map(|bytes| std::iter::from_fn(move || whole(bytes))).collect()
+}
+
+/// Guards against forwarded requests that take more memory than the peer has, and
+/// against memory that is not released.
+#[test]
+fn peer_without_memory_is_passed_over() {
+    block_on(async {
+        let stored = StoredValues::default();
+        let cut = Process::start("a-1", &stored, Reach::Cut).await;
+        let full = Process::start("a-2", &stored, Reach::Up).await;
+        let memory = &full.shared.request_memory;
+        let held = fill(memory);
+        cut.know(&[&full]);
+        let answer = cut.answer(Method::POST).await;
+        assert!(not_accepted(&answer), "{answer:?}");
+        assert_eq!(full.writes(), 0);
+        drop(held);
+        let other = Process::start("a-3", &stored, Reach::Cut).await;
+        other.know(&[&full]);
+        assert_eq!(other.answer(Method::POST).await, CallerResponse::Accepted);
+        assert_eq!(memory.held(), ByteCount(0));
+    });
+}
+
 fn message(remaining_ms: u64) -> ForwardMessage {
     let request = ReceivedRequest {
         method: &Method::POST,
