Bound the memory that decoded jobs take

A step takes many times the memory of its text: `{},` became two records of more than 100 bytes. One body of the largest legal size raised the peak of the process from 8 to 30 MiB before it was refused for its 87,001 steps, and legal jobs of many small steps held more than their bodies while they waited for the store.

The steps of a decoded job count in the memory for requests until the request is answered; without room the submission gets 503 with Retry-After, and nothing is stored.

--- a/crates/dispatch/src/coordination/request_memory/mod.rs
+++ b/crates/dispatch/src/coordination/request_memory/mod.rs
@@ -88,8 +88,9 @@
     _reservation: Reservation,
 }
 
+/// Memory that is released when this is dropped.
 #[derive(Debug)]
-struct Reservation {
+pub struct Reservation {
     account: Rc<RefCell<Account>>,
     held_bytes: usize,
 }
@@ -123,6 +124,17 @@
         IncompleteBody { account: Rc::clone(&self.account), key, max, end }
     }
 
+    /// Reserves memory for what a whole request takes beyond the copies of its
+    /// body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::Exhausted`] if there is no memory.
+    pub fn reserve(&self, extra: ByteCount) -> Result<Reservation, BodyError> {
+        self.account.borrow_mut().reserve_whole(extra.0, extra.0)?;
+        Ok(Reservation { account: Rc::clone(&self.account), held_bytes: extra.0 })
+    }
+
     /// Returns what all bodies hold.
     pub fn held(&self) -> ByteCount {
         ByteCount(self.account.borrow().held_bytes)
--- a/crates/dispatch/src/coordination/request_memory/tests.rs
+++ b/crates/dispatch/src/coordination/request_memory/tests.rs
@@ -128,3 +128,16 @@
     assert_eq!(body.push(&[1; 10]), Ok(()));
     assert_eq!(body.push(&[1]), Err(BodyError::TooLarge));
 }
+
+/// Guards against decoded requests whose sum exceeds the memory.
+#[test]
+fn what_decoded_requests_take_is_bounded() {
+    let memory = RequestMemory::new(LIMIT);
+    let _crowd: Vec<_> = (0..20).map(|_| begin(&memory, 256 * KIB).0).collect();
+    let extra = ByteCount(150 * KIB);
+    let held: Vec<_> = (0..20).map_while(|_| memory.reserve(extra).ok()).collect();
+    assert_eq!(held.len(), 5);
+    assert!(memory.held() <= LIMIT);
+    drop(held);
+    assert_eq!(memory.held(), ByteCount(0));
+}
--- a/crates/dispatch/src/node/requests.rs
+++ b/crates/dispatch/src/node/requests.rs
@@ -18,6 +18,7 @@
     coordination::{
         access::{self, AccessError, Caller},
         forwarding::RequestKind,
+        request_memory::{BodyError, ByteCount, Reservation},
     },
     state::CallerKey,
 };
@@ -85,6 +86,9 @@
 {
     match decode(shared, request) {
         Ok((caller, decoded)) => {
+            let Ok(_memory) = reserve(shared, &decoded) else {
+                return rejection(request.method).into();
+            };
             let response = serve_or_forward(shared, &caller, decoded, request).await;
             Answer { account: caller.account().cloned(), response }
         }
@@ -117,6 +121,9 @@
     }
     match decode(shared, request) {
         Ok((caller, decoded)) => {
+            let Ok(_memory) = reserve(shared, &decoded) else {
+                return Some(rejection(request.method).into());
+            };
             let response = serve(shared, &caller, decoded, request.timeout_ms).await;
             Some(Answer { account: caller.account().cloned(), response })
         }
@@ -153,6 +160,19 @@
     }
 }
 
+/// Reserves the memory that a decoded request takes beside its body.
+fn reserve<P>(shared: &Shared<P>, decoded: &CallerRequest) -> Result<Reservation, BodyError> {
+    let extra = match decoded {
+        CallerRequest::Submit { spec, .. } => spec.steps_bytes(),
+        _ => 0,
+    };
+    let reservation = shared.request_memory.reserve(ByteCount(extra));
+    if reservation.is_err() {
+        metrics::counter!("request_bodies_rejected").increment(1);
+    }
+    reservation
+}
+
 /// Serves a request, and forwards it if the store does not answer in time.
 async fn serve_or_forward<P>(
     shared: &Rc<Shared<P>>,
--- a/crates/dispatch/src/state/job.rs
+++ b/crates/dispatch/src/state/job.rs
@@ -8,7 +8,7 @@
 /// submission cannot exhaust the memory of its controller.
 pub const TASKS_MAX: u32 = 20_000;
 /// Most steps of one job.
-const STEPS_MAX: usize = 1_000;
+pub const STEPS_MAX: usize = 1_000;
 
 /// Reasons why a job specification is refused.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Returns the memory that the steps take, which may be many times their size in
+    /// a request.
+    pub fn steps_bytes(&self) -> usize {
+        self.steps.len() * size_of::<StepSpec>()
+    }
+
     /// Returns the number of occurrences; 1 for a job without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/crates/dispatch/src/state/mod.rs
+++ b/crates/dispatch/src/state/mod.rs
@@ -14,7 +14,7 @@
 pub use self::{
     account::{AccountSettings, Accounts, CallerKey, KeyDigest, KeyHasher},
     ids::{JobNumber, JobNumberError, RunNumber, TaskAddress},
-    job::{InvalidJob, JobSpec, Schedule, StepSpec, TASKS_MAX},
+    job::{InvalidJob, JobSpec, STEPS_MAX, Schedule, StepSpec, TASKS_MAX},
     queue::{QueueRecord, StoredPolicy},
     record::{
         BalanceRecord, CrashRecord, Demand, HandoverRequest, JobOutcome, JobRecord, JobState,
