--- a/crates/dispatch/src/coordination/mod.rs
+++ b/crates/dispatch/src/coordination/mod.rs
@@ -4,10 +4,12 @@
 pub mod access;
 pub mod admission;
 pub mod balance;
+pub mod connections;
 pub mod control;
 pub mod forwarding;
 pub mod pool;
 pub mod relay;
+pub mod request_memory;
 pub mod shares;
 pub mod submission;
 pub mod upkeep;
--- a/crates/dispatch/src/node/requests.rs
+++ b/crates/dispatch/src/node/requests.rs
@@ -18,6 +18,7 @@
     coordination::{
         access::{self, AccessError, Caller},
         forwarding::RequestKind,
+        request_memory::{BodyError, ByteCount, Reservation},
     },
     state::CallerKey,
 };
@@ -85,6 +86,9 @@
 {
     match decode(shared, request) {
         Ok((caller, decoded)) => {
+            let Ok(_memory) = reserve(shared, &decoded) else {
+                return rejection(request.method).into();
+            };
             let response = serve_or_forward(shared, &caller, decoded, request).await;
             Answer { account: caller.account().cloned(), response }
         }
@@ -97,12 +101,7 @@
             forward::forward(shared, kind_of(request.method), request, own).await.into()
         }
         Err(NotDecoded::Unconfirmed) => {
-            let retry_after_ms = RETRY_AFTER_MS;
-            let own = if request.method == Method::POST {
-                CallerResponse::NotAccepted { retry_after_ms }
-            } else {
-                CallerResponse::Unavailable { retry_after_ms }
-            };
+            let own = rejection(request.method);
             forward::forward(shared, kind_of(request.method), request, own).await.into()
         }
     }
@@ -122,6 +121,9 @@
     }
     match decode(shared, request) {
         Ok((caller, decoded)) => {
+            let Ok(_memory) = reserve(shared, &decoded) else {
+                return Some(rejection(request.method).into());
+            };
             let response = serve(shared, &caller, decoded, request.timeout_ms).await;
             Some(Answer { account: caller.account().cloned(), response })
         }
@@ -158,6 +160,19 @@
     }
 }
 
+/// Reserves the memory that a decoded request takes beside its body.
+fn reserve<P>(shared: &Shared<P>, decoded: &CallerRequest) -> Result<Reservation, BodyError> {
+    let extra = match decoded {
+        CallerRequest::Submit { spec, .. } => spec.steps_bytes(),
+        _ => 0,
+    };
+    let reservation = shared.request_memory.reserve(ByteCount(extra));
+    if reservation.is_err() {
+        metrics::counter!("request_bodies_rejected").increment(1);
+    }
+    reservation
+}
+
 /// Serves a request, and forwards it if the store does not answer in time.
 async fn serve_or_forward<P>(
     shared: &Rc<Shared<P>>,
@@ -178,6 +193,15 @@
     forward::serve_with_peers(shared, own, request, response).await
 }
 
+/// Returns the response to a request that was not handled and can be sent again.
+pub(super) fn rejection(method: &Method) -> CallerResponse {
+    let retry_after_ms = RETRY_AFTER_MS;
+    match kind_of(method) {
+        RequestKind::Submit => CallerResponse::NotAccepted { retry_after_ms },
+        RequestKind::Cancel | RequestKind::Read => CallerResponse::Unavailable { retry_after_ms },
+    }
+}
+
 /// Returns what a request that is not decoded asks for.
 fn kind_of(method: &Method) -> RequestKind {
     match *method {
--- a/crates/dispatch/src/node/shared.rs
+++ b/crates/dispatch/src/node/shared.rs
@@ -28,6 +28,7 @@
     coordination::{
         access::ConfigurationAge,
         pool::PoolEngine,
+        request_memory::RequestMemory,
         submission::{SubmissionAnswer, Submissions},
     },
     settings::DispatchSettings,
@@ -40,6 +41,23 @@
 /// cut off out of rotation, and callers give up after three.
 const STORE_UNREACHABLE_MS: u64 = 1_500;
 
+/// Counts an open request until it is dropped, so that a graceful stop waits for
+/// it.
+pub(super) struct OpenRequest<'a>(&'a Cell<usize>);
+
+impl<'a> OpenRequest<'a> {
+    pub(super) fn new(open: &'a Cell<usize>) -> Self {
+        open.set(open.get() + 1);
+        Self(open)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Shared state of one process.
 pub(super) struct Shared<P> {
     pub(super) platform: P,
@@ -83,6 +101,8 @@
     store_is_disconnected: Cell<bool>,
     next_request: Cell<u64>,
     pub(super) requests_open: Cell<usize>,
+    /// Memory that the bodies of requests hold.
+    pub(super) request_memory: RequestMemory,
     /// Forwards requests to other processes.
     pub(super) forwarder: Forwarder,
 }
@@ -92,6 +112,7 @@
     P: Platform,
 {
     pub(super) fn new(platform: P, settings: DispatchSettings) -> Self {
+        let request_memory = RequestMemory::new(settings.request_memory);
         let forwarder = Forwarder::new(settings.data_centre.clone());
         Self {
             platform,
@@ -119,6 +140,7 @@
             store_is_disconnected: Cell::new(false),
             next_request: Cell::new(0),
             requests_open: Cell::new(0),
+            request_memory,
             forwarder,
         }
     }
