Keep the lease of former incarnations by their starts

An incarnation whose registry entry was away for a moment counted as a later one of itself: its tasks waited for 25 s after a loss in place of 6.3 s.

What calls for an incarnation may grant is kept by the worker's name and the incarnation's start now, and holds for others only. The same hold by starts that were given up, and a second one at the restart itself, are covered by it and go.

incarnation_that_was_unregistered_for_a_moment_holds_no_former_lease failed before (lease not over after 25 s) and passes.

--- a/crates/dispatch/src/coordination/pool/lease.rs
+++ b/crates/dispatch/src/coordination/pool/lease.rs
@@ -140,12 +140,6 @@
         self.former_until_ms = self.former_until_ms.max(until_ms);
     }
 
-    /// Returns the latest end of a lease that calls for former incarnations may
-    /// grant, on the local clock; 0 if there is none.
-    pub(super) fn former_until_ms(&self) -> u64 {
-        self.former_until_ms
-    }
-
     /// Returns whether every lease that the incarnation may hold has certainly
     /// expired.
     pub(super) fn is_over(&self, now_ms: u64) -> bool {
@@ -155,31 +149,37 @@
 
     /// Returns whether every lease has certainly expired that calls for this
     /// incarnation may have granted to a later one which no report has shown.
-    pub(super) fn is_over_later(&self, now_ms: u64) -> bool {
+    pub(super) fn is_over_for_later(&self, now_ms: u64) -> bool {
         now_ms >= self.later_until_ms
     }
 }
 
 /// Ends of the leases that calls for incarnations which are no longer known may
-/// grant to later ones, by the worker's name.
+/// grant to others of the same name.
 #[derive(Debug, Default)]
 pub(super) struct FormerLeases {
-    /// In milliseconds on the local clock.
-    until_ms: HashMap<WorkerId, u64>,
+    /// Start of each such incarnation, in milliseconds since 1970, with the end on the
+    /// local clock.
+    by_worker: HashMap<WorkerId, Vec<(u64, u64)>>,
 }
 
 impl FormerLeases {
-    pub(super) fn note(&mut self, worker: &WorkerId, until_ms: u64) {
-        let known_ms = self.until_ms.entry(worker.clone()).or_default();
-        *known_ms = until_ms.max(*known_ms);
+    pub(super) fn note(&mut self, worker: &WorkerId, born_unix_ms: u64, until_ms: u64) {
+        self.by_worker.entry(worker.clone()).or_default().push((born_unix_ms, until_ms));
     }
 
-    /// Returns the latest end, on the local clock; 0 if there is none.
-    pub(super) fn until_ms(&self, worker: &WorkerId) -> u64 {
-        self.until_ms.get(worker).copied().unwrap_or(0)
+    /// Returns the latest end of a lease that calls for other incarnations may grant to
+    /// one, on the local clock; 0 if there is none.
+    pub(super) fn until_ms(&self, worker: &WorkerId, born_unix_ms: u64) -> u64 {
+        let noted = self.by_worker.get(worker).into_iter().flatten();
+        let others = noted.filter(|&&(born, _)| born != born_unix_ms);
+        others.map(|&(_, until_ms)| until_ms).max().unwrap_or(0)
     }
 
     pub(super) fn prune(&mut self, now_ms: u64) {
-        self.until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        self.by_worker.retain(|_, noted| {
+            noted.retain(|&(_, until_ms)| now_ms < until_ms);
+            !noted.is_empty()
+        });
     }
 }
--- a/crates/dispatch/src/coordination/pool/restarts.rs
+++ b/crates/dispatch/src/coordination/pool/restarts.rs
@@ -7,9 +7,9 @@
 //! sent before the restart was noticed, or because they arrive late.
 //!
 //! A run that the former incarnation is known to have begun has ended with it. Any
-//! other run is carried over to the new incarnation: it goes on there if the new incarnation
-//! lists it, and otherwise its task waits until the start can no longer be
-//! carried out there.
+//! other run is carried over to the new incarnation: it goes on there if that lists
+//! it, and otherwise its task waits until the start can no longer be carried out
+//! there.
 
 use hashbrown::HashMap;
 use tamarackproxy::state::ids::WorkerId;
@@ -39,9 +39,6 @@
 struct LateStart {
     task: TaskAddress,
     number: RunNumber,
-    /// Start of the incarnation whose clock the order's time limit refers to, in
-    /// milliseconds since 1970; none if that is an earlier one.
-    limit_of: Option<u64>,
     /// When the order is no longer carried out, on the local clock.
     until_ms: u64,
     /// Later incarnation that was last told to stop the run, and when, on the
@@ -73,7 +70,6 @@
         let start = LateStart {
             task,
             number: run.number,
-            limit_of: is_own_limit.then_some(worker.born_unix_ms),
             until_ms: now_ms + LATE_ORDER_MAX_MS,
             asked: None,
             stopped_in: (is_stopped || is_own_limit).then_some(worker.born_unix_ms),
@@ -81,14 +77,6 @@
         self.by_worker.entry(worker.worker.clone()).or_default().push(start);
     }
 
-    /// Returns until when an incarnation may receive a time limit that refers to the
-    /// clock of a former one, on the local clock.
-    fn until_ms(&self, worker: &WorkerEntry) -> Option<u64> {
-        let starts = self.by_worker.get(&worker.worker)?.iter();
-        let of_former = starts.filter(|start| start.limit_of != Some(worker.born_unix_ms));
-        of_former.map(|start| start.until_ms).max()
-    }
-
     /// Lists the runs that a worker has to be told to stop now.
     fn take_due(&mut self, now_ms: u64, worker: &WorkerEntry) -> Vec<(TaskAddress, RunNumber)> {
         let born_unix_ms = worker.born_unix_ms;
@@ -132,7 +120,7 @@
 
 impl PoolEngine {
     /// Replaces an incarnation of a worker by a later one of the same name, and
-    /// carries over the runs that the former one never listed; returns the key of
+    /// carries over the runs that the former one may not have begun; returns the key of
     /// the later one.
     pub(super) fn restart(&mut self, key: WorkerKey, entry: WorkerEntry, sign: &str) -> WorkerKey {
         let now_ms = self.stepped_ms;
@@ -161,9 +149,6 @@
         }
         self.drop_all_runs(key);
         self.remove_worker(key);
-        if let Some(worker) = self.workers.get_mut(successor) {
-            worker.lease.hold_former(self.former_leases.until_ms(&worker.entry.worker));
-        }
         self.stop_late_starts(now_ms, successor);
         successor
     }
@@ -334,11 +319,9 @@
     pub(super) fn hold_former_lease(&mut self, key: WorkerKey, clock_ms: u64) {
         let PoolTiming { worker_lease_ms, worker_lease_max_ms, .. } = self.timing;
         let Some(worker) = self.workers.get_mut(key) else { return };
-        if let Some(until_ms) = self.late_starts.until_ms(&worker.entry) {
-            worker.lease.hold_former(lease_end_ms(until_ms, worker_lease_max_ms));
-        }
         if !worker.is_confirmed() {
-            worker.lease.hold_former(self.former_leases.until_ms(&worker.entry.worker));
+            let WorkerEntry { worker: name, born_unix_ms, .. } = &worker.entry;
+            worker.lease.hold_former(self.former_leases.until_ms(name, *born_unix_ms));
             // Until its first report under this term, the worker accepts the limits of
             // previous controllers.
             let by_former_ms = clock_ms.min(FORMER_LIMITS_MS) + worker_lease_max_ms;
@@ -350,11 +333,11 @@
     /// grant to later ones.
     pub(super) fn note_former_lease(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.get(key) else { return };
+        let Some(sent_ms) = worker.lease.limit_sent_ms() else { return };
         let lease_max_ms = self.timing.worker_lease_max_ms;
-        let sent_ms = worker.lease.limit_sent_ms();
-        let by_own_ms = sent_ms.map(|at_ms| lease_end_ms(at_ms + LATE_ORDER_MAX_MS, lease_max_ms));
-        let until_ms = worker.lease.former_until_ms().max(by_own_ms.unwrap_or(0));
-        self.former_leases.note(&worker.entry.worker, until_ms);
+        let until_ms = lease_end_ms(sent_ms + LATE_ORDER_MAX_MS, lease_max_ms);
+        let WorkerEntry { worker, born_unix_ms, .. } = &worker.entry;
+        self.former_leases.note(worker, *born_unix_ms, until_ms);
     }
 
     /// Returns the target of an order with the incarnation that its run belongs to
