Count no run as alone on a worker that was given up in part

The runs of a silent worker may be given up in two parts, and the crash sign of the second part looked at the runs that were left. A task could count as the only possible cause of a crash, three of which give up its job.

runs_given_up_in_two_parts_were_not_alone and run_of_a_worker_that_restarts_between_the_two_parts_was_not_alone failed before and pass.

--- a/crates/dispatch/src/coordination/pool/crashes.rs
+++ b/crates/dispatch/src/coordination/pool/crashes.rs
@@ -315,7 +315,7 @@
         });
         let mut lost: Vec<_> = lost.filter(|lost| lost.survived_ms < TRIAL_MS).collect();
         if let [only] = &mut lost[..] {
-            only.sign.alone = worker.orphan_runs.is_empty();
+            only.sign.alone = worker.orphan_runs.is_empty() && !worker.is_given_up_in_part;
         }
         lost
     }
--- a/crates/dispatch/src/coordination/pool/looks.rs
+++ b/crates/dispatch/src/coordination/pool/looks.rs
@@ -94,7 +94,7 @@
         worker.lease.set_clock(WorkerClock::new(report.clock_ms, now_ms));
         let was_reachable = worker.is_reachable(now_ms, super::placement::REACHABLE_MS);
         let was_confirmed = worker.is_confirmed();
-        worker.is_unreachable = false;
+        (worker.is_unreachable, worker.is_given_up_in_part) = (false, false);
         worker.polled_ms = Some(now_ms);
         (worker.heard_ms, worker.lost_ms) = (now_ms, None);
         worker.on_poll_answered();
--- a/crates/dispatch/src/coordination/pool/stops.rs
+++ b/crates/dispatch/src/coordination/pool/stops.rs
@@ -367,7 +367,8 @@
             if !worker.is_empty() {
                 let entry = &worker.entry;
                 log::warn!(worker = entry.worker.as_str(), born_unix_ms = entry.born_unix_ms,
-                    runs = worker.runs.len(), given_up = given_up.len(), unlisted = &*self.describe_unlisted(key),
+                    runs = worker.runs.len(), given_up = given_up.len(),
+                    unlisted = &*self.describe_unlisted(key),
                     reported_age_ms = worker.polled_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
                     heard_age_ms = now_ms.saturating_sub(worker.heard_ms);
                     "worker is unreachable and its lease expired; its tasks will be rescheduled");
@@ -378,6 +379,9 @@
                 self.note_late_start(now_ms, key, task, number);
                 self.drop_run(task, key, number);
             }
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.is_given_up_in_part = is_partial;
+            }
             if is_partial {
                 continue;
             }
@@ -397,7 +401,7 @@
         key: WorkerKey,
         worker: &Worker,
     ) -> Vec<(TaskRef, RunNumber)> {
-        let is_over_later = worker.lease.is_over_later(now_ms);
+        let is_over_later = worker.lease.is_over_for_later(now_ms);
         let is_settled = |task: TaskRef, number: RunNumber| {
             let runs = self.job_table.task(task).map_or(&[][..], |task| &task.runs);
             let run = runs.iter().find(|run| run.worker == key && run.number == number);
@@ -429,7 +433,7 @@
         metrics::counter!("worker_incarnations_ended").increment(1);
     }
 
-    /// Describes the runs on a worker that it has never listed: task, run, phase
+    /// Describes the runs that a worker is not known to have begun: task, run, phase
     /// and age in milliseconds of each.
     fn describe_unlisted(&self, key: WorkerKey) -> String {
         let mut text = String::new();
--- a/crates/dispatch/src/coordination/pool/workers.rs
+++ b/crates/dispatch/src/coordination/pool/workers.rs
@@ -85,7 +85,7 @@
     acknowledgement_sent: u64,
     /// Highest acknowledgement in a poll that was answered.
     acknowledgement_confirmed: u64,
-    /// Runs that a former incarnation under the worker's name never listed and
+    /// Runs that a former incarnation under the worker's name may not have begun and
     /// this one has not listed yet, with what is to be counted if the former
     /// incarnation crashed under them.
     pub(super) carried_over: HashMap<TaskRef, Option<LostRun>>,
@@ -98,6 +98,8 @@
     pub(super) is_claimed: bool,
     /// The stored roster contains the worker.
     pub(super) is_rostered: bool,
+    /// Some of its runs were given up with its lease, and others not yet.
+    pub(super) is_given_up_in_part: bool,
     /// Best-effort tasks run here beside tasks that serve users.
     pub(super) is_shared: bool,
     /// Maintenance or a move asks for the worker to be vacated.
@@ -155,6 +157,7 @@
             health: Health::default(),
             is_claimed: false,
             is_rostered: false,
+            is_given_up_in_part: false,
             is_shared: false,
             is_vacating: false,
             is_vacated: false,
