--- a/crates/dispatch/src/coordination/pool/tests/mod.rs
+++ b/crates/dispatch/src/coordination/pool/tests/mod.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod failures;
 mod fair_share;
+mod former_incarnations;
 mod incarnations;
 mod interference;
 mod interleavings;
--- a/crates/dispatch/src/replay/pool.rs
+++ b/crates/dispatch/src/replay/pool.rs
@@ -149,6 +149,9 @@
     /// Orders in flight.
     delayed_orders: Vec<DelayedOrder>,
     late_polls: Vec<LatePoll>,
+    /// Late polls are carried out although their worker is cut off: they have reached
+    /// it before.
+    pub late_polls_have_arrived: bool,
     /// Writes without a reply: time, index of the controller and write.
     delayed_writes: Vec<(u64, usize, PoolWrite)>,
     last_write: RecordVersion,
@@ -223,6 +226,7 @@
             write_delay_ms: None,
             delayed_orders: Vec::new(),
             late_polls: Vec::new(),
+            late_polls_have_arrived: false,
             delayed_writes: Vec::new(),
             last_write: RecordVersion(0),
             acknowledged_tasks: StdHashSet::new(),
@@ -711,7 +715,12 @@
         let now_ms = self.now_ms;
         let late: Vec<_> = self.late_polls.extract_if(.., |late| now_ms >= late.at_ms).collect();
         for LatePoll { from, at, term, request, .. } in late {
+            let until_ms = self.workers[at].partitioned_until_ms;
+            if self.late_polls_have_arrived {
+                self.workers[at].partitioned_until_ms = 0;
+            }
             self.deliver_poll(from, at, term, request);
+            self.workers[at].partitioned_until_ms = until_ms;
         }
         for index in 0..self.controllers.len() {
             let mut polls = std::mem::take(&mut self.controllers[index].polls);
