Start with the default memory where the platform states none

The template of the settings leaves the value empty if the platform states no memory, and an empty memory_mb was an error: the process did not start.

An empty value means the default, as for other values that the platform may leave out. The case of the settings' test that expected an error for it expects the default now; a case for a value above the range is added.

--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a `tamarack-dispatchd` process, read from an INI file.
 
-use std::{net::SocketAddr, ops::RangeInclusive};
+use std::{net::SocketAddr, ops::RangeInclusive, str::FromStr};
 
 use crate::coordination::{control::Fencing, relay::WORKERS_PER_RELAY, request_memory::ByteCount};
 use log::LevelFilter;
@@ -17,6 +17,7 @@
 const LEVEL: &str = "off, error, warn, info, debug or trace";
 const CORES: &str = "a number of cores such as 0.25 or 2";
 const COUNT: &str = "a whole number";
+const MEMORY: &str = "a number of mebibytes from 16 to 1048576";
 /// Bytes of a mebibyte.
 const MIB: f64 = 1_048_576.0;
 /// Range of the memory of a process, in MiB.
@@ -145,14 +146,15 @@
         let move_ms = milliseconds(reader, "host_move_s", 1.5);
         let cores = reader.or_default("cores", CORES, 1.0_f64);
         let descriptors = reader.or_default("descriptors", COUNT, 1_024_usize);
-        let memory_mb = reader.in_range("memory_mb", MEMORY_MB, Some(MEMORY_DEFAULT_MB));
+        // An empty value means that the platform states no memory.
+        let memory = reader.list("memory_mb", MEMORY).into_iter().next().unwrap_or_default();
         let workers_per_relay = reader.or_default("workers_per_relay", COUNT, WORKERS_PER_RELAY);
         // An empty value means that no key has to stop without the store.
         let key_revocation_ms = reader.list("key_revocation_ms", COUNT).into_iter().next();
         let configuration_apply_ms = reader.or_default("configuration_apply_ms", COUNT, 2_000);
         let configuration_ms = (key_revocation_ms, configuration_apply_ms);
         let worker_ms = (worker_lease_max_ms, maintenance_ms, move_ms, configuration_ms);
-        let process = (cores, descriptors, memory_mb?);
+        let process = (cores, descriptors, memory);
         Some((stop_ms, status_ms, worker_ms, process, workers_per_relay))
     });
     let level = read_section(sections, "log", errors, |reader| {
@@ -163,8 +165,7 @@
     let (callers, ready, metrics, relay) = listen?;
     let (store, hosts, host_fencing, advice) = platform?;
     let (stop_ms, status_ms, worker_ms, process, workers_per_relay) = limits?;
-    let (cores, descriptors, memory_mb) = process;
-    let memory_bytes = (memory_mb * MIB) as usize;
+    let (cores, descriptors, ProcessMemory(ByteCount(memory_bytes))) = process;
     let (worker_lease_max_ms, maintenance_ms, move_ms, configuration_ms) = worker_ms;
     let (key_revocation_ms, configuration_apply_ms) = configuration_ms;
     Some(DispatchSettings {
@@ -197,6 +198,25 @@
     })
 }
 
+/// Memory of a process.
+struct ProcessMemory(ByteCount);
+
+impl Default for ProcessMemory {
+    fn default() -> Self {
+        Self(ByteCount((MEMORY_DEFAULT_MB * MIB) as usize))
+    }
+}
+
+impl FromStr for ProcessMemory {
+    type Err = ();
+
+    /// Parses a number of mebibytes within the accepted range.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mebibytes = text.parse().ok().filter(|mebibytes| MEMORY_MB.contains(mebibytes));
+        mebibytes.map(|mebibytes: f64| Self(ByteCount((mebibytes * MIB) as usize))).ok_or(())
+    }
+}
+
 fn milliseconds(reader: &mut SectionReader<'_>, key: &'static str, default_s: f64) -> u64 {
     let seconds: f64 = reader.or_default(key, SECONDS, default_s);
     (seconds.max(0.0) * 1_000.0) as u64
--- a/crates/dispatch/src/settings/tests.rs
+++ b/crates/dispatch/src/settings/tests.rs
@@ -41,7 +41,8 @@
 #[case::too_small("memory_mb = 0\n", None)]
 #[case::fraction("memory_mb = 64.5\n", Some(129 << 17))]
 #[case::not_a_number("memory_mb = NaN\n", None)]
-#[case::empty("memory_mb =\n", None)]
+#[case::empty("memory_mb =\n", Some(65 << 20))]
+#[case::too_large("memory_mb = 1048577\n", None)]
 fn memory_for_requests_follows_the_machine(#[case] line: &str, #[case] expected: Option<usize>) {
     let settings = DispatchSettings::parse(&format!("{VALID}{line}"));
     match (settings, expected) {
