--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, ops::RangeInclusive, str::FromStr};
 
 use crate::coordination::{control::Fencing, relay::WORKERS_PER_RELAY, request_memory::ByteCount};
+use displaydoc::Display;
 use log::LevelFilter;
 use tamarackproxy::state::{
     ids::{DataCentreId, EntryId},
@@ -78,6 +79,8 @@
     pub cores: f64,
     /// Workers for each process that carries calls for a large pool.
     pub workers_per_relay: usize,
+    /// Descriptors that the process may open.
+    pub descriptors: usize,
     /// Memory that callers' requests may hold.
     pub request_memory: ByteCount,
     /// Connections that may be open at once.
@@ -87,6 +90,20 @@
 }
 
 impl DispatchSettings {
+    /// Sets the memory of the process, which bounds what requests hold and how many
+    /// connections are open.
+    #[must_use]
+    pub fn with_memory(mut self, memory: ProcessMemory) -> Self {
+        let ProcessMemory(ByteCount(memory_bytes)) = memory;
+        self.request_memory = ByteCount(memory_bytes / REQUEST_MEMORY_DIVISOR);
+        // Half of the descriptors are kept for files, connections to the store
+        // and to workers, and as a reserve.
+        self.connections_max = (self.descriptors / 2)
+            .max(64)
+            .min(memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES);
+        self
+    }
+
     /// Returns the processors of this entry host, in thousandths of a core.
     pub fn millicores(&self) -> u32 {
         (self.cores * 1_000.0) as u32
@@ -165,10 +182,10 @@
     let (callers, ready, metrics, relay) = listen?;
     let (store, hosts, host_fencing, advice) = platform?;
     let (stop_ms, status_ms, worker_ms, process, workers_per_relay) = limits?;
-    let (cores, descriptors, ProcessMemory(ByteCount(memory_bytes))) = process;
+    let (cores, descriptors, memory) = process;
     let (worker_lease_max_ms, maintenance_ms, move_ms, configuration_ms) = worker_ms;
     let (key_revocation_ms, configuration_apply_ms) = configuration_ms;
-    Some(DispatchSettings {
+    let settings = DispatchSettings {
         entry,
         data_centre,
         callers,
@@ -188,18 +205,23 @@
         move_ms,
         cores,
         workers_per_relay,
-        request_memory: ByteCount(memory_bytes / REQUEST_MEMORY_DIVISOR),
-        // Half of the descriptors are kept for files, connections to the store
-        // and to workers, and as a reserve.
-        connections_max: (descriptors / 2)
-            .max(64)
-            .min(memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES),
+        descriptors,
+        request_memory: ByteCount::default(),
+        connections_max: 0,
         level: level?,
-    })
+    };
+    Some(settings.with_memory(memory))
 }
 
 /// Memory of a process.
-struct ProcessMemory(ByteCount);
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessMemory(ByteCount);
+
+/// the memory of a process is a number of mebibytes from 16 to 1048576
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub struct InvalidMemory;
+
+impl std::error::Error for InvalidMemory {}
 
 impl Default for ProcessMemory {
     fn default() -> Self {
@@ -208,12 +230,13 @@
 }
 
 impl FromStr for ProcessMemory {
-    type Err = ();
+    type Err = InvalidMemory;
 
     /// Parses a number of mebibytes within the accepted range.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mebibytes = text.parse().ok().filter(|mebibytes| MEMORY_MB.contains(mebibytes));
-        mebibytes.map(|mebibytes: f64| Self(ByteCount((mebibytes * MIB) as usize))).ok_or(())
+        let bytes = mebibytes.map(|mebibytes: f64| (mebibytes * MIB) as usize);
+        bytes.map(|bytes| Self(ByteCount(bytes))).ok_or(InvalidMemory)
     }
 }
 
--- a/crates/dispatch/src/settings/tests.rs
+++ b/crates/dispatch/src/settings/tests.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::DispatchSettings;
+use super::{DispatchSettings, ProcessMemory};
 
 const VALID: &str = "[entry]\nname = a-1\ndata_centre = a\n[listen]\ncallers = 127.0.0.1:1\n\
     ready = 127.0.0.1:2\nmetrics = 127.0.0.1:3\n[platform]\nstore = 127.0.0.1:4\n\
@@ -64,3 +64,14 @@
     let settings = DispatchSettings::parse(&format!("{VALID}{lines}")).expect("valid settings");
     assert_eq!(settings.connections_max, expected);
 }
+
+/// Guards against a memory on the command line that is ignored, or that bounds only
+/// one of what the memory bounds.
+#[test]
+fn memory_of_the_command_line_replaces_that_of_the_settings() {
+    let text = format!("{VALID}descriptors = 4100\nmemory_mb = 512\n");
+    let settings = DispatchSettings::parse(&text).expect("valid settings");
+    let settings = settings.with_memory("64".parse().expect("a valid memory"));
+    assert_eq!((settings.request_memory.0, settings.connections_max), (16 << 20, 512));
+    assert!(["", "0", "15.9", "x"].iter().all(|text| text.parse::<ProcessMemory>().is_err()));
+}
