--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -239,8 +239,9 @@
 
 
 class Minion:
-    """One life of a minion. `behave(task, data)` returns the duration of a run in
-    seconds, how it ends and its last checkpoint."""
+    """One life of a minion. `behave(minion, task, data)` returns the duration of a run
+    in seconds, 0 for a task that lasts, how it ends, and its checkpoint after a number
+    of checkpoint intervals, or none if it keeps no checkpoints."""
 
     def __init__(self, world, name, machine, service, cpu=32_000, mem_mb=131_072, rack="r1-0"):
         self.world, self.name, self.machine, self.service = world, name, machine, service
@@ -282,13 +283,17 @@
                     self.end(task, "lapsed")
             await asyncio.sleep(0.05)
 
+    def checkpoint(self, run):
+        intervals = int(time.monotonic() - run["since"])
+        return run["saved"](intervals) if run["saved"] and intervals else ""
+
     def end(self, task, how):
         run = self.running.pop(task, None)
         if run is None:
             return
         if run["timer"]:
             run["timer"].cancel()
-        saved = run["saved"] if how != "failed" else ""
+        saved = self.checkpoint(run) if how not in ("done", "failed") else ""
         self.finished.append([self.next_end, task, run["run"], how, saved])
         self.next_end += 1
         if self.world.logs_runs:
@@ -355,7 +360,7 @@
             rows = []
             for task, run in self.running.items():
                 share = (time.monotonic() - run["since"]) / run["seconds"] if run["seconds"] else 1
-                rows.append([task, run["run"], run["saved"], min(int(share * 100), 99 if run["seconds"] else 100), 0])
+                rows.append([task, run["run"], self.checkpoint(run), min(int(share * 100), 99 if run["seconds"] else 100), 0])
             return 200, stamp({"running": rows, "finished": self.finished[:500]})
         return 404, {}
 
@@ -440,7 +445,7 @@
         self.dispatchers = []
         self.logs_runs = True
         self.starts = []
-        self.behave = lambda minion, task, data: (0.5, "done", "")
+        self.behave = lambda minion, task, data: (0.5, "done", None)
 
     def on_start(self, minion, task, run, data):
         self.starts.append((time.monotonic(), minion.name, task, run))
