--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -243,9 +243,10 @@
     in seconds, 0 for a task that lasts, how it ends, and its checkpoint after a number
     of checkpoint intervals, or none if it keeps no checkpoints."""
 
-    def __init__(self, world, name, machine, service, cpu=32_000, mem_mb=131_072, rack="r1-0"):
+    def __init__(self, world, name, machine, service, cpu=32_000, mem_mb=131_072, rack="r1-0", kind="a"):
+        self.state = "up"
         self.world, self.name, self.machine, self.service = world, name, machine, service
-        self.capacity, self.labels = {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}, ["a", rack]
+        self.capacity, self.labels = {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}, [kind, rack]
         self.born = int(time.time() * 1000)
         self.zero = time.monotonic()
         self.token = 0
@@ -359,7 +360,7 @@
                     pass
             rows = []
             for task, run in self.running.items():
-                share = (time.monotonic() - run["since"]) / run["seconds"] if run["seconds"] else 1
+                share = (time.monotonic() - run["since"]) / (run["seconds"] or self.world.startup_s)
                 rows.append([task, run["run"], self.checkpoint(run), min(int(share * 100), 99 if run["seconds"] else 100), 0])
             return 200, stamp({"running": rows, "finished": self.finished[:500]})
         return 404, {}
@@ -444,7 +445,12 @@
         self.minions = []
         self.dispatchers = []
         self.logs_runs = True
+        # Time from the start of a task that lasts until it is at work.
+        self.startup_s = 0.3
         self.starts = []
+        self.fences = {}
+        self.kept = set()
+        self.lives = 0
         self.behave = lambda minion, task, data: (0.5, "done", None)
 
     def on_start(self, minion, task, run, data):
@@ -453,12 +459,47 @@
             self.record.line(f"minion {minion.name}: {task} run {run} starts")
 
     async def list_hosts(self, method, path, query, headers, data):
+        if method == "POST" and path.endswith("/machine-upkeep"):
+            return self.upkeep(headers, data)
         if method == "POST":
             return 409, {"reason": "busy"}
-        rows = [{"machine": m.machine, "pool": m.service, "state": "up", "zone": "zone-a", "labels": m.labels,
-                 "capacity": m.capacity, "id": m.name} for m in self.minions]
+        rows = [{"machine": m.machine, "pool": m.service, "state": m.state, "zone": "zone-a", "labels": m.labels,
+                 "capacity": m.capacity, "id": m.name if m.state == "up" else ""} for m in self.minions]
         return 200, {"machines": rows, "next_token": ""}
 
+    def upkeep(self, headers, data):
+        """Starts the upkeep of a machine; a new minion joins after `maintenance_s`."""
+        minion = next((m for m in self.minions if m.machine == data["machine"]), None)
+        if minion is None:
+            return 400, {}
+        token = int(headers.get("x-fencing-token", "0"))
+        if token < self.fences.get(minion.machine, 0):
+            return 409, {"reason": "fence"}
+        self.fences[minion.machine] = token
+        if (minion.machine, data["wave"]) in self.kept:
+            return 200, {}
+        if minion.state != "up":
+            return 409, {"reason": "busy"}
+        self.kept.add((minion.machine, data["wave"]))
+        self.record.line(f"platform: upkeep of {minion.machine}, wave {data['wave']}")
+        self.replace(minion, "upkeep", 2.0)
+        return 200, {}
+
+    def replace(self, minion, state, seconds):
+        """Ends a minion; another one starts on its machine later."""
+        minion.crash()
+        minion.state = state
+        asyncio.ensure_future(self.join_later(minion, seconds))
+
+    async def join_later(self, minion, seconds):
+        await asyncio.sleep(seconds)
+        self.lives += 1
+        joined = Minion(self, f"{minion.name[:6]}-{self.lives}", minion.machine, minion.service,
+                        minion.capacity["cpu"], minion.capacity["mem_mb"], minion.labels[1], minion.labels[0])
+        self.store.remove(f"servers/{minion.name}")
+        self.minions[self.minions.index(minion)] = await joined.start()
+        self.record.line(f"minion {joined.name} joins on {joined.machine}")
+
     async def begin(self, routes, services, minions, dispatchers):
         if not os.path.exists(PROGRAM):
             raise CannotRun(f"{PROGRAM} is missing; run the build of the deploy file")
