--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""A scheduled job whose times are all due at once, beside small jobs."""
+"""A gang that keeps checkpoints, and the crash of one of its minions."""
 import asyncio
 import os
 import sys
@@ -8,84 +8,104 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
 from world import CannotRun, Minion, World, main  # noqa: E402
 
-MEMORY_MB = 260
-FINISH_S = 14.0
-WATCHED_S = 3.0
-SCHEDULED = "5c0e7a21d94b0fff"
-MINUTES = 2 * 365 * 24 * 60
+MEMBERS = 4
+JOBS = 4
+WORK_S = 12.0
+RESTORE_S = 0.6
+GANG_TIMEOUT_S = 3.0
+DOWN_S = 4.5
 ROUTE = {"name": "q-a", "host": World.HOST, "prefix": "/plans/", "service": "svc-a", "priority": 1,
          "max_attempts": 3, "stretch_factor": 2.0, "target_duration_ms": 1_000}
-SMALL = {"spec": "small", "phases": [{"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 500}]}
+GANG = {"spec": "gang", "phases": [{"count": MEMBERS, "cpu": 2_000, "mem_mb": 512, "estimate_ms": 12_000, "gang": True,
+                                    "checkpointing": True, "max_per_server": 1}]}
 
 
-async def platform(world, kills):
-    """Ends a process that exceeds its memory, and starts ended ones again."""
-    while True:
-        for dispatcher in world.dispatchers:
-            if dispatcher.process.returncode is None and dispatcher.memory_mb() > MEMORY_MB:
-                world.record.line(f"edge-{dispatcher.index} has {dispatcher.memory_mb():.0f} MB of {MEMORY_MB}; it is killed")
-                dispatcher.process.kill()
-                kills[dispatcher.index] += 1
-            if dispatcher.process.returncode is not None:
-                await asyncio.sleep(0.3)
-                await dispatcher.start()
-        await asyncio.sleep(0.02)
+class Gang:
+    """One run of a gang: it works from the moment when all members are present."""
+
+    def __init__(self, world, step, run):
+        self.world, self.step, self.run = world, step, run
+        self.members, self.began, self.done = {}, None, 0.0
+        self.timer = asyncio.get_event_loop().call_later(GANG_TIMEOUT_S, self.end, "alone")
+
+    def join(self, minion, task, checkpoint):
+        self.members[task] = minion
+        if checkpoint:
+            self.done = float(int(checkpoint.split("/")[-1], 16))
+        if len(self.members) == MEMBERS:
+            self.timer.cancel()
+            self.began = time.monotonic() + (RESTORE_S if self.done else 0.0)
+            left = WORK_S - self.done + self.began - time.monotonic()
+            self.timer = asyncio.get_event_loop().call_later(left, self.end, "done")
+
+    def saved(self):
+        """The same value for all members, a new one with each second of work."""
+        worked = max(0.0, time.monotonic() - self.began) if self.began else 0.0
+        seconds = int(self.done + worked)
+        return f"{self.step}/{seconds:08x}" if seconds else ""
+
+    def end(self, how, but=None):
+        self.timer.cancel()
+        members, self.members = self.members, {}
+        for task, minion in members.items():
+            if minion is not but and task in minion.running:
+                minion.end(task, how)
 
 
 async def case(world, trouble):
-    world.logs_runs = False
-    world.behave = lambda minion, task, data: (0.5, "done", None)
-    minions = [Minion(world, f"i-{k:04d}", f"m-{k}", "svc-a", rack=f"r1-{k // 2}") for k in range(4)]
+    gangs, starts = {}, []
+
+    def behave(minion, task, data):
+        step, run = task.rsplit(".", 1)[0], data["run_id"]
+        key = (step, run)
+        gang = gangs.get(key) or gangs.setdefault(key, Gang(world, step, run))
+        starts.append((task, run, data.get("checkpoint", "")))
+        world.record.line(f"minion {minion.name} is told to start {task} run {run} with checkpoint '{data.get('checkpoint', '')}'")
+        gang.join(minion, task, data.get("checkpoint", ""))
+        return 0, "done", lambda intervals: gang.saved()
+
+    world.behave = behave
+    world.startup_s = WORK_S
+    minions = [Minion(world, f"i-{k:04d}", f"m-{k}", "svc-a", rack=f"r1-{k // 4}") for k in range(8)]
+    for minion in minions:
+        end = minion.end
+
+        def ended(task, how, end=end, minion=minion):
+            gang = gangs.get((task.rsplit(".", 1)[0], minion.running[task]["run"])) if task in minion.running else None
+            end(task, how)
+            if gang and task in gang.members:
+                gang.members.pop(task)
+                if how in ("stopped", "lapsed", "failed"):
+                    gang.end("broken")
+
+        minion.end = ended
     await world.begin([ROUTE], ["svc-a"], minions, 2)
-    kills = [0, 0]
-    watch = asyncio.ensure_future(platform(world, kills))
-    # Each minute of the last two years; without the disruption, of the next two.
-    start = int(time.time() * 1000) + (-MINUTES if trouble else 1) * 60_000
-    scheduled = {"spec": "ledger", "phases": [{"count": 1, "cpu": 100, "mem_mb": 64, "estimate_ms": 500}],
-                 "repeat_count": MINUTES, "start_at_ms": start, "interval_ms": 60_000}
-    small = [f"{0x5c0e7a21d94b0000 + index:016x}" for index in range(20)]
-    sent = []
-    for index, number in enumerate(small):
-        if index == 5:
-            answer = await world.call(0, "POST", f"/plans/{SCHEDULED}", scheduled)
-            if answer is None or answer[0] != 200:
-                raise CannotRun(f"the scheduled job was not accepted: {answer}")
-        answer = await world.call(index % 2, "POST", f"/plans/{number}", SMALL)
-        if answer is not None and answer[0] == 200:
-            sent.append(number)
-        await asyncio.sleep(1.0)
-    world.record.line(f"the traffic ends; {len(sent)} of {len(small)} small jobs are accepted")
-    await asyncio.sleep(FINISH_S)
-    # Jobs with nothing running for 3 s, while under half of the room is in use.
-    room = sum(minion.capacity["cpu"] for minion in minions)
-    idle, most, until = set(sent), 0, time.monotonic() + WATCHED_S
-    while time.monotonic() < until:
-        at_work = [task for minion in minions for task in minion.running]
-        idle -= set(task.split(".")[0] for task in at_work)
-        most = max(most, sum(100 if task.startswith(SCHEDULED) else 500 for task in at_work))
-        await asyncio.sleep(0.02)
-    started = set(task.split(".")[0] for _, _, task, _ in world.starts)
-    idle -= started
+    jobs = [f"{0x5c0e7a21d94b0000 + index:016x}" for index in range(JOBS)]
+    for index, job in enumerate(jobs):
+        answer = await world.call(index % 2, "POST", f"/plans/{job}", GANG)
+        if answer is None or answer[0] != 200:
+            raise CannotRun(f"a job was not accepted: {answer}")
+        await asyncio.sleep(0.27)
+    await asyncio.sleep(4.7)
+    if trouble:
+        lost = max(minions, key=lambda minion: len(minion.running))
+        world.record.line(f"minion {lost.name} crashes with {', '.join(lost.running)}")
+        broken = [gangs[(task.rsplit(".", 1)[0], run["run"])] for task, run in lost.running.items()]
+        world.replace(lost, "down", DOWN_S)
+        for gang in broken:
+            gang.end("broken", but=lost)
+    await asyncio.sleep(30)
     breaches = []
-    if most * 2 < room:
-        breaches += [f"{number} hasn't begun, with {most} of {room} of the room in use" for number in sorted(idle)]
-    for index, number in enumerate(sent):
-        answers = []
-        for attempt in range(2):
-            answer = await world.call((index + attempt) % 2, "GET", f"/plans/{number}")
-            answers.append(answer)
-            if answer is not None and answer[0] == 200:
-                break
-        if not any(answer is not None and answer[0] == 200 for answer in answers):
-            breaches.append(f"the accepted job {number} gets no answer: {answers}")
-    watch.cancel()
-    world.record.line(f"processes killed over their memory: {kills}; accepted jobs that never began: {len(idle)}")
-    for dispatcher, count in enumerate(kills):
-        if count >= 3:
-            breaches.append(f"the process of edge-{dispatcher} ended {count} times over its memory")
+    for key in sorted({(task.rsplit(".", 1)[0], run) for task, run, _ in starts}):
+        values = {task: checkpoint for task, run, checkpoint in starts if (task.rsplit(".", 1)[0], run) == key}
+        if len(set(values.values())) > 1:
+            breaches.append(f"the members of run {key[1]} of {key[0]} are told to start with different checkpoints: "
+                            + ", ".join(f"{task} '{value}'" for task, value in sorted(values.items())))
+    for index, job in enumerate(jobs):
+        await world.call(index % 2, "GET", f"/plans/{job}")
     for breach in breaches:
         world.record.line(f"broken: {breach}")
-    return f"{len(breaches)}: {breaches[0]}; killed {kills}, never begun {len(idle)} of {len(sent)}" if breaches else None
+    return f"{len(breaches)} runs: {breaches[0]}" if breaches else None
 
 
 main(case, FOLDER)
