--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -7,11 +7,12 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import sys
 import tempfile
 import time
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 PROGRAM = os.path.join(ROOT, "target", "release", "tamarack-dispatchd")
@@ -113,6 +114,7 @@
         # is lost is executed.
         self.lose_answer = lambda data: None
         self.txns = 0
+        self.refused = {}
         self.lost = 0
 
     def note(self, event):
@@ -153,7 +155,9 @@
 
     def commit(self, data):
         expected, put, remove = (data.get(name) or [] for name in ("expected", "put", "remove"))
-        if len(expected) + len(put) + len(remove) > 32:
+        entries = len(expected) + len(put) + len(remove)
+        if entries > 32:
+            self.refused[entries] = self.refused.get(entries, 0) + 1
             return 400, {}
         values = [(row["key"], base64.b64decode(row["value"]), row.get("lease") or 0) for row in put]
         if any(len(value) > VALUE_BYTES for _, value, _ in values):
@@ -537,6 +541,11 @@
             if dispatcher.process and dispatcher.process.returncode is None:
                 dispatcher.process.kill()
                 await dispatcher.process.wait()
+        # KEEP_LOGS=1 keeps the settings and the logs of the dispatchers.
+        if os.environ.get("KEEP_LOGS") == "1":
+            print(f"the logs are in {self.folder}")
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(case, folder):
@@ -544,6 +553,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         world = World(folder)
         try:
             breach = await asyncio.wait_for(case(world, trouble), 112)
@@ -552,13 +564,9 @@
         world.record.line(f"broken: {breach}" if breach else "the rule held")
         return breach
 
-    def end(*_):
-        raise CannotRun("the script was ended")
-
-    signal.signal(signal.SIGTERM, end)
     try:
         breach = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     print(f"broken: {breach}" if breach else "the rule held")
