--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""A gang that keeps checkpoints, and the crash of one of its minions."""
+"""Cancellations of jobs whose submission has had no answer."""
 import asyncio
 import os
 import sys
@@ -8,104 +8,65 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
 from world import CannotRun, Minion, World, main  # noqa: E402
 
-MEMBERS = 4
-JOBS = 4
-WORK_S = 12.0
-RESTORE_S = 0.6
-GANG_TIMEOUT_S = 3.0
-DOWN_S = 4.5
-ROUTE = {"name": "q-a", "host": World.HOST, "prefix": "/plans/", "service": "svc-a", "priority": 1,
+JOBS = 12
+# Jobs whose first write has its answer lost and is executed late.
+LOST = {2, 5, 8, 11}
+LATE_S = 2.0
+LEAVES_AFTER_S = 0.85
+CANCEL_MS = 3_000
+STOP_TIMEOUT_MS = 900
+ROUTE = {"name": "q-a", "host": World.HOST, "prefix": "/payouts/", "service": "svc-a", "priority": 1,
          "max_attempts": 3, "stretch_factor": 2.0, "target_duration_ms": 1_000}
-GANG = {"spec": "gang", "phases": [{"count": MEMBERS, "cpu": 2_000, "mem_mb": 512, "estimate_ms": 12_000, "gang": True,
-                                    "checkpointing": True, "max_per_server": 1}]}
-
-
-class Gang:
-    """One run of a gang: it works from the moment when all members are present."""
-
-    def __init__(self, world, step, run):
-        self.world, self.step, self.run = world, step, run
-        self.members, self.began, self.done = {}, None, 0.0
-        self.timer = asyncio.get_event_loop().call_later(GANG_TIMEOUT_S, self.end, "alone")
-
-    def join(self, minion, task, checkpoint):
-        self.members[task] = minion
-        if checkpoint:
-            self.done = float(int(checkpoint.split("/")[-1], 16))
-        if len(self.members) == MEMBERS:
-            self.timer.cancel()
-            self.began = time.monotonic() + (RESTORE_S if self.done else 0.0)
-            left = WORK_S - self.done + self.began - time.monotonic()
-            self.timer = asyncio.get_event_loop().call_later(left, self.end, "done")
-
-    def saved(self):
-        """The same value for all members, a new one with each second of work."""
-        worked = max(0.0, time.monotonic() - self.began) if self.began else 0.0
-        seconds = int(self.done + worked)
-        return f"{self.step}/{seconds:08x}" if seconds else ""
-
-    def end(self, how, but=None):
-        self.timer.cancel()
-        members, self.members = self.members, {}
-        for task, minion in members.items():
-            if minion is not but and task in minion.running:
-                minion.end(task, how)
+BODY = {"spec": "payout", "phases": [{"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 900, "long_running": True}]}
 
 
 async def case(world, trouble):
-    gangs, starts = {}, []
-
-    def behave(minion, task, data):
-        step, run = task.rsplit(".", 1)[0], data["run_id"]
-        key = (step, run)
-        gang = gangs.get(key) or gangs.setdefault(key, Gang(world, step, run))
-        starts.append((task, run, data.get("checkpoint", "")))
-        world.record.line(f"minion {minion.name} is told to start {task} run {run} with checkpoint '{data.get('checkpoint', '')}'")
-        gang.join(minion, task, data.get("checkpoint", ""))
-        return 0, "done", lambda intervals: gang.saved()
-
-    world.behave = behave
-    world.startup_s = WORK_S
-    minions = [Minion(world, f"i-{k:04d}", f"m-{k}", "svc-a", rack=f"r1-{k // 4}") for k in range(8)]
-    for minion in minions:
-        end = minion.end
-
-        def ended(task, how, end=end, minion=minion):
-            gang = gangs.get((task.rsplit(".", 1)[0], minion.running[task]["run"])) if task in minion.running else None
-            end(task, how)
-            if gang and task in gang.members:
-                gang.members.pop(task)
-                if how in ("stopped", "lapsed", "failed"):
-                    gang.end("broken")
-
-        minion.end = ended
+    world.behave = lambda minion, task, data: (0, "done", None)
+    numbers = [f"{0x5c0e7a21d94b0000 + index:016x}" for index in range(JOBS)]
+    lost = set()
+
+    def lose_answer(data):
+        for row in data["put"]:
+            key = row["key"]
+            for index in LOST:
+                if trouble and key.startswith("jobs/") and key.endswith(numbers[index]) and index not in lost:
+                    lost.add(index)
+                    return LATE_S
+        return None
+
+    world.store.lose_answer = lose_answer
+    minions = [Minion(world, f"i-{k:04d}", f"m-{k}", "svc-a", rack=f"r1-{k // 2}") for k in range(4)]
     await world.begin([ROUTE], ["svc-a"], minions, 2)
-    jobs = [f"{0x5c0e7a21d94b0000 + index:016x}" for index in range(JOBS)]
-    for index, job in enumerate(jobs):
-        answer = await world.call(index % 2, "POST", f"/plans/{job}", GANG)
-        if answer is None or answer[0] != 200:
-            raise CannotRun(f"a job was not accepted: {answer}")
-        await asyncio.sleep(0.27)
-    await asyncio.sleep(4.7)
-    if trouble:
-        lost = max(minions, key=lambda minion: len(minion.running))
-        world.record.line(f"minion {lost.name} crashes with {', '.join(lost.running)}")
-        broken = [gangs[(task.rsplit(".", 1)[0], run["run"])] for task, run in lost.running.items()]
-        world.replace(lost, "down", DOWN_S)
-        for gang in broken:
-            gang.end("broken", but=lost)
-    await asyncio.sleep(30)
+    accepted, cancelled = {}, {}
+    for index, number in enumerate(numbers):
+        # A client that leaves before its time limit, and then cancels its job.
+        sent = time.monotonic()
+        answer = await world.call(index % 2, "POST", f"/payouts/{number}", BODY, timeout=LEAVES_AFTER_S)
+        accepted[number] = answer is not None and answer[0] == 200
+        await asyncio.sleep(max(0.0, sent + LEAVES_AFTER_S - time.monotonic()))
+        answer = await world.call(index % 2, "DELETE", f"/payouts/{number}")
+        if answer is None or not (200 <= answer[0] < 300 or answer[0] == 410):
+            raise CannotRun(f"the cancelling of {number} was not acknowledged: {answer}")
+        cancelled[number] = time.monotonic()
+    # The last late call is executed LATE_S after it was sent; calm from then on.
+    calm = time.monotonic() + LATE_S
+    await asyncio.sleep(LATE_S + 2 * (CANCEL_MS + STOP_TIMEOUT_MS) / 1000)
+    running = {}
+    for minion in minions:
+        for task in minion.running:
+            running.setdefault(task.split(".")[0], []).append(f"{task} on {minion.name}")
     breaches = []
-    for key in sorted({(task.rsplit(".", 1)[0], run) for task, run, _ in starts}):
-        values = {task: checkpoint for task, run, checkpoint in starts if (task.rsplit(".", 1)[0], run) == key}
-        if len(set(values.values())) > 1:
-            breaches.append(f"the members of run {key[1]} of {key[0]} are told to start with different checkpoints: "
-                            + ", ".join(f"{task} '{value}'" for task, value in sorted(values.items())))
-    for index, job in enumerate(jobs):
-        await world.call(index % 2, "GET", f"/plans/{job}")
-    for breach in breaches:
-        world.record.line(f"broken: {breach}")
-    return f"{len(breaches)} runs: {breaches[0]}" if breaches else None
+    for index, number in enumerate(numbers):
+        state = await world.call((index + 1) % 2, "GET", f"/payouts/{number}")
+        if number in running:
+            after = time.monotonic() - cancelled[number]
+            text = (f"{number}: cancelling acknowledged, and {after:.1f} s later, {time.monotonic() - calm:.1f} s of it calm, "
+                    f"{', '.join(running[number])} run; GET answers {state}")
+            world.record.line(f"broken: {text}")
+            breaches.append(text)
+    world.record.line(f"answers lost: {world.store.lost} of {world.store.txns} writes; "
+                      f"submissions answered: {sum(accepted.values())} of {JOBS}")
+    return f"{len(breaches)} of {JOBS} cancelled jobs run on" if breaches else None
 
 
 main(case, FOLDER)
